--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Everything runs inside .venv under the checkout; no other step is needed.
+PYTHON ?= python3.11
+LIBRARIES := common config platform membership placement routing daemon cli standins
+VENV := .venv
+STAMP := $(VENV)/.installed
+BIN := $(VENV)/bin
+
+.PHONY: setup run site test lint format capacity bench clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock $(wildcard libraries/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation \
+		$(foreach library,$(LIBRARIES),-e libraries/$(library))
+	touch $(STAMP)
+
+run: setup
+	$(BIN)/python examples/demonstration.py
+
+site: setup
+	$(BIN)/python examples/demonstration.py --stay
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+format: setup
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+capacity: setup
+	$(BIN)/python benchmarks/capacity.py
+
+bench: setup
+	$(BIN)/python benchmarks/run_all.py
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/libraries/common/src/corianderhaven/common/__init__.py
@@ -0,0 +1,49 @@
+"""Clock, exceptions with codes, logging, identifiers and HTTP helpers."""
+
+from ._background import PeriodicThread
+from ._clock import MS_PER_S, Clock, ManualClock
+from ._http_client import (
+    NETWORK_ERRORS,
+    TIMEOUT_ERRORS,
+    Exchange,
+    JsonClient,
+    TransportError,
+    open_connection,
+    set_source_ip,
+)
+from ._http_server import HttpServer, Request, Response, Router, json_response
+from ._ids import new_id, rendezvous_order
+from ._logging import DecisionLog, configure_logging
+from ._settings import check_address, check_positive, run_program
+from .exceptions import CorianderhavenError, ErrorCode, FieldError, Outcome, SettingsError
+
+__all__ = [
+    "Clock",
+    "CorianderhavenError",
+    "DecisionLog",
+    "ErrorCode",
+    "Exchange",
+    "FieldError",
+    "HttpServer",
+    "JsonClient",
+    "MS_PER_S",
+    "NETWORK_ERRORS",
+    "TIMEOUT_ERRORS",
+    "ManualClock",
+    "Outcome",
+    "PeriodicThread",
+    "Request",
+    "Response",
+    "Router",
+    "SettingsError",
+    "TransportError",
+    "check_address",
+    "check_positive",
+    "configure_logging",
+    "json_response",
+    "new_id",
+    "open_connection",
+    "rendezvous_order",
+    "run_program",
+    "set_source_ip",
+]
--- /dev/null
+++ b/libraries/common/src/corianderhaven/common/_http_server.py
@@ -0,0 +1,278 @@
+"""A small JSON router on cheroot."""
+
+import http.client
+import re
+import select
+import socket
+import threading
+from dataclasses import dataclass, field
+
+import msgspec
+from cheroot import wsgi
+from loguru import logger
+
+from ._ids import new_id
+from .exceptions import CorianderhavenError, ErrorCode, FieldError, Outcome
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_DISCARDED_BYTES = 64 * 1024 * 1024
+DISCARD_PART_BYTES = 64 * 1024
+MAX_HEADER_BYTES = 64 * 1024
+LISTEN_BACKLOG = 512
+WRITE_TIMEOUT_S = 10
+REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,80}")
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Hands the caller's connection to the application."""
+
+    version = (1, 5)
+
+    def get_environ(self):
+        environ = super().get_environ()
+        environ["wsgi.version"] = (1, 0)
+        environ["corianderhaven.connection"] = self.req.conn
+        return environ
+
+
+@dataclass
+class Request:
+    """One HTTP request."""
+
+    method: str
+    path: str
+    query: str
+    headers: dict
+    body: bytes
+    request_id: str
+    connection: object = None
+    parameters: dict = field(default_factory=dict)
+
+    def header(self, name, default=None):
+        """Return a header by its lower-case name."""
+        return self.headers.get(name, default)
+
+    def json(self, model=None):
+        """Decode the body, as `model` when one is given.
+
+        Raises
+        ------
+        CorianderhavenError
+            With the path of the first error.
+        """
+        try:
+            if model is None:
+                return msgspec.json.decode(self.body)
+            return msgspec.json.decode(self.body, type=model)
+        except msgspec.ValidationError as error:
+            field_error = split_validation_error(error)
+            raise CorianderhavenError(
+                ErrorCode.INVALID_REQUEST, str(error), errors=[field_error]
+            ) from None
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise CorianderhavenError(ErrorCode.MALFORMED_JSON, str(error)) from None
+
+    def caller_left(self):
+        """Return whether the caller has closed its connection."""
+        if self.connection is None:
+            return False
+        sock = self.connection.socket
+        try:
+            readable, _, _ = select.select([sock], [], [], 0)
+            return bool(readable) and sock.recv(1, socket.MSG_PEEK) == b""
+        except (OSError, ValueError):
+            return True
+
+
+@dataclass
+class Response:
+    """One HTTP answer; `body` is bytes, or an iterator of bytes for a stream."""
+
+    status: int = 200
+    body: object = b""
+    headers: dict = field(default_factory=dict)
+
+
+def split_validation_error(error):
+    """Turn a msgspec message ending in "- at `path`" into a `FieldError`."""
+    message, _, path = str(error).partition(" - at `")
+    return FieldError(path.rstrip("`") or "$", message)
+
+
+def json_response(value, status=200, headers=None):
+    """Return a `Response` with `value` as JSON."""
+    body = msgspec.json.encode(value, enc_hook=str)
+    return Response(status, body, {"Content-Type": "application/json", **(headers or {})})
+
+
+def error_response(error):
+    """Return the `Response` of a `CorianderhavenError`."""
+    headers = {}
+    if error.retry_after_ms is not None:
+        headers["Retry-After"] = str(max(1, -(-error.retry_after_ms // 1000)))
+    return json_response(error.to_body(), error.code.status, headers)
+
+
+class Router:
+    """Dispatches requests by method and path pattern.
+
+    Patterns are like ``/v1/services/{service}/{operation}``.
+
+    Parameters
+    ----------
+    max_body_bytes : int
+        Larger bodies are refused with 413.
+    """
+
+    def __init__(self, max_body_bytes=MAX_BODY_BYTES):
+        self.max_body_bytes = max_body_bytes
+        self.routes = []
+
+    def add(self, method, pattern, handler):
+        """Register `handler(request)` for `method` and `pattern`."""
+        expression = re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", pattern)
+        self.routes.append((method, re.compile(expression), handler))
+
+    def dispatch(self, request):
+        """Return the `Response` for `request`; errors become JSON."""
+        try:
+            return self._handler(request)(request)
+        except CorianderhavenError as error:
+            return error_response(error)
+        except Exception:
+            logger.bind(request_id=request.request_id).exception("request handler failed")
+            message = "internal error"
+            return error_response(CorianderhavenError(ErrorCode.INTERNAL, message, Outcome.UNKNOWN))
+
+    def _handler(self, request):
+        matches = [
+            (method, match, handler)
+            for method, expression, handler in self.routes
+            if (match := expression.fullmatch(request.path))
+        ]
+        if not matches:
+            raise CorianderhavenError(ErrorCode.NOT_FOUND, f"no such path: {request.path}")
+        for method, match, handler in matches:
+            if method == request.method:
+                request.parameters = match.groupdict()
+                return handler
+        raise CorianderhavenError(ErrorCode.METHOD_NOT_ALLOWED, f"not allowed: {request.method}")
+
+    def application(self, environ, start_response):
+        """Serve as a WSGI application."""
+        request, error = self._read_request(environ)
+        response = error_response(error) if error else self.dispatch(request)
+        headers = {"X-Request-Id": request.request_id, **response.headers}
+        if isinstance(response.body, bytes):
+            headers["Content-Length"] = str(len(response.body))
+        reason = http.client.responses.get(response.status, "Unknown")
+        start_response(f"{response.status} {reason}", list(headers.items()))
+        return [response.body] if isinstance(response.body, bytes) else response.body
+
+    def _read_request(self, environ):
+        headers = {
+            key[5:].replace("_", "-").lower(): value
+            for key, value in environ.items()
+            if key.startswith("HTTP_")
+        }
+        request_id = headers.get("x-request-id", "")
+        if not REQUEST_ID_PATTERN.fullmatch(request_id):
+            request_id = new_id("req")
+        request = Request(
+            environ["REQUEST_METHOD"],
+            environ["PATH_INFO"],
+            environ.get("QUERY_STRING", ""),
+            headers,
+            b"",
+            request_id,
+            environ.get("corianderhaven.connection"),
+        )
+        try:
+            request.body = self._read_body(environ)
+        except CorianderhavenError as error:
+            return request, error
+        return request, None
+
+    def _read_body(self, environ):
+        length = environ.get("CONTENT_LENGTH") or "0"
+        too_large = CorianderhavenError(
+            ErrorCode.BODY_TOO_LARGE, f"body above {self.max_body_bytes} bytes"
+        )
+        if not length.isdigit():
+            raise CorianderhavenError(ErrorCode.INVALID_REQUEST, "bad Content-Length")
+        source = environ["wsgi.input"]
+        wanted = self.max_body_bytes + 1
+        if not environ.get("wsgi.input_terminated"):
+            wanted = min(wanted, int(length))
+        body = source.read(wanted) if wanted else b""
+        if len(body) > self.max_body_bytes:
+            _discard(source)
+            raise CorianderhavenError(
+                ErrorCode.BODY_TOO_LARGE, f"body above {self.max_body_bytes} bytes"
+            )
+        return body
+
+
+def _discard(source):
+    """Read on for a while, so that the caller gets to see the answer."""
+    left = MAX_DISCARDED_BYTES
+    while left > 0 and (part := source.read(DISCARD_PART_BYTES)):
+        left -= len(part)
+
+
+class HttpServer:
+    """A cheroot server on its own thread.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port``; port 0 takes a free one.
+    router : Router
+        Handles the requests.
+    threads : int
+        Greatest number of requests handled at once.
+    shutdown_timeout_s : float
+        Bound on waiting for worker threads in `close`.
+    """
+
+    def __init__(self, address, router, threads=32, shutdown_timeout_s=1.0):
+        self.address = address
+        self.router = router
+        self.threads = threads
+        self.shutdown_timeout_s = shutdown_timeout_s
+        self.server = None
+        self.thread = None
+
+    def start(self):
+        """Bind, listen and serve; raises OSError when the address is taken."""
+        host, _, port = self.address.rpartition(":")
+        self.server = wsgi.Server(
+            (host, int(port)),
+            self.router.application,
+            numthreads=self.threads,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=WRITE_TIMEOUT_S,
+            shutdown_timeout=self.shutdown_timeout_s,
+            server_name="corianderhaven",
+        )
+        self.server.gateway = _Gateway
+        self.server.max_request_header_size = MAX_HEADER_BYTES
+        self.server.error_log = _log_server_error
+        self.server.prepare()
+        self.address = f"{host}:{self.server.bind_addr[1]}"
+        self.thread = threading.Thread(
+            target=self.server.serve, name=f"http-{self.address}", daemon=True
+        )
+        self.thread.start()
+        return self
+
+    def close(self):
+        """Stop listening and end the worker threads."""
+        if self.server is not None:
+            self.server.stop()
+            self.thread.join(self.shutdown_timeout_s)
+            self.server = None
+
+
+def _log_server_error(message="", level=0, traceback=False):
+    logger.debug("http server: {}", message)
--- /dev/null
+++ b/libraries/config/src/corianderhaven/config/__init__.py
@@ -0,0 +1,47 @@
+"""The operators' document: models, checks, keys and differences."""
+
+from ._checks import check_document, parse_document
+from ._difference import Change, difference
+from ._keys import KeyRing, make_key, verify_secret
+from ._models import (
+    Account,
+    Deployment,
+    Document,
+    EngineContract,
+    Floor,
+    KeyHash,
+    Limits,
+    Model,
+    Operation,
+    Operator,
+    RepairWeights,
+    Service,
+    VmSelector,
+)
+from ._record import ConfigRecord, document_schema, encode_document
+
+__all__ = [
+    "Account",
+    "Change",
+    "ConfigRecord",
+    "Deployment",
+    "Document",
+    "EngineContract",
+    "Floor",
+    "KeyHash",
+    "KeyRing",
+    "Limits",
+    "Model",
+    "Operation",
+    "Operator",
+    "RepairWeights",
+    "Service",
+    "VmSelector",
+    "check_document",
+    "difference",
+    "document_schema",
+    "encode_document",
+    "make_key",
+    "parse_document",
+    "verify_secret",
+]
--- /dev/null
+++ b/libraries/config/src/corianderhaven/config/tests/test_config.py
@@ -0,0 +1,115 @@
+"""Tests of documents, keys and differences."""
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from corianderhaven.common import CorianderhavenError, ErrorCode
+from corianderhaven.config import KeyRing, difference, make_key, parse_document
+from corianderhaven.config._models import Account
+
+
+def sample():
+    return {
+        "format": 1,
+        "site": "dakar",
+        "zones": ["plateau", "pikine"],
+        "accounts": [{"name": "team-a"}],
+        "models": [{"name": "report", "versions": ["v1"]}],
+        "deployments": [
+            {
+                "name": "drafts",
+                "model": "report",
+                "version": "v1",
+                "members_per_replica": 4,
+                "vms": {"label": "drafting"},
+            }
+        ],
+        "services": [
+            {
+                "name": "covers",
+                "vms": {"label": "covers"},
+                "operations": [{"name": "close", "idempotent": False}],
+            }
+        ],
+    }
+
+
+def errors_of(raw):
+    with pytest.raises(CorianderhavenError) as caught:
+        parse_document(msgspec.json.encode(raw))
+    return caught.value
+
+
+def test_valid_document():
+    assert parse_document(msgspec.json.encode(sample())).deployments[0].members_per_replica == 4
+
+
+def test_all_errors_are_collected_with_paths():
+    raw = sample()
+    raw["deployments"][0]["model"] = "absent"
+    raw["deployments"][0]["accounts"] = ["nobody"]
+    raw["services"][0]["vms"]["zones"] = ["mars"]
+    paths = {error.path for error in errors_of(raw).errors}
+    assert paths == {
+        "$.deployments[0].model",
+        "$.deployments[0].accounts[0]",
+        "$.services[0].vms.zones[0]",
+    }
+
+
+def test_shape_errors_of_several_items():
+    raw = sample()
+    raw["accounts"].append({"name": "Bad Name"})
+    raw["deployments"][0]["members_per_replica"] = 0
+    raw["surprise"] = 1
+    paths = {error.path for error in errors_of(raw).errors}
+    assert paths == {"$.accounts[1].name", "$.deployments[0].members_per_replica", "$.surprise"}
+
+
+@settings(max_examples=150, derandomize=True, deadline=None)
+@given(
+    st.recursive(
+        st.none() | st.integers() | st.text(),
+        lambda s: (
+            st.lists(s)
+            | st.dictionaries(
+                st.sampled_from(["format", "site", "zones", "deployments", "name", "x"]), s
+            )
+        ),
+        max_leaves=12,
+    )
+)
+def test_any_json_is_accepted_or_refused_with_a_code(raw):
+    error = errors_of(raw)
+    assert error.code is ErrorCode.INVALID_DOCUMENT
+    assert error.errors
+
+
+@settings(max_examples=50, derandomize=True, deadline=None)
+@given(st.binary(max_size=40))
+def test_any_bytes_are_refused_with_a_code(payload):
+    with pytest.raises(CorianderhavenError):
+        parse_document(payload)
+
+
+def test_difference_matches_named_items():
+    before = parse_document(msgspec.json.encode(sample()))
+    raw = sample()
+    raw["accounts"].insert(0, {"name": "team-b"})
+    raw["deployments"][0]["priority"] = 1
+    changes = difference(before, parse_document(msgspec.json.encode(raw)))
+    assert {change.path for change in changes} == {
+        "$.accounts[team-b]",
+        "$.deployments[drafts].priority",
+    }
+
+
+def test_keys():
+    key, key_hash = make_key("team-a-1")
+    ring = KeyRing([Account(name="team-a", keys=[key_hash])])
+    assert ring.authenticate(f"Bearer {key}").name == "team-a"
+    assert ring.authenticate(f"Bearer {key}x") is None
+    assert ring.authenticate("Basic abc") is None
+    assert ring.authenticate(None) is None
--- /dev/null
+++ b/libraries/daemon/src/corianderhaven/daemon/_daemon.py
@@ -0,0 +1,323 @@
+"""Wires one daemon together."""
+
+import hmac
+import threading
+
+from corianderhaven.common import (
+    Clock,
+    CorianderhavenError,
+    DecisionLog,
+    ErrorCode,
+    HttpServer,
+    Router,
+    new_id,
+    set_source_ip,
+)
+from corianderhaven.membership import (
+    ConfigHolder,
+    ConfigProposer,
+    ConfigWatcher,
+    DeploymentSummary,
+    FactBoard,
+    Heartbeater,
+    PeerInfo,
+    PeerTable,
+    PeerTransport,
+    ProbeSupervisor,
+    VmDirectory,
+    ZoneAdoption,
+    ZoneSummary,
+)
+from corianderhaven.placement import PlacementController, ZonePlacer, make_repair_policy
+from corianderhaven.platform import EtcdGatewayStore, HttpVmList
+from corianderhaven.routing import (
+    AdmissionController,
+    CallerWatch,
+    ClaimBook,
+    DraftRouter,
+    GroupCommitter,
+    LoadBook,
+    OperationRouter,
+    RemoteZones,
+    ReplicaView,
+    ResumeTokens,
+    make_chooser,
+)
+
+from ._callers import CallersFront
+from ._in_flight import InFlight
+from ._operator_front import OperatorFront
+from ._peer_front import PeerFront
+from ._reports import Reports
+from ._settings import check_settings
+
+PEER_THREADS = 24
+BOOTSTRAP_OPERATOR = "bootstrap"
+SUMMARY_DAEMONS = 3
+SYNC_GRACE_MS = 3_000.0
+
+
+class Daemon:
+    """One daemon: listeners for callers, peers and operators, and all it runs.
+
+    Parameters
+    ----------
+    settings : Settings
+    clock : Clock or None
+    """
+
+    def __init__(self, settings, clock=None):
+        self.settings = settings
+        self.clock = clock or Clock()
+        self.drain_requested = threading.Event()
+        self.started_ms = self.clock.now_ms()
+        self.closed = False
+
+    def start(self):
+        """Check the settings, then start everything; raises `SettingsError` or `OSError`."""
+        check_settings(self.settings)
+        if self.settings.source_ip:
+            set_source_ip(self.settings.source_ip)
+        self._build_membership()
+        self._build_routing()
+        self._build_placement()
+        self._start_listeners()
+        self.committer.start()
+        self.claims.start()
+        self.caller_watch.start()
+        self.directory.update()
+        self.watcher.start()
+        self.heartbeater.start()
+        self.prober.start()
+        self.placement.start()
+        self.decisions.record("daemon_started", daemon=self.own.name, instance=self.own.instance)
+        return self
+
+    def close(self):
+        """Stop everything at once; `drain` comes first where requests must be finished."""
+        if self.closed:
+            return
+        self.closed = True
+        self.placement.close()
+        self.prober.close()
+        self.heartbeater.close()
+        self.watcher.close()
+        self.callers_server.close()
+        self.peers_server.close()
+        self.claims.close()
+        self.committer.close()
+        self.caller_watch.close()
+        self.transport.close()
+        self.store.close()
+        self.vm_list.close()
+
+    def request_drain(self):
+        """Ask the main thread to drain and close."""
+        self.own.draining = True
+        self.drain_requested.set()
+
+    def drain(self):
+        """Finish all requests in flight, cutting off none; returns whether all were finished.
+
+        The daemon is not ready at once, and goes on accepting for the notice period while
+        the balancer catches up.
+        """
+        self.own.draining = True
+        self.decisions.record("drain_begun", in_flight=self.in_flight.count)
+        self.clock.sleep_ms(self.settings.drain_notice_ms)
+        with self.in_flight.changed:
+            self.in_flight.accepting = False
+        finished = self.in_flight.wait_idle(self.settings.drain_bound_ms)
+        self.decisions.record("drain_ended", finished=finished, left=self.in_flight.count)
+        return finished
+
+    def unready_reason(self):
+        """Return why new requests should go elsewhere, or an empty string."""
+        if self.own.draining:
+            return "draining"
+        if self.holder.record is None:
+            return "no configuration in force"
+        return ""
+
+    def operator_name(self, authorization):
+        """Return the name of the operator with a bearer key, or None."""
+        operator = self.holder.operator_keys.authenticate(authorization)
+        if operator is not None:
+            return operator.name
+        bootstrap = self.settings.bootstrap_key
+        no_operators = self.holder.record is None or not self.holder.document.operators
+        if not bootstrap or not no_operators:
+            return None
+        expected = f"Bearer {bootstrap}".encode()
+        matches = hmac.compare_digest(expected, (authorization or "").encode())
+        return BOOTSTRAP_OPERATOR if matches else None
+
+    def propose(self, document, base_revision, change_id, operator):
+        """Propose a configuration once this daemon knows what its peers have in force."""
+        waited_ms = self.clock.now_ms() - self.started_ms
+        alone = not self.directory.entry_addresses() and not self.settings.seeds
+        if not (self.heartbeater.synced.is_set() or alone or waited_ms > SYNC_GRACE_MS):
+            raise CorianderhavenError(
+                ErrorCode.NOT_READY, "not in touch with peers yet", retry_after_ms=1000
+            )
+        return self.proposer.propose(document, base_revision, change_id, operator)
+
+    def permitted_deployments(self, account):
+        """Return the deployments that an account may use, most important first."""
+        document = self.holder.document
+        permitted = (
+            d for d in document.deployments if not d.accounts or account.name in d.accounts
+        )
+        return sorted(permitted, key=lambda d: (d.priority, d.name))
+
+    def deployments_for(self, account, model):
+        """Return the permitted deployments that serve ``model`` or ``model:adapter``."""
+        name, _, adapter = model.partition(":")
+        return [
+            d
+            for d in self.permitted_deployments(account)
+            if d.model == name and (not adapter or adapter in d.adapters)
+        ]
+
+    def zone_summary(self):
+        """Return what other zones need to know of this one."""
+        document = self.holder.document
+        deployments, services = {}, {}
+        for deployment in document.deployments if document else ():
+            replicas = self.view.for_deployment(deployment)
+            bound = deployment.limits.in_flight_per_replica
+            free = sum(max(0, bound - self.load_book.estimate(r)) for r in replicas)
+            deployments[deployment.name] = DeploymentSummary(len(replicas), free)
+        for service in document.services if document else ():
+            services[service.name] = len(self.operations.endpoints(service))
+        peers = [r.info for r in self.peers.live(self.own.zone) if not r.info.draining]
+        daemons = [] if self.own.draining else [self.own]
+        return ZoneSummary(
+            self.own.zone, 0, [*daemons, *peers][:SUMMARY_DAEMONS], deployments, services
+        )
+
+    def status(self):
+        """Return the state of this daemon."""
+        return self.reports.status()
+
+    def describe_replicas(self):
+        """Return intended replicas and what facts say of them."""
+        return self.reports.replicas()
+
+    def describe_vms(self):
+        """Return endpoint VMs and their latest facts."""
+        return self.reports.vms()
+
+    def refresh_metrics(self):
+        """Set the gauges that are read at scrape time."""
+        self.reports.refresh_metrics()
+
+    def _build_membership(self):
+        settings = self.settings
+        self.decisions = DecisionLog(self.clock)
+        self.store = EtcdGatewayStore(settings.platform)
+        self.vm_list = HttpVmList(settings.platform)
+        self.own = PeerInfo(
+            settings.name, settings.zone, new_id("daemon"), settings.peers, self.clock.wall_ms()
+        )
+        self.transport = PeerTransport(settings.secret)
+        self.holder = ConfigHolder(self.decisions)
+        self.peers = PeerTable(self.clock, self.own)
+        self.adoption = ZoneAdoption(self.clock, self.peers, self.holder, self.decisions)
+        self.directory = VmDirectory(
+            self.vm_list, self.clock, self.peers, self.transport, self.adoption
+        )
+        self.peers.platform_reachable = lambda: self.directory.platform_reachable
+        self.proposer = ConfigProposer(self.store, self.holder, self.decisions, self.clock)
+        self.watcher = ConfigWatcher(
+            self.store, self.proposer, self.holder, self.peers, self.transport
+        )
+        self.facts = FactBoard(self.clock)
+        self.heartbeater = Heartbeater(
+            self.clock,
+            self.peers,
+            self.facts,
+            self.holder,
+            self.watcher,
+            self.directory,
+            self.adoption,
+            self.transport,
+            settings.seeds,
+        )
+        self.prober = ProbeSupervisor(
+            self.facts,
+            self.directory,
+            self.peers,
+            self.adoption,
+            self.decisions,
+            self.heartbeater,
+        )
+
+    def _build_routing(self):
+        settings = self.settings
+        self.in_flight = InFlight()
+        self.caller_watch = CallerWatch()
+        self.tokens = ResumeTokens(settings.secret)
+        self.view = ReplicaView(self.facts, self.directory, self.clock)
+        self.load_book = LoadBook(self.clock, self.peers)
+        self.remote_zones = RemoteZones(self.adoption, self.peers)
+        self.admission = AdmissionController(self.clock, self.load_book, settings.fairness)
+        self.drafts = DraftRouter(
+            self.clock,
+            self.view,
+            make_chooser(settings.chooser, self.load_book, settings.seed or None),
+            self.load_book,
+            self.admission,
+            self.remote_zones,
+            self.adoption,
+            self.decisions,
+            settings.secret,
+            settings.resume,
+        )
+        self.committer = GroupCommitter(self.store)
+        self.claims = ClaimBook(
+            self.store, self.committer, self.clock, self.own, self.transport, self.decisions
+        )
+        self.operations = OperationRouter(
+            self.clock,
+            self.facts,
+            self.directory,
+            self.adoption,
+            self.remote_zones,
+            self.claims,
+            self.decisions,
+            settings.secret,
+        )
+        self.heartbeater.in_flight_source = self.load_book.own_replicas
+        self.heartbeater.accounts_source = self.load_book.own_accounts
+        self.heartbeater.summary_source = self.zone_summary
+
+    def _build_placement(self):
+        self.placement = PlacementController(self.adoption, self._make_placer)
+        self.reports = Reports(self)
+
+    def _make_placer(self, zone):
+        return ZonePlacer(
+            zone,
+            self.store,
+            self.clock,
+            self.holder,
+            self.peers,
+            self.facts,
+            self.directory,
+            make_repair_policy(self.settings.repair_policy),
+            self.decisions,
+        )
+
+    def _start_listeners(self):
+        operators_router = Router()
+        PeerFront(self).register(operators_router)
+        OperatorFront(self).register(operators_router)
+        self.peers_server = HttpServer(self.settings.peers, operators_router, PEER_THREADS)
+        self.peers_server.start()
+        self.own.address = self.peers_server.address
+        callers = CallersFront(self)
+        self.callers_server = HttpServer(
+            self.settings.callers, callers.router, self.settings.caller_threads
+        )
+        self.callers_server.start()
--- /dev/null
+++ b/libraries/daemon/src/corianderhaven/daemon/_draft_front.py
@@ -0,0 +1,156 @@
+"""Drafts over HTTP: from callers, and from daemons of other zones."""
+
+import hashlib
+
+import msgspec
+
+from corianderhaven.common import (
+    CorianderhavenError,
+    ErrorCode,
+    Response,
+    json_response,
+)
+from corianderhaven.routing import DraftRequest
+
+from ._completion_format import (
+    END_EVENT,
+    DraftBody,
+    check_body,
+    format_error_event,
+    format_events,
+    format_peer_events,
+    whole_answer,
+)
+
+STREAM_HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
+
+
+class DraftFront:
+    """Parses draft requests and writes their answers.
+
+    Parameters
+    ----------
+    daemon : Daemon
+    """
+
+    def __init__(self, daemon):
+        self.daemon = daemon
+
+    def serve(self, request, account, path):
+        """Answer a caller's draft, streamed or whole."""
+        body, draft = self._parse(request, account, path)
+        digest = hashlib.blake2b(request.body, digest_size=12).hexdigest()
+        last_event_id = request.header("last-event-id")
+        if last_event_id and body.stream:
+            draft.resume = self.daemon.tokens.check(last_event_id, account.name, digest)
+            draft.delivered = draft.resume.offset
+        relay = self.daemon.drafts.relay(draft)
+        if body.stream:
+            chunks = self._caller_stream(request, relay, account.name, digest)
+            return Response(200, _started(chunks), dict(STREAM_HEADERS))
+        return self._whole(request, relay, body, path)
+
+    def serve_peer(self, request, account, path):
+        """Answer a draft that another zone's daemon forwards."""
+        body, draft = self._parse(request, account, path)
+        draft.hops = 1
+        if body.continue_from is not None:
+            draft.delivered = body.continue_from.tokens
+            draft.prefix_text = body.continue_from.text
+            draft.body.pop("continue_from")
+        relay = self.daemon.drafts.relay(draft)
+        return Response(200, _started(self._peer_stream(request, relay)), dict(STREAM_HEADERS))
+
+    def serve_peer_stream(self, request, account, resume):
+        """Go on with a stream that an engine of this zone keeps."""
+        deployments = self.daemon.permitted_deployments(account)
+        draft = DraftRequest(
+            request.request_id, account, deployments, "", {}, "", 0, resume.offset, "", resume, 1
+        )
+        relay = self.daemon.drafts.relay(draft)
+        return Response(200, _started(self._peer_stream(request, relay)), dict(STREAM_HEADERS))
+
+    def _parse(self, request, account, path):
+        body = request.json(DraftBody)
+        check_body(body, chat=path.endswith("chat/completions"))
+        deployments = self.daemon.deployments_for(account, body.model)
+        if not deployments:
+            raise CorianderhavenError(
+                ErrorCode.UNKNOWN_MODEL, f"no such model for this account: {body.model!r}"
+            )
+        raw = msgspec.json.decode(request.body)
+        draft = DraftRequest(
+            request.request_id,
+            account,
+            deployments,
+            path,
+            raw,
+            body.prompt_text(),
+            body.token_limit(),
+        )
+        return body, draft
+
+    def _watched(self, request, relay):
+        """Yield a relay's batches while watching for a caller that leaves before the first."""
+        watch = self.daemon.caller_watch
+        handle = watch.add(request, relay.caller_gone)
+        batches = relay.batches()
+        try:
+            for batch in batches:
+                watch.remove(handle)
+                yield batch
+        finally:
+            watch.remove(handle)
+            batches.close()
+
+    def _caller_stream(self, request, relay, account, digest):
+        signer = None
+        signed_stream = None
+        begun = False
+        try:
+            for batch in self._watched(request, relay):
+                if relay.stream_id != signed_stream or signer is None:
+                    signed_stream = relay.stream_id
+                    signer = self.daemon.tokens.signer(signed_stream or "", account, digest)
+                begun = True
+                yield format_events(batch, signer)
+            yield END_EVENT
+        except CorianderhavenError as error:
+            if not begun:
+                raise
+            yield format_error_event(error)
+
+    def _peer_stream(self, request, relay):
+        begun = False
+        try:
+            for batch in self._watched(request, relay):
+                begun = True
+                yield format_peer_events(batch, relay.stream_id)
+            yield END_EVENT
+        except CorianderhavenError:
+            if not begun:
+                raise
+
+    def _whole(self, request, relay, body, path):
+        watch = self.daemon.caller_watch
+        handle = watch.add(request, relay.caller_gone)
+        try:
+            events = [event for batch in relay.batches() for event in batch]
+        finally:
+            watch.remove(handle)
+        chat = path.endswith("chat/completions")
+        return json_response(whole_answer(events, request.request_id, body.model, chat))
+
+
+def _started(chunks):
+    """Run a stream up to its first chunk, so that an earlier error still gets its status."""
+    first = next(chunks)
+    return _rejoined(first, chunks)
+
+
+def _rejoined(first, chunks):
+    try:
+        yield first
+        yield from chunks
+    finally:
+        chunks.close()
--- /dev/null
+++ b/libraries/daemon/src/corianderhaven/daemon/_main.py
@@ -0,0 +1,98 @@
+"""The corianderhavend program."""
+
+import signal
+
+from loguru import logger
+
+from corianderhaven.common import SettingsError, configure_logging, run_program
+
+from ._daemon import Daemon
+from ._settings import Settings
+
+
+def serve(
+    *,
+    name: str = "",
+    zone: str = "",
+    callers: str = "",
+    peers: str = "",
+    platform: str = "",
+    secret: str = "",
+    seeds: list[str] = (),
+    bootstrap_key: str = "",
+    source_ip: str = "",
+    caller_threads: int = 300,
+    drain_notice_ms: int = 3000,
+    drain_bound_ms: int = 130000,
+    chooser: str = "least-wait",
+    repair_policy: str = "weighed",
+    resume: bool = True,
+    fairness: bool = True,
+    seed: int = 0,
+    log_format: str = "json",
+    log_level: str = "INFO",
+):
+    """Run one daemon until SIGTERM, SIGINT or an operator's drain.
+
+    Each flag can also be given as an environment variable CORIANDERHAVEN_NAME and so on.
+
+    :param name: this VM's name in the platform's list
+    :param zone: this VM's availability zone
+    :param callers: IP:port of the callers' listener
+    :param peers: IP:port of the listener for peers and operators
+    :param platform: IP:port of the platform's key-value service and VM list
+    :param secret: shared by all daemons of the site, 16 characters at least
+    :param seeds: peer addresses for a start without the platform
+    :param bootstrap_key: operator key that is valid until operators are configured
+    :param source_ip: local IP number of outgoing connections
+    :param caller_threads: greatest number of simultaneous callers
+    :param drain_notice_ms: time for the balancer to notice a drain
+    :param drain_bound_ms: greatest time for requests in flight to finish
+    :param chooser: least-wait, no-affinity or random
+    :param repair_policy: weighed, always-wait, always-dissolve or greedy
+    :param resume: resume broken drafts
+    :param fairness: weighted fairness between client accounts
+    :param seed: seed of random choices, 0 for none
+    :param log_format: json or text
+    :param log_level: least level that is logged
+    """
+    if log_format not in ("json", "text"):
+        raise SettingsError(f"log_format must be json or text, not {log_format!r}")
+    configure_logging(log_format, log_level)
+    daemon = Daemon(
+        Settings(
+            name,
+            zone,
+            callers,
+            peers,
+            platform,
+            secret,
+            list(seeds),
+            bootstrap_key,
+            source_ip,
+            caller_threads,
+            drain_notice_ms,
+            drain_bound_ms,
+            chooser,
+            repair_policy,
+            resume,
+            fairness,
+            seed,
+        )
+    )
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: daemon.request_drain())
+    try:
+        daemon.start()
+    except OSError as error:
+        raise SettingsError(f"cannot listen on {callers} and {peers}: {error}")
+    daemon.drain_requested.wait()
+    finished = daemon.drain()
+    daemon.close()
+    logger.info("daemon_stopped")
+    return 0 if finished else 1
+
+
+def main(arguments=None):
+    """Run the program and return its exit code."""
+    return run_program(serve, "CORIANDERHAVEN_", arguments)
--- /dev/null
+++ b/libraries/daemon/src/corianderhaven/daemon/_peer_front.py
@@ -0,0 +1,110 @@
+"""Routes for other daemons; every message carries the site's MAC."""
+
+import msgspec
+
+from corianderhaven.common import (
+    CorianderhavenError,
+    ErrorCode,
+    Response,
+    json_response,
+)
+from corianderhaven.config import ConfigRecord
+from corianderhaven.membership import verify_peer_signature
+from corianderhaven.routing import OperationRequest, ResumePoint
+
+from ._callers import DRAFT_PATHS, answer_response
+from ._draft_front import DraftFront
+
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class PeerFront:
+    """Registers the peer routes.
+
+    Parameters
+    ----------
+    daemon : Daemon
+    """
+
+    def __init__(self, daemon):
+        self.daemon = daemon
+        self.drafts = DraftFront(daemon)
+
+    def register(self, router):
+        """Add the routes."""
+        routes = [
+            ("POST", "/peer/heartbeat", self._heartbeat),
+            ("GET", "/peer/config", self._config),
+            ("POST", "/peer/config", self._take_config),
+            ("GET", "/peer/vms", self._vms),
+            ("GET", "/peer/claims/{claim_id}", self._claim),
+            ("GET", "/peer/v1/streams/{stream_id}", self._stream),
+            ("POST", "/peer/v1/services/{service}/{operation}", self._operate),
+            *(("POST", "/peer" + path, self._draft) for path in DRAFT_PATHS),
+        ]
+        for method, path, handler in routes:
+            router.add(method, path, self._signed(handler))
+
+    def _signed(self, handler):
+        def handle(request):
+            if not verify_peer_signature(self.daemon.settings.secret, request):
+                raise CorianderhavenError(ErrorCode.FORBIDDEN, "not signed by a daemon")
+            return handler(request)
+
+        return handle
+
+    def _heartbeat(self, request):
+        answer = msgspec.json.encode(self.daemon.heartbeater.answer(request.body))
+        self.daemon.transport.count_served(len(request.body), len(answer))
+        return Response(200, answer, dict(JSON_HEADERS))
+
+    def _config(self, request):
+        record = self.daemon.holder.record
+        if record is None:
+            raise CorianderhavenError(ErrorCode.NOT_FOUND, "no configuration is in force")
+        return Response(200, record.encode(), dict(JSON_HEADERS))
+
+    def _take_config(self, request):
+        self.daemon.holder.adopt(ConfigRecord.decode(request.body), "peer")
+        return json_response({"revision": self.daemon.holder.revision})
+
+    def _vms(self, request):
+        return json_response(self.daemon.directory.snapshot())
+
+    def _claim(self, request):
+        claim = self.daemon.claims.local.get(request.parameters["claim_id"])
+        if claim is None:
+            raise CorianderhavenError(ErrorCode.NOT_FOUND, "no such claim here")
+        return Response(200, claim.encode(), dict(JSON_HEADERS))
+
+    def _account(self, request):
+        """Return the account that the forwarding daemon has authenticated."""
+        name = request.header("x-corianderhaven-account")
+        document = self.daemon.holder.document
+        accounts = document.accounts if document else []
+        account = next((a for a in accounts if a.name == name), None)
+        if account is None:
+            raise CorianderhavenError(ErrorCode.NOT_READY, "account not known here yet")
+        return account
+
+    def _draft(self, request):
+        path = request.path.removeprefix("/peer")
+        return self.drafts.serve_peer(request, self._account(request), path)
+
+    def _stream(self, request):
+        offset = int(request.query.partition("offset=")[2] or 0)
+        resume = ResumePoint(request.parameters["stream_id"], offset)
+        return self.drafts.serve_peer_stream(request, self._account(request), resume)
+
+    def _operate(self, request):
+        account = self._account(request)
+        names = request.parameters
+        for service in self.daemon.holder.document.services:
+            for operation in service.operations:
+                if (service.name, operation.name) == (names["service"], names["operation"]):
+                    key = request.header("idempotency-key")
+                    forwarded = OperationRequest(
+                        request.request_id, account, service, operation, request.body, key, 1
+                    )
+                    return answer_response(self.daemon.operations.run(forwarded))
+        raise CorianderhavenError(ErrorCode.UNKNOWN_OPERATION, "operation not known here yet")
--- /dev/null
+++ b/libraries/membership/src/corianderhaven/membership/_adoption.py
@@ -0,0 +1,106 @@
+"""Which availability zones this daemon serves, and what is known of the others."""
+
+import threading
+from dataclasses import dataclass
+
+from ._messages import ZoneSummary
+
+ZONE_DEAD_AFTER_MS = 8_000.0
+MAX_SUMMARIES = 4
+
+
+@dataclass
+class ZoneRecord:
+    """The latest summary of another zone."""
+
+    summary: ZoneSummary
+    made_ms: float
+
+
+class ZoneAdoption:
+    """Adopts a zone without live daemons when this zone is the nearest with any.
+
+    Parameters
+    ----------
+    clock : Clock
+    peers : PeerTable
+    holder : ConfigHolder
+    decisions : DecisionLog
+    """
+
+    def __init__(self, clock, peers, holder, decisions):
+        self.clock = clock
+        self.peers = peers
+        self.holder = holder
+        self.decisions = decisions
+        self.records = {}
+        self.adopted = set()
+        self.lock = threading.Lock()
+
+    def learn(self, summary):
+        """Take in a summary; the younger wins."""
+        made = self.clock.now_ms() - summary.age_ms
+        if summary.zone == self.peers.own.zone:
+            return
+        with self.lock:
+            known = self.records.get(summary.zone)
+            if known is None or known.made_ms < made:
+                self.records[summary.zone] = ZoneRecord(summary, made)
+
+    def summaries(self):
+        """Return the youngest summaries of other zones, with their ages."""
+        now = self.clock.now_ms()
+        with self.lock:
+            records = sorted(self.records.values(), key=lambda r: r.made_ms, reverse=True)
+        return [
+            ZoneSummary(
+                r.summary.zone,
+                int(now - r.made_ms),
+                r.summary.daemons,
+                r.summary.deployments,
+                r.summary.services,
+            )
+            for r in records[:MAX_SUMMARIES]
+        ]
+
+    def zone_is_live(self, zone):
+        """Return whether a daemon of `zone` was heard of lately."""
+        if zone == self.peers.own.zone:
+            return True
+        if any(not record.info.draining for record in self.peers.live(zone)):
+            return True
+        record = self.records.get(zone)
+        return record is not None and self.clock.now_ms() - record.made_ms < ZONE_DEAD_AFTER_MS
+
+    def nearest_first(self, zone):
+        """Return the other zones of the document, nearest to `zone` first."""
+        document = self.holder.document
+        zones = document.zones if document else []
+        if zone not in zones:
+            return []
+        place = zones.index(zone)
+        others = [other for other in zones if other != zone]
+        return sorted(others, key=lambda other: (abs(zones.index(other) - place), other))
+
+    def update(self):
+        """Adopt zones that have lost their daemons, and hand back those that have them again."""
+        document = self.holder.document
+        started = self.clock.now_ms() - self.peers.started_ms
+        if document is None or started < ZONE_DEAD_AFTER_MS:
+            return
+        adopted = {zone for zone in document.zones if self._should_adopt(zone)}
+        for zone in adopted - self.adopted:
+            self.decisions.record("zone_adopted", zone=zone, by=self.peers.own.name)
+        for zone in self.adopted - adopted:
+            self.decisions.record("zone_handed_back", zone=zone, by=self.peers.own.name)
+        self.adopted = adopted
+
+    def _should_adopt(self, zone):
+        if self.zone_is_live(zone) or self.peers.isolated():
+            return False
+        nearest_live = next((z for z in self.nearest_first(zone) if self.zone_is_live(z)), None)
+        return nearest_live == self.peers.own.zone
+
+    def served_zones(self):
+        """Return the own zone and the adopted ones."""
+        return {self.peers.own.zone, *self.adopted}
--- /dev/null
+++ b/libraries/membership/src/corianderhaven/membership/_config_spread.py
@@ -0,0 +1,239 @@
+"""Configuration: proposals by compare-and-swap, watching, pushing and anti-entropy."""
+
+import threading
+
+import msgspec
+
+from corianderhaven.common import (
+    MS_PER_S,
+    CorianderhavenError,
+    ErrorCode,
+    Outcome,
+    TransportError,
+)
+from corianderhaven.config import ConfigRecord, difference
+from corianderhaven.platform import KeyValueError
+
+CONFIG_KEY = "/corianderhaven/config"
+WATCHERS_PER_ZONE = 2
+WATCH_IDLE_MS = 20_000.0
+RETRY_PAUSE_MS = 500.0
+PROPOSAL_ATTEMPTS = 8
+PROPOSAL_PAUSE_MS = 300.0
+RECENT_CHANGES = 32
+SOURCE_PEER = "peer"
+SOURCE_PLATFORM = "platform"
+SOURCE_OPERATOR = "operator"
+
+
+def decode_item(item):
+    """Return the `ConfigRecord` of a stored item, or None."""
+    return None if item is None else ConfigRecord.decode(item.value)
+
+
+class ConfigProposer:
+    """Writes a new configuration exactly once.
+
+    Parameters
+    ----------
+    store : BaseKeyValueStore
+    holder : ConfigHolder
+    decisions : DecisionLog
+    clock : Clock
+    """
+
+    def __init__(self, store, holder, decisions, clock):
+        self.store = store
+        self.holder = holder
+        self.decisions = decisions
+        self.clock = clock
+
+    def propose(self, document, base_revision, change_id, operator):
+        """Make `document` the configuration in force.
+
+        Parameters
+        ----------
+        document : Document
+            Checked.
+        base_revision : int
+            Revision that the operator's change was based on.
+        change_id : str
+            Unique; the same id again gives the same result.
+        operator : str
+
+        Returns
+        -------
+        ConfigRecord
+
+        Raises
+        ------
+        CorianderhavenError
+            ``revision_conflict`` with both changes, or an unknown outcome that the
+            operator resolves by sending the same change id again.
+        """
+        error = None
+        ambiguous = False
+        for attempt in range(PROPOSAL_ATTEMPTS):
+            if attempt:
+                self.clock.sleep_ms(PROPOSAL_PAUSE_MS)
+            try:
+                record = self._attempt(document, base_revision, change_id, operator)
+            except KeyValueError as caught:
+                error = caught
+                ambiguous = ambiguous or caught.ambiguous
+                continue
+            self.holder.adopt(record, SOURCE_OPERATOR)
+            return record
+        outcome = Outcome.UNKNOWN if ambiguous else Outcome.NOT_RUN
+        raise CorianderhavenError(
+            ErrorCode.PLATFORM_UNAVAILABLE,
+            f"{error.message}; send change id {change_id} again",
+            outcome,
+            retry_after_ms=2000,
+            details={"change_id": change_id},
+        )
+
+    def _attempt(self, document, base_revision, change_id, operator):
+        item = self.store.get(CONFIG_KEY)
+        stored = decode_item(item)
+        item, stored = self._raise_restored(item, stored)
+        if stored is not None and stored.change_id == change_id:
+            return stored
+        if stored is not None and change_id in stored.recent_changes:
+            raise CorianderhavenError(
+                ErrorCode.REVISION_CONFLICT,
+                f"change {change_id} was in force and has been followed by another",
+                Outcome.COMPLETE,
+                details={"revision": stored.revision},
+            )
+        revision = stored.revision if stored else 0
+        if revision != base_revision:
+            raise self._conflict(stored, document, base_revision)
+        record = ConfigRecord(
+            revision=revision + 1,
+            change_id=change_id,
+            operator=operator,
+            document=document,
+            recent_changes=[*(stored.recent_changes if stored else []), change_id][
+                -RECENT_CHANGES:
+            ],
+        )
+        mod_revision = item.mod_revision if item else 0
+        result = self.store.compare_and_swap(CONFIG_KEY, mod_revision, record.encode())
+        if result.succeeded:
+            return record
+        current = decode_item(result.item)
+        if current is not None and current.change_id == change_id:
+            return current
+        raise self._conflict(current, document, base_revision)
+
+    def _raise_restored(self, item, stored):
+        """Write the configuration in force over a store restored to an older revision."""
+        in_force = self.holder.record
+        if in_force is None or (stored is not None and stored.revision >= in_force.revision):
+            return item, stored
+        mod_revision = item.mod_revision if item else 0
+        result = self.store.compare_and_swap(CONFIG_KEY, mod_revision, in_force.encode())
+        self.decisions.record(
+            "config_raised",
+            stored=stored.revision if stored else 0,
+            revision=in_force.revision,
+            succeeded=result.succeeded,
+        )
+        return result.item, decode_item(result.item)
+
+    def reconcile(self):
+        """Adopt the stored configuration, or raise a restored store; returns the stored item."""
+        item = self.store.get(CONFIG_KEY)
+        item, stored = self._raise_restored(item, decode_item(item))
+        if stored is not None:
+            self.holder.adopt(stored, SOURCE_PLATFORM)
+        return item
+
+    def _conflict(self, current, document, base_revision):
+        changes = difference(current.document if current else None, document)
+        return CorianderhavenError(
+            ErrorCode.REVISION_CONFLICT,
+            f"based on revision {base_revision}, in force is {current.revision if current else 0}",
+            details={
+                "revision": current.revision if current else 0,
+                "change_id": current.change_id if current else None,
+                "operator": current.operator if current else None,
+                "differences": [
+                    {"path": c.path, "in_force": c.before, "proposed": c.after} for c in changes
+                ],
+            },
+        )
+
+
+class ConfigWatcher:
+    """Watches the stored configuration while this daemon is ranked for it, and spreads it.
+
+    Parameters
+    ----------
+    store : BaseKeyValueStore
+    proposer : ConfigProposer
+    holder : ConfigHolder
+    peers : PeerTable
+    transport : PeerTransport
+    """
+
+    def __init__(self, store, proposer, holder, peers, transport):
+        self.store = store
+        self.proposer = proposer
+        self.holder = holder
+        self.peers = peers
+        self.transport = transport
+        self.stopping = threading.Event()
+        self.thread = None
+
+    def start(self):
+        """Start watching."""
+        self.holder.listeners.append(self._adopted)
+        self.thread = threading.Thread(target=self._run, name="config-watch", daemon=True)
+        self.thread.start()
+        return self
+
+    def close(self):
+        """Stop; a watch in hand ends with its connection."""
+        self.stopping.set()
+
+    def _run(self):
+        while not self.stopping.is_set():
+            try:
+                if self.holder.revision and not self.peers.is_ranked("config", WATCHERS_PER_ZONE):
+                    self.stopping.wait(1.0)
+                    continue
+                self.proposer.reconcile()
+                for item in self.store.watch(CONFIG_KEY, WATCH_IDLE_MS):
+                    if self.stopping.is_set():
+                        return
+                    if item is not None:
+                        self.holder.adopt(decode_item(item), SOURCE_PLATFORM)
+                    if item is None or decode_item(item).revision < self.holder.revision:
+                        self.proposer.reconcile()
+            except (KeyValueError, msgspec.DecodeError):
+                self.stopping.wait(RETRY_PAUSE_MS / MS_PER_S)
+
+    def _adopted(self, record, source):
+        """Push a configuration that did not come from a peer."""
+        if source != SOURCE_PEER:
+            threading.Thread(
+                target=self._push, args=(record,), name="config-push", daemon=True
+            ).start()
+
+    def _push(self, record):
+        for target in self.peers.live():
+            try:
+                self.transport.call(target.info.address, "POST", "/peer/config", record)
+            except TransportError:
+                continue
+
+    def pull(self, address):
+        """Adopt the configuration of a peer that has a higher revision."""
+        try:
+            exchange = self.transport.call(address, "GET", "/peer/config")
+            record = ConfigRecord.decode(exchange.body)
+        except (TransportError, msgspec.DecodeError):
+            return
+        self.holder.adopt(record, SOURCE_PEER)
--- /dev/null
+++ b/libraries/membership/src/corianderhaven/membership/_heartbeat.py
@@ -0,0 +1,223 @@
+"""Heartbeats that carry digests."""
+
+import random
+import threading
+
+import msgspec
+
+from corianderhaven.common import PeriodicThread, TransportError
+
+from ._messages import Digest, PeerInfo
+from ._peers import PeerState
+
+PERIOD_MS = 1_000.0
+PEERS_PER_PERIOD = 2
+CROSS_ZONE_SENDERS = 2
+HEARTBEAT_PATH = "/peer/heartbeat"
+
+
+class PeerMemory:
+    """What one peer's instance has already been sent."""
+
+    def __init__(self, instance):
+        self.instance = instance
+        self.states = {}
+        self.peers = {}
+
+
+class Heartbeater:
+    """Exchanges digests with a few random peers each period.
+
+    Parameters
+    ----------
+    clock : Clock
+    peers : PeerTable
+    facts : FactBoard
+    holder : ConfigHolder
+    watcher : ConfigWatcher
+    directory : VmDirectory
+    adoption : ZoneAdoption
+    transport : PeerTransport
+    seeds : list of str
+        Peer addresses from the settings, for a start without the platform.
+    """
+
+    def __init__(
+        self, clock, peers, facts, holder, watcher, directory, adoption, transport, seeds=()
+    ):
+        self.clock = clock
+        self.peers = peers
+        self.facts = facts
+        self.holder = holder
+        self.watcher = watcher
+        self.directory = directory
+        self.adoption = adoption
+        self.transport = transport
+        self.seeds = seeds
+        self.memories = {}
+        self.lock = threading.Lock()
+        self.random = random.Random()
+        self.rounds = 0
+        self.synced = threading.Event()
+        self.periodic = None
+        self.in_flight_source = dict
+        self.accounts_source = dict
+        self.summary_source = lambda: None
+
+    def start(self):
+        """Start the heartbeats."""
+        self.periodic = PeriodicThread("heartbeat", self.beat, PERIOD_MS).start()
+        return self
+
+    def close(self):
+        """Stop the heartbeats."""
+        if self.periodic is not None:
+            self.periodic.close()
+
+    def beat(self):
+        """Run one round: each exchange on its own thread, so that a silent peer holds up none."""
+        self.rounds += 1
+        self.peers.forget_old()
+        self.adoption.update()
+        threads = [
+            threading.Thread(target=self.exchange, args=(address, name), daemon=True)
+            for address, name in self._targets()
+        ]
+        for thread in threads:
+            thread.start()
+
+    def exchange(self, address, name=None):
+        """Send a digest to one peer and take in its answer."""
+        digest = self.make_digest(name)
+        try:
+            exchange = self.transport.call(address, "POST", HEARTBEAT_PATH, digest)
+            answer = msgspec.json.decode(exchange.body, type=Digest)
+        except TransportError as error:
+            self._forget_memory(name)
+            if not error.sent and not error.timed_out and name is not None:
+                self.peers.refused(name)
+            return
+        except msgspec.DecodeError:
+            return
+        self.receive(answer)
+
+    def answer(self, payload):
+        """Take in a peer's digest and return the own one."""
+        digest = msgspec.json.decode(payload, type=Digest)
+        self.receive(digest)
+        return self.make_digest(digest.sender.name)
+
+    def receive(self, digest):
+        """Take in a digest."""
+        sender = digest.sender
+        if sender.name == self.peers.own.name:
+            return
+        self.peers.learn(sender)
+        self.peers.heard(sender.name, sender.instance)
+        self._note_report(digest)
+        for info in digest.peers:
+            self.peers.learn(info)
+        for heard in digest.heard:
+            self.peers.heard(heard.name, heard.instance, heard.age_ms)
+        for entry in digest.facts:
+            self.facts.observe(entry.vm, entry.report, entry.age_ms)
+        for age in digest.ages:
+            self.facts.refresh(age)
+        for summary in digest.zones:
+            self.adoption.learn(summary)
+        if digest.revision > self.holder.revision:
+            self.watcher.pull(sender.address)
+        if digest.vms_stamp > self.directory.stamp and not self._reads_vm_list():
+            self.directory.pull(sender.address)
+        self.synced.set()
+
+    def make_digest(self, name):
+        """Return the digest for the peer `name`, without what it already has."""
+        own = self.peers.own
+        digest = Digest(sender=own, revision=self.holder.revision, vms_stamp=self.directory.stamp)
+        record = self.peers.records.get(name)
+        if record is None:
+            return digest
+        digest.zones = [s for s in [self.summary_source(), *self.adoption.summaries()] if s]
+        digest.in_flight = self.in_flight_source()
+        digest.accounts = self.accounts_source()
+        if record.info.zone == own.zone:
+            memory = self._memory(record)
+            digest.heard = self.peers.youngest_heard()
+            digest.facts, digest.ages = self.facts.digest_for(memory.states)
+            digest.peers = self._news_of_peers(memory)
+        return digest
+
+    def push_facts(self):
+        """Send changed facts to all live peers of the zone at once."""
+        for record in self.peers.live(self.peers.own.zone):
+            self.exchange(record.info.address, record.info.name)
+
+    def _note_report(self, digest):
+        record = self.peers.records.get(digest.sender.name)
+        if record is not None and record.info.instance == digest.sender.instance:
+            record.revision = digest.revision
+            record.vms_stamp = digest.vms_stamp
+            record.in_flight = digest.in_flight
+            record.accounts = digest.accounts
+            record.reported_ms = self.clock.now_ms()
+
+    def _reads_vm_list(self):
+        return self.directory.platform_reachable and self.directory.stamp
+
+    def _memory(self, record):
+        with self.lock:
+            memory = self.memories.get(record.info.name)
+            if memory is None or memory.instance != record.info.instance:
+                memory = PeerMemory(record.info.instance)
+                self.memories[record.info.name] = memory
+            return memory
+
+    def _forget_memory(self, name):
+        with self.lock:
+            self.memories.pop(name, None)
+
+    def _news_of_peers(self, memory):
+        news = []
+        for record in self.peers.live(self.peers.own.zone):
+            info = record.info
+            mark = (info.instance, info.draining)
+            if memory.peers.get(info.name) != mark:
+                memory.peers[info.name] = mark
+                news.append(PeerInfo(*_fields(info)))
+        return news
+
+    def _targets(self):
+        """Return (address, name) pairs for this round."""
+        own_zone = self.peers.own.zone
+        known = {r.info.address for r in self.peers.known()}
+        targets = [(a, None) for a in self._unknown_addresses(known)]
+        live = self.peers.live(own_zone)
+        suspected = [r for r in live if self.peers.state(r) is PeerState.SUSPECTED]
+        chosen = self.random.sample(live, min(PEERS_PER_PERIOD, len(live)))
+        chosen += [r for r in suspected if r not in chosen][:1]
+        dead = [r for r in self.peers.known() if self.peers.state(r) is PeerState.DEAD]
+        if dead:
+            chosen.append(self.random.choice(dead))
+        if self.peers.is_ranked("cross-zone", CROSS_ZONE_SENDERS):
+            chosen += self._cross_zone_targets()
+        return targets + [(r.info.address, r.info.name) for r in chosen]
+
+    def _cross_zone_targets(self):
+        own_zone = self.peers.own.zone
+        zones = sorted({r.info.zone for r in self.peers.live()} - {own_zone})
+        if not zones:
+            return []
+        zone = zones[self.rounds % len(zones)]
+        return [self.random.choice(self.peers.live(zone))]
+
+    def _unknown_addresses(self, known):
+        """Return listed or configured addresses of daemons not yet met, a few a round."""
+        listed = self.directory.entry_addresses()
+        addresses = {a for group in listed.values() for a in group} | set(self.seeds)
+        unknown = sorted(addresses - known - {self.peers.own.address})
+        return self.random.sample(unknown, min(PEERS_PER_PERIOD, len(unknown)))
+
+
+def _fields(info):
+    return (info.name, info.zone, info.instance, info.address, info.started_ms, info.draining)
--- /dev/null
+++ b/libraries/membership/src/corianderhaven/membership/_peers.py
@@ -0,0 +1,155 @@
+"""The daemons that this one knows, and whether they are alive."""
+
+import enum
+import threading
+from dataclasses import dataclass, field
+
+from corianderhaven.common import rendezvous_order
+
+from ._messages import HeardPeer, PeerInfo
+
+SUSPECT_AFTER_MS = 3_000.0
+DEAD_AFTER_MS = 6_000.0
+FORGET_AFTER_MS = 120_000.0
+REFUSALS_OF_DEAD = 2
+MAX_HEARD_ENTRIES = 8
+
+
+class PeerState(enum.StrEnum):
+    """How alive a peer looks from here."""
+
+    LIVE = "live"
+    SUSPECTED = "suspected"
+    DEAD = "dead"
+
+
+@dataclass
+class PeerRecord:
+    """One known peer.
+
+    Attributes
+    ----------
+    heard_ms : float
+        Local monotonic time at which the peer was last known to be alive.
+    refusals : int
+        Refused connections in a row since then.
+    revision : int
+        Configuration revision it last reported directly.
+    in_flight, accounts : dict of str to int
+        Its own requests by replica and by client account, as last reported directly.
+    reported_ms : float
+        When it last reported directly.
+    """
+
+    info: PeerInfo
+    heard_ms: float
+    refusals: int = 0
+    revision: int = 0
+    vms_stamp: int = 0
+    in_flight: dict = field(default_factory=dict)
+    accounts: dict = field(default_factory=dict)
+    reported_ms: float = float("-inf")
+
+
+class PeerTable:
+    """Peers of the own zone, and a few of each other zone.
+
+    Parameters
+    ----------
+    clock : Clock
+    own : PeerInfo
+        This daemon.
+    """
+
+    def __init__(self, clock, own):
+        self.clock = clock
+        self.own = own
+        self.records = {}
+        self.lock = threading.RLock()
+        self.started_ms = clock.now_ms()
+        self.platform_reachable = lambda: False
+
+    def learn(self, info):
+        """Take in a peer's word of itself; an earlier instance never replaces a later one."""
+        if info.name == self.own.name:
+            return
+        with self.lock:
+            known = self.records.get(info.name)
+            if known is None or info.started_ms > known.info.started_ms:
+                self.records[info.name] = PeerRecord(info, self.clock.now_ms())
+            elif info.instance == known.info.instance:
+                known.info.draining = known.info.draining or info.draining
+
+    def heard(self, name, instance, age_ms=0.0):
+        """Note that a peer's instance was alive `age_ms` ago."""
+        heard = self.clock.now_ms() - age_ms
+        with self.lock:
+            record = self.records.get(name)
+            if record is None or record.info.instance != instance:
+                return
+            if heard > record.heard_ms:
+                record.heard_ms = heard
+                record.refusals = 0
+
+    def refused(self, name):
+        """Note that nobody listens at a peer's address."""
+        with self.lock:
+            if name in self.records:
+                self.records[name].refusals += 1
+
+    def state(self, record):
+        """Return the `PeerState` of a record."""
+        silent = self.clock.now_ms() - record.heard_ms
+        gone = silent > DEAD_AFTER_MS and not self.isolated()
+        if gone or record.refusals >= REFUSALS_OF_DEAD:
+            return PeerState.DEAD
+        return PeerState.SUSPECTED if silent > SUSPECT_AFTER_MS else PeerState.LIVE
+
+    def isolated(self):
+        """Return whether nothing at all was heard lately: the fault is then likely our own."""
+        if self.platform_reachable():
+            return False
+        now = self.clock.now_ms()
+        return bool(self.records) and all(
+            now - record.heard_ms > SUSPECT_AFTER_MS for record in self.records.values()
+        )
+
+    def known(self, zone=None):
+        """Return the records of a zone, or all."""
+        with self.lock:
+            records = list(self.records.values())
+        return [record for record in records if zone in (None, record.info.zone)]
+
+    def live(self, zone=None):
+        """Return the records of a zone, or all, that are not dead."""
+        return [r for r in self.known(zone) if self.state(r) is not PeerState.DEAD]
+
+    def workers(self, zone):
+        """Return the names of live daemons of `zone` that take jobs, this one included."""
+        names = [r.info.name for r in self.live(zone) if not r.info.draining]
+        if self.own.zone == zone and not self.own.draining:
+            names.append(self.own.name)
+        return sorted(names)
+
+    def is_ranked(self, job, places, candidates=None):
+        """Return whether this daemon is among the first `places` for `job` in its zone."""
+        names = self.workers(self.own.zone) if candidates is None else candidates
+        return self.own.name in rendezvous_order(names, job)[:places]
+
+    def youngest_heard(self):
+        """Return the peers of the own zone heard last, for a digest."""
+        now = self.clock.now_ms()
+        records = sorted(self.live(self.own.zone), key=lambda r: r.heard_ms, reverse=True)
+        return [
+            HeardPeer(r.info.name, r.info.instance, int(now - r.heard_ms))
+            for r in records[:MAX_HEARD_ENTRIES]
+        ]
+
+    def forget_old(self):
+        """Drop peers that have been dead for long."""
+        limit = self.clock.now_ms() - FORGET_AFTER_MS
+        with self.lock:
+            if self.isolated():
+                return
+            for name in [n for n, r in self.records.items() if r.heard_ms < limit]:
+                del self.records[name]
--- /dev/null
+++ b/libraries/placement/src/corianderhaven/placement/__init__.py
@@ -0,0 +1,31 @@
+"""Zone lease, replica formation and repair."""
+
+from ._controller import PlacementController, ZonePlacer
+from ._intent import IntentReplica, IntentStore, ZoneIntent
+from ._invariants import Violation, check_invariants
+from ._lease import LeaseState, ZoneLease
+from ._measures import Measures
+from ._member_state import MemberState, ReplicaState, assess
+from ._orders import OrderSender
+from ._planner import Planner
+from ._repair import BaseRepairPolicy, make_repair_policy
+
+__all__ = [
+    "BaseRepairPolicy",
+    "IntentReplica",
+    "IntentStore",
+    "LeaseState",
+    "Measures",
+    "MemberState",
+    "OrderSender",
+    "PlacementController",
+    "Planner",
+    "ReplicaState",
+    "Violation",
+    "ZoneIntent",
+    "ZoneLease",
+    "ZonePlacer",
+    "assess",
+    "check_invariants",
+    "make_repair_policy",
+]
--- /dev/null
+++ b/libraries/placement/src/corianderhaven/placement/_member_state.py
@@ -0,0 +1,130 @@
+"""What facts say about the members of an intended replica."""
+
+import enum
+from dataclasses import dataclass
+
+
+class MemberState(enum.StrEnum):
+    """State of one member against the intent.
+
+    ``SILENT`` may be paused; ``LOST`` has refused connections, or its VM is gone or has come
+    back as another instance; ``MISPLACED`` is alive without the intended assignment.
+    """
+
+    READY = "ready"
+    LOADING = "loading"
+    DRAINING = "draining"
+    BROKEN = "broken"
+    LEAVING = "leaving"
+    MISPLACED = "misplaced"
+    SILENT = "silent"
+    LOST = "lost"
+
+
+ALIVE_STATES = frozenset(
+    {
+        MemberState.READY,
+        MemberState.LOADING,
+        MemberState.DRAINING,
+        MemberState.BROKEN,
+        MemberState.LEAVING,
+        MemberState.MISPLACED,
+    }
+)
+
+
+@dataclass(frozen=True)
+class ReplicaState:
+    """State of all members of an intended replica, in rank order.
+
+    Attributes
+    ----------
+    silent_ms : float
+        How long the longest silent member has been silent.
+    running : int
+        Requests that the first member reports, running and queued.
+    """
+
+    members: tuple
+    silent_ms: float
+    running: int
+
+    @property
+    def whole(self):
+        """Return whether every member is ready."""
+        return all(state is MemberState.READY for state in self.members)
+
+    @property
+    def coming(self):
+        """Return whether the replica becomes whole without further decisions."""
+        wanted = (MemberState.READY, MemberState.LOADING, MemberState.MISPLACED)
+        return all(state in wanted for state in self.members)
+
+    @property
+    def alive(self):
+        """Return the number of members that answer."""
+        return sum(1 for state in self.members if state in ALIVE_STATES)
+
+    def count(self, state):
+        """Return the number of members in `state`."""
+        return self.members.count(state)
+
+    @property
+    def missing(self):
+        """Return the number of members that have to be replaced for the replica to be whole."""
+        gone = (MemberState.SILENT, MemberState.LOST, MemberState.LEAVING)
+        return sum(1 for state in self.members if state in gone)
+
+
+def _member_state(member, rank, replica, facts, directory):
+    if member.vm not in directory.vms:
+        return MemberState.LOST
+    fact = facts.get(member.vm)
+    if fact is None:
+        return MemberState.SILENT
+    if fact.report is None:
+        return MemberState.LOST
+    report = facts.fresh_report(member.vm)
+    if report is None:
+        return MemberState.SILENT
+    if report.instance != member.instance:
+        return MemberState.LOST
+    if report.leaving or directory.is_leaving(member.vm):
+        return MemberState.LEAVING
+    own = report.assignment
+    placed = own is not None and (own.replica_id, own.generation, own.rank) == (
+        replica.replica_id,
+        replica.generation,
+        rank,
+    )
+    if not placed:
+        return MemberState.MISPLACED
+    return {
+        "loading": MemberState.LOADING,
+        "draining": MemberState.DRAINING,
+        "broken": MemberState.BROKEN,
+        "free": MemberState.MISPLACED,
+    }.get(report.status.value, MemberState.READY)
+
+
+def assess(replica, facts, directory):
+    """Return the `ReplicaState` of an intended replica.
+
+    Parameters
+    ----------
+    replica : IntentReplica
+    facts : FactBoard
+    directory : VmDirectory
+    """
+    states = tuple(
+        _member_state(member, rank, replica, facts, directory)
+        for rank, member in enumerate(replica.members)
+    )
+    ages = [
+        facts.age_ms(member.vm) or 0.0
+        for member, state in zip(replica.members, states, strict=True)
+        if state is MemberState.SILENT
+    ]
+    leader = facts.fresh_report(replica.members[0].vm)
+    running = leader.load.running + leader.load.queued if leader else 0
+    return ReplicaState(states, max(ages, default=0.0), running)
--- /dev/null
+++ b/libraries/placement/src/corianderhaven/placement/_orders.py
@@ -0,0 +1,122 @@
+"""Orders to the members of replicas."""
+
+import enum
+import http.client
+import threading
+from dataclasses import dataclass
+
+import msgspec
+
+from corianderhaven.common import JsonClient, TransportError, new_id
+
+from ._lease import ORDER_TIMEOUT_MS
+
+_RESULTS = {http.client.OK: "obeyed", http.client.CONFLICT: "refused"}
+
+
+class OrderKind(enum.StrEnum):
+    """What a member is told to do."""
+
+    FORM = "form"
+    DRAIN = "drain"
+    RELEASE = "release"
+
+
+@dataclass(frozen=True)
+class Order:
+    """One order to one member; sending it again is harmless."""
+
+    kind: OrderKind
+    vm: str
+    address: str
+    replica_id: str
+    generation: int
+    checks_fencing_token: bool
+    replica: object = None
+    rank: int = 0
+
+
+class OrderSender:
+    """Sends orders under a zone's lease, each on a thread of its own.
+
+    Parameters
+    ----------
+    decisions : DecisionLog
+    """
+
+    def __init__(self, decisions):
+        self.decisions = decisions
+        self.refused = 0
+        self.sent = 0
+        self.lock = threading.Lock()
+
+    def send_all(self, orders, lease):
+        """Send orders and wait for their answers.
+
+        Parameters
+        ----------
+        orders : list of Order
+        lease : ZoneLease
+            Checked before each order; gives the fencing token.
+
+        Returns
+        -------
+        bool
+            False when an engine has refused the token: the lease is then no longer ours.
+        """
+        results = []
+        threads = [
+            threading.Thread(target=self._send, args=(order, lease, results), daemon=True)
+            for order in orders
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return "refused" not in results
+
+    def _send(self, order, lease, results):
+        if not lease.may_order(order.checks_fencing_token):
+            results.append("not_allowed")
+            return
+        client = JsonClient(order.address, ORDER_TIMEOUT_MS)
+        try:
+            exchange = client.call("POST", "/orders", self._message(order, lease.token))
+            result = _RESULTS.get(exchange.status, "failed")
+        except TransportError:
+            result = "lost"
+        finally:
+            client.close()
+        with self.lock:
+            self.sent += 1
+            self.refused += result == "refused"
+        results.append(result)
+        self.decisions.record(
+            "order_sent",
+            kind=order.kind.value,
+            vm=order.vm,
+            replica=order.replica_id,
+            generation=order.generation,
+            token=lease.token,
+            result=result,
+        )
+
+    def _message(self, order, token):
+        message = {
+            "order_id": new_id("order"),
+            "kind": order.kind.value,
+            "token": token,
+            "replica_id": order.replica_id,
+            "generation": order.generation,
+        }
+        if order.kind is OrderKind.FORM:
+            replica = order.replica
+            message.update(
+                rank=order.rank,
+                members=msgspec.to_builtins(replica.members),
+                deployment=replica.deployment,
+                model=replica.model,
+                version=replica.version,
+                adapters=replica.adapters,
+            )
+        return message
--- /dev/null
+++ b/libraries/placement/src/corianderhaven/placement/_planner.py
@@ -0,0 +1,507 @@
+"""Decides which replicas there should be, and which orders follow."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from corianderhaven.membership import MemberReference
+from corianderhaven.platform import VmKind
+
+from ._intent import DrainReason, IntentReplica
+from ._member_state import MemberState, assess
+from ._orders import Order, OrderKind
+from ._repair import RepairCase, RepairWay
+from ._stability import StabilityTracker
+
+DRAIN_BOUND_MS = 10_000.0
+KEPT_STATES = (
+    MemberState.READY,
+    MemberState.LOADING,
+    MemberState.MISPLACED,
+    MemberState.BROKEN,
+    MemberState.DRAINING,
+)
+
+
+@dataclass
+class Plan:
+    """A changed copy of the intent.
+
+    Attributes
+    ----------
+    changes : list of dict
+        Decision log fields of each change; empty when the intent stays as it is.
+    """
+
+    intent: object
+    changes: list = field(default_factory=list)
+
+
+class Planner:
+    """Plans one availability zone.
+
+    Parameters
+    ----------
+    zone : str
+    facts : FactBoard
+    directory : VmDirectory
+    clock : Clock
+    policy : BaseRepairPolicy
+    """
+
+    def __init__(self, zone, facts, directory, clock, policy):
+        self.zone = zone
+        self.facts = facts
+        self.directory = directory
+        self.clock = clock
+        self.policy = policy
+        self.stability = StabilityTracker(clock)
+        self.drain_started = {}
+
+    def plan(self, document, intent, may_change):
+        """Return a `Plan`.
+
+        Parameters
+        ----------
+        document : Document
+        intent : ZoneIntent
+            Not changed.
+        may_change : callable
+            Takes a deployment; whether its replicas may be formed anew now.
+        """
+        plan = Plan(intent.copy())
+        self._update_stability()
+        deployments = sorted(
+            (d for d in document.deployments if self._in_zone(d) and may_change(d)),
+            key=lambda d: (d.priority, d.name),
+        )
+        self._retire(plan, document, may_change)
+        for deployment in deployments:
+            self._repair(plan, deployment, document)
+        for deployment in deployments:
+            self._finish_drains(plan, deployment)
+            self._roll_out(plan, deployment)
+        for deployment in deployments:
+            self._form(plan, deployment, document)
+        self._preempt(plan, deployments)
+        return plan
+
+    def reconcile(self, document, intent):
+        """Return a `Plan` that takes in whole replicas which the intent doesn't know.
+
+        Used after a holder has repaired without the platform, or the store was restored.
+        """
+        plan = Plan(intent.copy())
+        for assignment in self._whole_assignments():
+            known = plan.intent.find(assignment.replica_id)
+            if known is not None and known.generation >= assignment.generation:
+                continue
+            others = {vm for r in plan.intent.replicas if r is not known for vm in r.vms}
+            if others & {member.vm for member in assignment.members}:
+                continue
+            if known is not None:
+                plan.intent.replicas.remove(known)
+            vm = self.directory.vms.get(assignment.members[0].vm)
+            plan.intent.replicas.append(_replica_of(assignment, vm.fabric_domain if vm else ""))
+            self._note(plan, "replica_reconciled", assignment.replica_id)
+        highest = max((a.generation for a in self._assignments()), default=0)
+        plan.intent.next_generation = max(plan.intent.next_generation, highest + 1)
+        return plan
+
+    def orders(self, document, intent):
+        """Return the orders that bring the members to the intent.
+
+        A VM is ordered into a replica only when its own report shows it free, or in an
+        earlier formation of the same replica.
+        """
+        checks = {d.name: d.engine.checks_fencing_token for d in document.deployments}
+        orders = []
+        for replica in intent.replicas:
+            state = assess(replica, self.facts, self.directory)
+            check = checks.get(replica.deployment, False)
+            for rank, member in enumerate(replica.members):
+                orders += self._member_orders(replica, rank, member, state.members[rank], check)
+        orders += self._orphan_orders(intent, checks)
+        return orders
+
+    def states(self, intent):
+        """Return the `ReplicaState` of each intended replica by id."""
+        return {r.replica_id: assess(r, self.facts, self.directory) for r in intent.replicas}
+
+    def engines(self):
+        """Return the engine VMs of the zone."""
+        return [vm for vm in self.directory.endpoints({self.zone}) if vm.kind is VmKind.ENGINE]
+
+    def eligible(self, deployment):
+        """Return the engine VMs that a deployment's selector admits."""
+        selector = deployment.vms
+        return [
+            vm
+            for vm in self.engines()
+            if vm.label == selector.label
+            and (not selector.fabric_domains or vm.fabric_domain in selector.fabric_domains)
+        ]
+
+    def _in_zone(self, deployment):
+        return not deployment.vms.zones or self.zone in deployment.vms.zones
+
+    def _update_stability(self):
+        for vm in self.engines():
+            self.stability.update(vm.id, self.facts.fresh_report(vm.id) is not None)
+
+    def _note(self, plan, event, replica_id, **details):
+        plan.changes.append({"event": event, "replica": replica_id, "zone": self.zone, **details})
+
+    def _retire(self, plan, document, may_change):
+        """Drain replicas whose deployment is gone or no longer wants them."""
+        wanted = {d.name: d for d in document.deployments if self._in_zone(d)}
+        counts = Counter()
+        for replica in list(plan.intent.replicas):
+            deployment = wanted.get(replica.deployment)
+            counts[replica.deployment] += 1
+            surplus = (
+                deployment is None
+                or counts[replica.deployment] > deployment.max_replicas_per_zone
+                or len(replica.members) != deployment.members_per_replica
+            )
+            if surplus and replica.drain is not DrainReason.RETIRE:
+                replica.drain = DrainReason.RETIRE
+                self._note(plan, "replica_retired", replica.replica_id)
+            if deployment is None and self._is_drained(replica):
+                self._remove(plan, replica, "replica_removed")
+
+    def _repair(self, plan, deployment, document):
+        replicas = [r for r in plan.intent.replicas if r.deployment == deployment.name]
+        for replica in sorted(replicas, key=lambda r: r.replica_id):
+            state = assess(replica, self.facts, self.directory)
+            if not state.missing or replica.drain is DrainReason.RETIRE:
+                continue
+            if self._leaves_gracefully(replica, state):
+                continue
+            self._repair_one(plan, deployment, replica, state, document)
+
+    def _leaves_gracefully(self, replica, state):
+        """Return whether a replica with leaving members still finishes its work."""
+        leaving = state.count(MemberState.LEAVING)
+        if leaving != state.missing or leaving + state.count(MemberState.READY) != len(
+            state.members
+        ):
+            return False
+        return state.running > 0 and not self._drain_bound_passed(replica)
+
+    def _repair_one(self, plan, deployment, replica, state, document):
+        spares = self._spares(plan, deployment, replica.fabric_domain)
+        case = self._case(plan, deployment, replica, state, spares)
+        decision = self.policy.decide(case, deployment.repair)
+        if decision.way is RepairWay.WAIT:
+            return
+        if decision.way is RepairWay.DISSOLVE:
+            self._remove(plan, replica, "replica_dissolved", costs=decision.costs)
+            return
+        chosen = spares[: state.missing]
+        if not self._load_allowed(plan, deployment, chosen, document):
+            return
+        self._replace_members(plan, replica, state, chosen)
+        self._note(
+            plan,
+            "replica_repaired",
+            replica.replica_id,
+            generation=replica.generation,
+            costs=decision.costs,
+            states=[s.value for s in state.members],
+            spares=[vm.id for vm in chosen],
+        )
+
+    def _case(self, plan, deployment, replica, state, spares):
+        other = self._completable(plan, deployment, replica, state, len(spares))
+        loaded = [vm for vm in spares if self._holds_weights(vm.id, deployment)]
+        return RepairCase(
+            alive=state.alive,
+            missing=state.missing,
+            lost=state.count(MemberState.LOST) + state.count(MemberState.LEAVING),
+            silent_ms=state.silent_ms,
+            spares=len(spares),
+            spares_loaded=len(loaded) >= state.missing,
+            can_complete_other=other is not None,
+            other_alive=other.alive if other else 0,
+        )
+
+    def _completable(self, plan, deployment, replica, state, spares):
+        """Return the state of another incomplete replica that the members would complete.
+
+        Of two such replicas only the one with more missing members, or the later id, gives.
+        """
+        for other in plan.intent.replicas:
+            if other is replica or other.fabric_domain != replica.fabric_domain:
+                continue
+            other_state = assess(other, self.facts, self.directory)
+            if not other_state.missing or other.drain is DrainReason.RETIRE:
+                continue
+            gives = (state.missing, replica.replica_id) > (other_state.missing, other.replica_id)
+            enough = other_state.missing <= state.alive + spares
+            if other.deployment == deployment.name and gives and enough:
+                return other_state
+        return None
+
+    def _spares(self, plan, deployment, domain):
+        """Return the free VMs of a fabric domain, those with the weights first."""
+        used = plan.intent.used_vms()
+        free = [
+            vm
+            for vm in self.eligible(deployment)
+            if vm.fabric_domain == domain and self._is_free(vm, plan.intent, used)
+        ]
+        return sorted(free, key=lambda vm: (not self._holds_weights(vm.id, deployment), vm.id))
+
+    def _is_free(self, vm, intent, used):
+        """Return whether a VM can join a replica now.
+
+        A VM that has come back as another instance still stands in the intent as lost; it
+        may take its own old place.
+        """
+        report = self.facts.fresh_report(vm.id)
+        if report is None or report.leaving or self.directory.is_leaving(vm.id):
+            return False
+        if report.assignment is not None or not self.stability.is_stable(vm.id):
+            return False
+        if vm.id not in used:
+            return True
+        holders = [r for r in intent.replicas if vm.id in r.vms]
+        return all(
+            member.instance != report.instance
+            for replica in holders
+            for member in replica.members
+            if member.vm == vm.id
+        )
+
+    def _holds_weights(self, vm_id, deployment):
+        report = self.facts.fresh_report(vm_id)
+        return report is not None and any(
+            (w.model, w.version) == (deployment.model, deployment.version) for w in report.loaded
+        )
+
+    def _load_allowed(self, plan, deployment, vms, document):
+        """Return whether the weight store's limit admits the loads that `vms` need."""
+        needed = sum(1 for vm in vms if not self._holds_weights(vm.id, deployment))
+        if not needed:
+            return True
+        loading = sum(
+            state in (MemberState.LOADING, MemberState.MISPLACED)
+            for replica in plan.intent.replicas
+            for state in assess(replica, self.facts, self.directory).members
+        )
+        return loading == 0 or loading + needed <= document.weight_store_loads
+
+    def _replace_members(self, plan, replica, state, spares):
+        kept = [
+            member
+            for member, member_state in zip(replica.members, state.members, strict=True)
+            if member_state in KEPT_STATES
+        ]
+        replica.members = kept + [self._reference(vm) for vm in spares]
+        replica.generation = self._next_generation(plan)
+        replica.drain = DrainReason.NONE
+        self.drain_started.pop(replica.replica_id, None)
+
+    def _reference(self, vm):
+        return MemberReference(vm.id, self.facts.fresh_report(vm.id).instance, vm.address)
+
+    def _next_generation(self, plan):
+        generation = plan.intent.next_generation
+        plan.intent.next_generation += 1
+        return generation
+
+    def _remove(self, plan, replica, event, **details):
+        plan.intent.replicas.remove(replica)
+        self.drain_started.pop(replica.replica_id, None)
+        self._note(plan, event, replica.replica_id, **details)
+
+    def _drain_bound_passed(self, replica):
+        now = self.clock.now_ms()
+        return now - self.drain_started.setdefault(replica.replica_id, now) > DRAIN_BOUND_MS
+
+    def _is_drained(self, replica):
+        """Return whether a drained replica is idle by its own report, or has had its time."""
+        bound_passed = self._drain_bound_passed(replica)
+        state = assess(replica, self.facts, self.directory)
+        stopped = all(s not in (MemberState.READY, MemberState.LOADING) for s in state.members)
+        return bound_passed or (stopped and state.running == 0)
+
+    def _finish_drains(self, plan, deployment):
+        for replica in [r for r in plan.intent.replicas if r.deployment == deployment.name]:
+            if replica.drain is DrainReason.NONE or not self._is_drained(replica):
+                continue
+            if replica.drain is DrainReason.RETIRE:
+                self._remove(plan, replica, "replica_removed")
+                continue
+            replica.model, replica.version = deployment.model, deployment.version
+            replica.adapters = list(deployment.adapters)
+            replica.generation = self._next_generation(plan)
+            replica.drain = DrainReason.NONE
+            self.drain_started.pop(replica.replica_id, None)
+            self._note(plan, "replica_rolled_out", replica.replica_id, version=deployment.version)
+
+    def _roll_out(self, plan, deployment):
+        """Drain one outdated replica at a time, never below the floor."""
+        replicas = [r for r in plan.intent.replicas if r.deployment == deployment.name]
+        outdated = [r for r in replicas if not _is_current(r, deployment)]
+        states = {r.replica_id: assess(r, self.facts, self.directory) for r in replicas}
+        moving = [r for r in replicas if r.drain is not DrainReason.NONE]
+        whole = [r for r in replicas if states[r.replica_id].whole]
+        unsettled = [r for r in replicas if states[r.replica_id].coming and r not in whole]
+        if not outdated or moving or unsettled:
+            return
+        broken_first = sorted(outdated, key=lambda r: (states[r.replica_id].whole, r.replica_id))
+        replica = broken_first[0]
+        if states[replica.replica_id].whole and len(whole) - 1 < deployment.floor.whole_replicas:
+            return
+        replica.drain = DrainReason.ROLL_OUT
+        self._note(plan, "roll_out_begun", replica.replica_id, version=deployment.version)
+
+    def _form(self, plan, deployment, document):
+        """Form new replicas from free VMs of one fabric domain each."""
+        domains = sorted({vm.fabric_domain for vm in self.eligible(deployment)})
+        for domain in domains:
+            while self._count(plan, deployment) < deployment.max_replicas_per_zone:
+                used = plan.intent.used_vms()
+                spares = [vm for vm in self._spares(plan, deployment, domain) if vm.id not in used]
+                chosen = spares[: deployment.members_per_replica]
+                if len(chosen) < deployment.members_per_replica:
+                    break
+                if not self._load_allowed(plan, deployment, chosen, document):
+                    return
+                self._add_replica(plan, deployment, domain, chosen)
+
+    def _add_replica(self, plan, deployment, domain, vms):
+        taken = {r.replica_id for r in plan.intent.replicas}
+        numbers = range(1, len(taken) + 2)
+        names = (f"{deployment.name}-{self.zone}-{number}" for number in numbers)
+        replica = IntentReplica(
+            replica_id=next(name for name in names if name not in taken),
+            generation=self._next_generation(plan),
+            deployment=deployment.name,
+            model=deployment.model,
+            version=deployment.version,
+            adapters=list(deployment.adapters),
+            fabric_domain=domain,
+            members=[self._reference(vm) for vm in vms],
+        )
+        plan.intent.replicas.append(replica)
+        self._note(
+            plan,
+            "replica_formed",
+            replica.replica_id,
+            generation=replica.generation,
+            fabric_domain=domain,
+            members=replica.vms,
+        )
+
+    def _count(self, plan, deployment):
+        return sum(1 for r in plan.intent.replicas if r.deployment == deployment.name)
+
+    def _preempt(self, plan, deployments):
+        """Drain a replica of the least important deployment for one below its floor."""
+        for deployment in deployments:
+            if self._count(plan, deployment) >= deployment.floor.whole_replicas:
+                continue
+            victims = [
+                (other, replica)
+                for other in deployments
+                if other.priority > deployment.priority
+                and other.vms.label == deployment.vms.label
+                and self._count(plan, other) > other.floor.whole_replicas
+                for replica in plan.intent.replicas
+                if replica.deployment == other.name
+            ]
+            if any(replica.drain is not DrainReason.NONE for _, replica in victims):
+                return
+            if victims:
+                _, replica = max(victims, key=lambda v: (v[0].priority, v[1].replica_id))
+                replica.drain = DrainReason.RETIRE
+                self._note(plan, "replica_preempted", replica.replica_id, by=deployment.name)
+                return
+
+    def _assignments(self):
+        engines = {vm.id for vm in self.engines()}
+        fresh = self.facts.fresh_facts()
+        return [
+            fact.report.assignment
+            for vm, fact in fresh.items()
+            if vm in engines and fact.report.assignment is not None
+        ]
+
+    def _whole_assignments(self):
+        """Return the first member's assignment of each replica that its members agree on."""
+        keys = Counter((a.replica_id, a.generation) for a in self._assignments())
+        return [
+            a
+            for a in self._assignments()
+            if a.rank == 0 and keys[(a.replica_id, a.generation)] == len(a.members)
+        ]
+
+    def _member_orders(self, replica, rank, member, state, check):
+        if state is MemberState.READY and replica.drain is not DrainReason.NONE:
+            return [_order(OrderKind.DRAIN, member, replica, rank, check)]
+        if state is not MemberState.MISPLACED:
+            return []
+        own = self.facts.fresh_report(member.vm).assignment
+        if own is None or own.replica_id == replica.replica_id:
+            return [_order(OrderKind.FORM, member, replica, rank, check)]
+        return [
+            Order(
+                OrderKind.RELEASE,
+                member.vm,
+                member.address,
+                own.replica_id,
+                own.generation,
+                check,
+            )
+        ]
+
+    def _orphan_orders(self, intent, checks):
+        """Release VMs that hold a replica's state which no intent gives them."""
+        used = intent.used_vms()
+        orders = []
+        for vm in self.engines():
+            report = self.facts.fresh_report(vm.id)
+            own = report.assignment if report else None
+            if own is None or vm.id in used:
+                continue
+            check = checks.get(own.deployment, False)
+            orders.append(
+                Order(OrderKind.RELEASE, vm.id, vm.address, own.replica_id, own.generation, check)
+            )
+        return orders
+
+
+def _order(kind, member, replica, rank, check):
+    return Order(
+        kind,
+        member.vm,
+        member.address,
+        replica.replica_id,
+        replica.generation,
+        check,
+        replica,
+        rank,
+    )
+
+
+def _is_current(replica, deployment):
+    return (replica.model, replica.version, replica.adapters) == (
+        deployment.model,
+        deployment.version,
+        deployment.adapters,
+    )
+
+
+def _replica_of(assignment, fabric_domain):
+    return IntentReplica(
+        replica_id=assignment.replica_id,
+        generation=assignment.generation,
+        deployment=assignment.deployment,
+        model=assignment.model,
+        version=assignment.version,
+        adapters=list(assignment.adapters),
+        fabric_domain=fabric_domain,
+        members=list(assignment.members),
+    )
--- /dev/null
+++ b/libraries/platform/src/corianderhaven/platform/_etcd_gateway.py
@@ -0,0 +1,200 @@
+"""The key-value service through the JSON gateway of the etcd v3 protocol.
+
+References
+----------
+etcd documentation, "Why gRPC gateway" and "KV API guarantees".
+"""
+
+import http.client
+from base64 import b64decode, b64encode
+
+import msgspec
+
+from corianderhaven.common import (
+    NETWORK_ERRORS,
+    ErrorCode,
+    JsonClient,
+    TransportError,
+    open_connection,
+)
+
+from ._base import BaseKeyValueStore, Item, KeyValueError, SwapResult
+
+MAX_BRANCHES = 64
+
+
+class EtcdGatewayStore(BaseKeyValueStore):
+    """Client of the JSON gateway.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port``.
+    timeout_ms : float
+        Bound on each call.
+    """
+
+    def __init__(self, address, timeout_ms=1500.0):
+        self.address = address
+        self.timeout_ms = timeout_ms
+        self.client = JsonClient(address, timeout_ms)
+        self.calls = {"read": 0, "write": 0}
+
+    def get(self, key):
+        """Return the `Item` of `key`, or None."""
+        answer = self._call("/v3/kv/range", {"key": _encode(key)}, write=False)
+        return next(map(_item, answer.get("kvs", ())), None)
+
+    def list(self, prefix, limit=0):
+        """Return the items whose keys begin with `prefix`."""
+        body = {"key": _encode(prefix), "range_end": _range_end(prefix), "limit": str(limit)}
+        answer = self._call("/v3/kv/range", body, write=False)
+        return [_item(kv) for kv in answer.get("kvs", ())]
+
+    def compare_and_swap(self, key, expected_revision, value, lease=0):
+        """Write if the key's last revision is the expected one; 0 means absent."""
+        branch = _write_branch(key, expected_revision, value, lease)
+        answer = self._call("/v3/kv/txn", branch, write=True)
+        return _result(answer, key, value, _revision(answer))
+
+    def swap_many(self, swaps):
+        """Run independent compare-and-swaps in one call per `MAX_BRANCHES` of them."""
+        results = []
+        for start in range(0, len(swaps), MAX_BRANCHES):
+            part = swaps[start : start + MAX_BRANCHES]
+            branches = [
+                {"request_txn": _write_branch(s.key, s.expected_revision, s.value, s.lease)}
+                for s in part
+            ]
+            answer = self._call("/v3/kv/txn", {"compare": [], "success": branches}, write=True)
+            revision = _revision(answer)
+            results += [
+                _result(response["response_txn"], swap.key, swap.value, revision)
+                for response, swap in zip(answer["responses"], part, strict=True)
+            ]
+        return results
+
+    def delete(self, key, expected_revision):
+        """Delete if the key's last revision is the expected one; return whether it was."""
+        body = {
+            "compare": [_compare(key, expected_revision)],
+            "success": [{"request_delete_range": {"key": _encode(key)}}],
+        }
+        return self._call("/v3/kv/txn", body, write=True).get("succeeded", False)
+
+    def grant_lease(self, ttl_s):
+        """Create a lease and return its id."""
+        return int(self._call("/v3/lease/grant", {"TTL": str(int(ttl_s))}, write=True)["ID"])
+
+    def renew_lease(self, lease):
+        """Renew a lease; return False when it has lapsed."""
+        answer = self._call("/v3/lease/keepalive", {"ID": str(lease)}, write=True)
+        return int(answer["result"].get("TTL", 0)) > 0
+
+    def revoke_lease(self, lease):
+        """End a lease and delete its keys."""
+        self._call("/v3/lease/revoke", {"ID": str(lease)}, write=True)
+
+    def watch(self, key, idle_timeout_ms):
+        """Yield `Item` or None (deleted) at each change of `key`.
+
+        The connection is given up after `idle_timeout_ms` without a change, so that one
+        which has gone silent is replaced; the caller reads the key anew each time.
+        """
+        body = msgspec.json.encode({"create_request": {"key": _encode(key)}})
+        connection = None
+        try:
+            connection = open_connection(self.address, self.timeout_ms, idle_timeout_ms)
+            connection.request(
+                "POST", "/v3/watch", body=body, preload_content=False, decode_content=False
+            )
+            yield from _changes(connection.getresponse())
+        except TransportError as error:
+            raise KeyValueError(str(error), ambiguous=False)
+        except (*NETWORK_ERRORS, msgspec.DecodeError) as error:
+            raise KeyValueError(str(error), ambiguous=False)
+        finally:
+            if connection is not None:
+                connection.close()
+
+    def close(self):
+        """Close the connections."""
+        self.client.close()
+
+    def _call(self, path, body, write):
+        self.calls["write" if write else "read"] += 1
+        try:
+            exchange = self.client.call("POST", path, body)
+        except TransportError as error:
+            raise KeyValueError(str(error), ambiguous=write and error.sent)
+        if exchange.status == http.client.TOO_MANY_REQUESTS:
+            message = "key-value service: too many calls"
+            raise KeyValueError(message, ambiguous=False, code=ErrorCode.PLATFORM_LIMITED)
+        if exchange.status >= http.client.INTERNAL_SERVER_ERROR:
+            raise KeyValueError(f"status {exchange.status}", ambiguous=write)
+        if exchange.status != http.client.OK:
+            message = f"status {exchange.status}: {exchange.body[:200].decode('utf-8', 'replace')}"
+            raise KeyValueError(message, ambiguous=False)
+        return exchange.json()
+
+
+def _changes(response):
+    """Yield the last state of the key in each message of a watch."""
+    pending = b""
+    for part in response.stream(None):
+        pending += part
+        *lines, pending = pending.split(b"\n")
+        for line in filter(None, lines):
+            for event in msgspec.json.decode(line)["result"].get("events", ()):
+                yield None if event.get("type") == "DELETE" else _item(event["kv"])
+
+
+def _encode(text):
+    raw = text if isinstance(text, bytes) else text.encode()
+    return b64encode(raw).decode()
+
+
+def _range_end(prefix):
+    raw = bytearray(prefix.encode())
+    raw[-1] += 1
+    return _encode(bytes(raw))
+
+
+def _compare(key, revision):
+    target = "CREATE" if revision == 0 else "MOD"
+    name = "create_revision" if revision == 0 else "mod_revision"
+    return {"key": _encode(key), "target": target, "result": "EQUAL", name: str(revision)}
+
+
+def _write_branch(key, revision, value, lease):
+    put = {"key": _encode(key), "value": _encode(value)}
+    if lease:
+        put["lease"] = str(lease)
+    return {
+        "compare": [_compare(key, revision)],
+        "success": [{"request_put": put}],
+        "failure": [{"request_range": {"key": _encode(key)}}],
+    }
+
+
+def _revision(answer):
+    return int(answer.get("header", {}).get("revision", 0))
+
+
+def _result(answer, key, value, revision):
+    if answer.get("succeeded"):
+        return SwapResult(True, Item(key, value, revision, revision))
+    found = answer["responses"][0]["response_range"].get("kvs", ())
+    current = next(map(_item, found), None)
+    own = current is not None and current.value == value
+    return SwapResult(own, current)
+
+
+def _item(kv):
+    return Item(
+        b64decode(kv["key"]).decode(),
+        b64decode(kv.get("value", "")),
+        int(kv.get("create_revision", 0)),
+        int(kv.get("mod_revision", 0)),
+        int(kv.get("lease", 0)),
+    )
--- /dev/null
+++ b/libraries/routing/src/corianderhaven/routing/_admission.py
@@ -0,0 +1,256 @@
+"""Admission: priority classes, weighted fairness between accounts, bounds and deadlines."""
+
+import itertools
+import threading
+from collections import Counter
+from dataclasses import dataclass, field
+
+from corianderhaven.common import MS_PER_S, CorianderhavenError, ErrorCode
+
+from . import _metrics as metrics
+
+WAKE_PERIOD_MS = 50.0
+DURATION_SMOOTHING = 0.1
+MIN_RETRY_AFTER_MS = 200
+EARLY_REFUSAL_FACTOR = 1.0
+
+
+@dataclass
+class Ticket:
+    """One request that waits for, or holds, a slot of a deployment.
+
+    Attributes
+    ----------
+    cost : float
+        Tokens asked for; what fairness is counted in.
+    """
+
+    account: str
+    weight: float
+    priority: int
+    cost: float
+    arrived_ms: float
+    number: int
+    granted: threading.Event = field(default_factory=threading.Event)
+    admitted_ms: float = 0.0
+    error: CorianderhavenError | None = None
+
+
+class DeploymentQueue:
+    """Waiting and running requests of one deployment in this daemon."""
+
+    def __init__(self):
+        self.waiting = []
+        self.running = 0
+        self.virtual = 0.0
+        self.account_virtual = {}
+        self.duration_ms = None
+        self.lock = threading.Lock()
+
+
+class AdmissionController:
+    """Admits requests in fair order, or refuses them early and truthfully.
+
+    Parameters
+    ----------
+    clock : Clock
+    load_book : LoadBook
+    fair : bool
+        False is the first-come-first-served baseline.
+    """
+
+    def __init__(self, clock, load_book, fair=True):
+        self.clock = clock
+        self.load_book = load_book
+        self.fair = fair
+        self.queues = {}
+        self.numbers = itertools.count()
+        self.lock = threading.Lock()
+
+    def admit(self, deployment, account, cost, slots, cancelled=lambda: False):
+        """Wait for a slot.
+
+        Parameters
+        ----------
+        deployment : Deployment
+        account : Account
+        cost : float
+            Tokens asked for.
+        slots : callable
+            Returns how many requests this daemon may run now.
+        cancelled : callable
+            Returns whether the caller has left.
+
+        Returns
+        -------
+        Ticket
+            To be given to `release`.
+
+        Raises
+        ------
+        CorianderhavenError
+            Always ``not_run``, with a time to come back.
+        """
+        queue = self._queue(deployment.name)
+        self._check_account(account)
+        ticket = Ticket(
+            account.name,
+            account.weight,
+            min(account.priority, deployment.priority),
+            max(1.0, cost),
+            self.clock.now_ms(),
+            next(self.numbers),
+        )
+        self.load_book.change_account(account.name, 1)
+        try:
+            self._enqueue(queue, ticket, deployment, slots())
+            self._wait(queue, ticket, deployment, slots, cancelled)
+        except CorianderhavenError as error:
+            self.load_book.change_account(account.name, -1)
+            metrics.REFUSED.labels(error.code.text).inc()
+            raise
+        return ticket
+
+    def release(self, deployment, ticket):
+        """Give the slot back."""
+        queue = self._queue(deployment.name)
+        self.load_book.change_account(ticket.account, -1)
+        duration = self.clock.now_ms() - ticket.admitted_ms
+        with queue.lock:
+            queue.running -= 1
+            before = queue.duration_ms if queue.duration_ms is not None else duration
+            queue.duration_ms = before + DURATION_SMOOTHING * (duration - before)
+
+    def _queue(self, name):
+        with self.lock:
+            return self.queues.setdefault(name, DeploymentQueue())
+
+    def _check_account(self, account):
+        share = self.load_book.account_share(account.name, account.max_in_flight)
+        if self.load_book.accounts.get(account.name, 0) >= share:
+            metrics.REFUSED.labels(ErrorCode.ACCOUNT_LIMIT.text).inc()
+            raise CorianderhavenError(
+                ErrorCode.ACCOUNT_LIMIT,
+                f"client account {account.name} has {int(share)} requests in flight here",
+                retry_after_ms=MIN_RETRY_AFTER_MS * 5,
+            )
+
+    def _enqueue(self, queue, ticket, deployment, slots):
+        with queue.lock:
+            self._refuse_hopeless(queue, ticket, deployment, slots)
+            if len(queue.waiting) >= deployment.limits.queue_length:
+                self._make_room(queue, ticket, slots)
+            queue.waiting.append(ticket)
+
+    def _refuse_hopeless(self, queue, ticket, deployment, slots):
+        """Refuse at once a request whose expected wait is past the queue deadline."""
+        if queue.duration_ms is None or not queue.waiting:
+            return
+        ahead = sum(1 for other in queue.waiting if self._is_ahead(queue, other, ticket))
+        wait_ms = (ahead + 1) * queue.duration_ms / max(1, slots)
+        if wait_ms > deployment.limits.queue_deadline_ms * EARLY_REFUSAL_FACTOR:
+            raise _queue_full(wait_ms)
+
+    def _is_ahead(self, queue, other, ticket):
+        if not self.fair or other.account == ticket.account:
+            return True
+        if other.priority != ticket.priority:
+            return other.priority < ticket.priority
+        return self._waiting_share(queue, other) <= self._waiting_share(queue, ticket)
+
+    def _waiting_share(self, queue, ticket):
+        count = sum(1 for other in queue.waiting if other.account == ticket.account)
+        return count / ticket.weight
+
+    def _make_room(self, queue, ticket, slots):
+        """Refuse the newest request of the account that waits with most, or this one."""
+        wait_ms = len(queue.waiting) * (queue.duration_ms or 0.0) / max(1, slots)
+        if not self.fair:
+            raise _queue_full(wait_ms)
+        counts = Counter(other.account for other in queue.waiting)
+        weights = {other.account: other.weight for other in queue.waiting}
+        worst = max(other.priority for other in queue.waiting)
+        heaviest = max(counts, key=lambda account: counts[account] / weights[account])
+        own = (counts[ticket.account] + 1) / ticket.weight
+        if worst > ticket.priority:
+            victims = [other for other in queue.waiting if other.priority == worst]
+        elif counts[heaviest] / weights[heaviest] > own:
+            victims = [
+                other
+                for other in queue.waiting
+                if other.account == heaviest and other.priority >= ticket.priority
+            ]
+        else:
+            victims = []
+        if not victims:
+            raise _queue_full(wait_ms)
+        victim = max(victims, key=lambda other: other.number)
+        queue.waiting.remove(victim)
+        victim.error = _queue_full(wait_ms)
+        victim.granted.set()
+
+    def _wait(self, queue, ticket, deployment, slots, cancelled):
+        deadline = ticket.arrived_ms + deployment.limits.queue_deadline_ms
+        waiting = metrics.WAITING.labels(deployment.name)
+        waiting.inc()
+        try:
+            while True:
+                self._dispatch(queue, slots())
+                remaining = deadline - self.clock.now_ms()
+                pause_ms = max(0.0, min(WAKE_PERIOD_MS, remaining))
+                if ticket.granted.wait(pause_ms / MS_PER_S):
+                    break
+                if remaining <= 0 or cancelled():
+                    self._give_up(queue, ticket)
+                    break
+        finally:
+            waiting.dec()
+        if ticket.error is not None:
+            raise ticket.error
+
+    def _give_up(self, queue, ticket):
+        with queue.lock:
+            if ticket.granted.is_set():
+                return
+            queue.waiting.remove(ticket)
+            wait_ms = (len(queue.waiting) + 1) * (queue.duration_ms or MIN_RETRY_AFTER_MS)
+            ticket.error = CorianderhavenError(
+                ErrorCode.QUEUE_TIMEOUT,
+                "no slot within the queue deadline",
+                retry_after_ms=_retry_after(wait_ms),
+            )
+
+    def _dispatch(self, queue, slots):
+        with queue.lock:
+            while queue.waiting and queue.running < slots:
+                ticket = self._next(queue)
+                queue.waiting.remove(ticket)
+                queue.running += 1
+                ticket.admitted_ms = self.clock.now_ms()
+                ticket.granted.set()
+
+    def _next(self, queue):
+        """Return the ticket to admit next: by priority, then by start-time fair queueing."""
+        if not self.fair:
+            return min(queue.waiting, key=lambda ticket: ticket.number)
+        ticket = min(
+            queue.waiting,
+            key=lambda t: (t.priority, self._start_tag(queue, t), t.number),
+        )
+        start = self._start_tag(queue, ticket)
+        queue.virtual = max(queue.virtual, start)
+        queue.account_virtual[ticket.account] = start + ticket.cost / ticket.weight
+        return ticket
+
+    def _start_tag(self, queue, ticket):
+        return max(queue.virtual, queue.account_virtual.get(ticket.account, 0.0))
+
+
+def _retry_after(wait_ms):
+    return int(max(MIN_RETRY_AFTER_MS, wait_ms))
+
+
+def _queue_full(wait_ms):
+    return CorianderhavenError(
+        ErrorCode.QUEUE_FULL, "the queue is full", retry_after_ms=_retry_after(wait_ms)
+    )
--- /dev/null
+++ b/libraries/routing/src/corianderhaven/routing/_caller_watch.py
@@ -0,0 +1,72 @@
+"""Notices callers that close their connection while they wait."""
+
+import itertools
+import select
+import socket
+import threading
+
+from corianderhaven.common import PeriodicThread
+
+POLL_PERIOD_MS = 100.0
+
+
+class CallerWatch:
+    """Polls the sockets of waiting callers on one thread."""
+
+    def __init__(self):
+        self.numbers = itertools.count()
+        self.watched = {}
+        self.lock = threading.Lock()
+        self.periodic = None
+
+    def start(self):
+        """Start polling."""
+        self.periodic = PeriodicThread("caller-watch", self.poll, POLL_PERIOD_MS).start()
+        return self
+
+    def close(self):
+        """Stop polling."""
+        self.periodic.close()
+
+    def add(self, request, on_left):
+        """Call `on_left` once when the caller of `request` leaves; returns a handle.
+
+        Parameters
+        ----------
+        request : Request
+        on_left : callable
+            Must not block.
+        """
+        if request.connection is None:
+            return None
+        handle = next(self.numbers)
+        with self.lock:
+            self.watched[handle] = (request.connection.socket, on_left)
+        return handle
+
+    def remove(self, handle):
+        """Stop watching a caller."""
+        with self.lock:
+            self.watched.pop(handle, None)
+
+    def poll(self):
+        """Look at each watched socket once."""
+        with self.lock:
+            watched = dict(self.watched)
+        for handle, (sock, on_left) in watched.items():
+            if _has_left(sock):
+                self.remove(handle)
+                on_left()
+
+
+def _has_left(sock):
+    try:
+        poller = select.poll()
+        poller.register(sock, select.POLLIN | select.POLLHUP | select.POLLERR)
+        if not poller.poll(0):
+            return False
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except (OSError, ValueError):
+        return True
--- /dev/null
+++ b/libraries/routing/src/corianderhaven/routing/_claims.py
@@ -0,0 +1,327 @@
+"""Claims of idempotency keys: at most one run, and the recorded answer for repeats."""
+
+import enum
+import hashlib
+import threading
+from collections import OrderedDict
+from dataclasses import dataclass
+
+import msgspec
+
+from corianderhaven.common import (
+    CorianderhavenError,
+    ErrorCode,
+    Outcome,
+    PeriodicThread,
+    TransportError,
+    new_id,
+)
+from corianderhaven.platform import KeyValueError, Swap
+
+CLAIM_PREFIX = "/corianderhaven/claims/"
+CLAIM_DEADLINE_MS = 2_500.0
+SWAP_TIMEOUT_MS = 1_500.0
+AMBIGUOUS_PAUSE_MS = 100.0
+RECORD_PERIOD_MS = 500.0
+LEASE_BUCKET_MS = 3_600_000
+MAX_RECORDED_BYTES = 256 * 1024
+MAX_REMEMBERED = 20_000
+MAX_UNRECORDED = 5_000
+
+
+class ClaimState(enum.StrEnum):
+    """State of a claim."""
+
+    CLAIMED = "claimed"
+    DONE = "done"
+    UNKNOWN = "unknown"
+    RELEASED = "released"
+
+
+class Claim(msgspec.Struct, kw_only=True):
+    """The stored claim of one idempotency key.
+
+    Attributes
+    ----------
+    claim_id : str
+        Unique per request, so that a claim whose write was ambiguous is known as one's own.
+    owner, owner_address : str
+        Instance and peer address of the daemon that runs the operation.
+    payload_digest : str
+        Of the request body; a repeat with another body is refused.
+    status, content_type, body :
+        The recorded answer once the state is ``done``.
+    """
+
+    claim_id: str
+    owner: str
+    owner_address: str
+    payload_digest: str
+    state: ClaimState
+    claimed_ms: int
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+
+    def encode(self):
+        """Return the claim as JSON bytes."""
+        return msgspec.json.encode(self)
+
+
+def decode_claim(value):
+    """Return a `Claim` from JSON bytes."""
+    return msgspec.json.decode(value, type=Claim)
+
+
+def claim_key(account, service, operation, idempotency_key):
+    """Return the store key; the caller's key is scoped by account and operation."""
+    digest = hashlib.sha256(idempotency_key.encode()).hexdigest()[:40]
+    return f"{CLAIM_PREFIX}{account}/{service}/{operation}/{digest}"
+
+
+@dataclass
+class HeldClaim:
+    """A claim that this daemon holds, with the revision of its last write."""
+
+    key: str
+    claim: Claim
+    revision: int
+    lease: int
+
+
+@dataclass(frozen=True)
+class ClaimResult:
+    """Either a claim held by this request, or the claim of an earlier one."""
+
+    held: HeldClaim | None
+    earlier: Claim | None
+
+
+class LeasePool:
+    """One lease per retention, shared by the claims of an hour.
+
+    Parameters
+    ----------
+    store : BaseKeyValueStore
+    clock : Clock
+    """
+
+    def __init__(self, store, clock):
+        self.store = store
+        self.clock = clock
+        self.leases = {}
+        self.lock = threading.Lock()
+
+    def lease(self, retention_ms):
+        """Return a lease that lasts for `retention_ms` at least."""
+        with self.lock:
+            made_ms, lease = self.leases.get(retention_ms, (float("-inf"), 0))
+            now = self.clock.now_ms()
+            bucket_ms = min(LEASE_BUCKET_MS, retention_ms)
+            if now - made_ms >= bucket_ms:
+                lease = self.store.grant_lease((retention_ms + bucket_ms) // 1000 + 1)
+                self.leases[retention_ms] = (now, lease)
+            return lease
+
+    def forget(self):
+        """Drop the leases, after the service has said that one is unknown."""
+        with self.lock:
+            self.leases.clear()
+
+
+class ClaimBook:
+    """Creates, completes and releases claims.
+
+    Parameters
+    ----------
+    store : BaseKeyValueStore
+    committer : GroupCommitter
+    clock : Clock
+    own : PeerInfo
+    transport : PeerTransport
+        Asks the owner of an unfinished claim.
+    decisions : DecisionLog
+    """
+
+    def __init__(self, store, committer, clock, own, transport, decisions):
+        self.store = store
+        self.committer = committer
+        self.clock = clock
+        self.own = own
+        self.transport = transport
+        self.decisions = decisions
+        self.leases = LeasePool(store, clock)
+        self.local = OrderedDict()
+        self.unrecorded = {}
+        self.lock = threading.Lock()
+        self.periodic = None
+
+    def start(self):
+        """Start recording answers that could not be recorded at once."""
+        self.periodic = PeriodicThread("claim-recorder", self.record_late, RECORD_PERIOD_MS)
+        self.periodic.start()
+        return self
+
+    def close(self):
+        """Record what is left, then stop."""
+        self.periodic.close()
+        self.record_late()
+
+    def claim(self, key, payload_digest, retention_ms):
+        """Claim `key` before anything is sent.
+
+        Returns
+        -------
+        ClaimResult
+
+        Raises
+        ------
+        CorianderhavenError
+            ``claims_unavailable`` as ``not_run``: nothing is sent without a claim that is
+            certain.
+        """
+        claim = Claim(
+            claim_id=new_id("claim"),
+            owner=self.own.instance,
+            owner_address=self.own.address,
+            payload_digest=payload_digest,
+            state=ClaimState.CLAIMED,
+            claimed_ms=self.clock.wall_ms(),
+        )
+        self._remember(claim)
+        try:
+            return self._claim_until_certain(key, claim, retention_ms)
+        except KeyValueError as error:
+            self._abandon(key, claim)
+            raise CorianderhavenError(
+                ErrorCode.CLAIMS_UNAVAILABLE, error.message, Outcome.NOT_RUN, retry_after_ms=1000
+            ) from error
+
+    def _claim_until_certain(self, key, claim, retention_ms):
+        """Repeat the write until its effect is certain; the same bytes again are idempotent."""
+        deadline = self.clock.now_ms() + CLAIM_DEADLINE_MS
+        revision = 0
+        while True:
+            try:
+                lease = self.leases.lease(retention_ms)
+                swap = Swap(key, revision, claim.encode(), lease)
+                result = self.committer.swap(swap, SWAP_TIMEOUT_MS)
+            except KeyValueError as error:
+                lease_unknown = "lease not found" in error.message
+                if lease_unknown:
+                    self.leases.forget()
+                repeatable = error.ambiguous or lease_unknown
+                if self.clock.now_ms() >= deadline or not repeatable:
+                    raise
+                self.clock.sleep_ms(AMBIGUOUS_PAUSE_MS)
+                continue
+            if result.succeeded:
+                return ClaimResult(HeldClaim(key, claim, result.item.mod_revision, lease), None)
+            if result.item is None:
+                revision = 0
+                continue
+            earlier = decode_claim(result.item.value)
+            if earlier.claim_id == claim.claim_id:
+                held = HeldClaim(key, claim, result.item.mod_revision, lease)
+                return ClaimResult(held, None)
+            if not self._is_released(earlier):
+                return ClaimResult(None, earlier)
+            revision = result.item.mod_revision
+
+    def _is_released(self, earlier):
+        """Return whether an earlier claim was given up without a run, by its owner's word."""
+        if earlier.state is ClaimState.RELEASED:
+            return True
+        if earlier.state is not ClaimState.CLAIMED:
+            return False
+        current = self._owners_word(earlier)
+        return current is not None and current.state is ClaimState.RELEASED
+
+    def resolve(self, earlier):
+        """Return the latest known state of an earlier claim, asking its owner.
+
+        Returns
+        -------
+        Claim
+            State ``claimed`` only if its owner says that it runs; ``unknown`` if the owner
+            can't be asked or has been replaced.
+        """
+        if earlier.state is not ClaimState.CLAIMED:
+            return earlier
+        current = self._owners_word(earlier)
+        if current is not None:
+            return current
+        return msgspec.structs.replace(earlier, state=ClaimState.UNKNOWN)
+
+    def _owners_word(self, claim):
+        if claim.owner == self.own.instance:
+            return self.local.get(claim.claim_id)
+        try:
+            path = f"/peer/claims/{claim.claim_id}"
+            exchange = self.transport.call(claim.owner_address, "GET", path)
+            return decode_claim(exchange.body) if exchange.status == 200 else None
+        except (TransportError, msgspec.DecodeError):
+            return None
+
+    def complete(self, held, status, content_type, body):
+        """Record the answer; retried in the background while the service is away."""
+        fits = len(body) <= MAX_RECORDED_BYTES
+        self._finish(
+            held,
+            state=ClaimState.DONE,
+            status=status,
+            content_type=content_type,
+            body=body if fits else b'{"recorded": "answer too large to keep"}',
+        )
+
+    def mark_unknown(self, held):
+        """Record that the operation may or may not have run."""
+        self._finish(held, state=ClaimState.UNKNOWN)
+
+    def release(self, held):
+        """Give the key back after proof that the operation was not run."""
+        self._finish(held, state=ClaimState.RELEASED)
+
+    def read(self, key):
+        """Return the claim of a key as the service has it, or None; raises `KeyValueError`."""
+        item = self.store.get(key)
+        return None if item is None else decode_claim(item.value)
+
+    def _finish(self, held, **changes):
+        held.claim = msgspec.structs.replace(held.claim, **changes)
+        self._remember(held.claim)
+        with self.lock:
+            if len(self.unrecorded) < MAX_UNRECORDED:
+                self.unrecorded[held.claim.claim_id] = held
+        self._record(held)
+
+    def _record(self, held):
+        swap = Swap(held.key, held.revision, held.claim.encode(), held.lease)
+        try:
+            result = self.committer.swap(swap, SWAP_TIMEOUT_MS)
+        except KeyValueError:
+            return
+        if not result.succeeded:
+            self.decisions.record("claim_overtaken", key=held.key, claim_id=held.claim.claim_id)
+        with self.lock:
+            self.unrecorded.pop(held.claim.claim_id, None)
+
+    def record_late(self):
+        """Try again to record answers that are not recorded yet."""
+        with self.lock:
+            waiting = list(self.unrecorded.values())
+        for held in waiting:
+            self._record(held)
+
+    def _abandon(self, key, claim):
+        """Remember that a claim whose write never became certain was not used."""
+        claim = msgspec.structs.replace(claim, state=ClaimState.RELEASED)
+        self._remember(claim)
+        self.decisions.record("claim_abandoned", key=key, claim_id=claim.claim_id)
+
+    def _remember(self, claim):
+        with self.lock:
+            self.local[claim.claim_id] = claim
+            self.local.move_to_end(claim.claim_id)
+            while len(self.local) > MAX_REMEMBERED:
+                self.local.popitem(last=False)
--- /dev/null
+++ b/libraries/routing/src/corianderhaven/routing/_drafts.py
@@ -0,0 +1,566 @@
+"""Drafts: admission, choice, attempts and resumption at the exact offset."""
+
+import itertools
+import random
+import secrets
+import threading
+from dataclasses import dataclass, field
+
+import msgspec
+
+from corianderhaven.common import (
+    CorianderhavenError,
+    ErrorCode,
+    JsonClient,
+    Outcome,
+    TransportError,
+)
+from corianderhaven.membership import peer_signature
+
+from . import _metrics as metrics
+from ._outcomes import AttemptEvidence, AttemptStage, Verdict, judge
+from ._prefix_affinity import prompt_blocks
+from ._resume_token import STREAM_SEPARATOR, ResumePoint
+from ._retry import Backoff, RetryBudget, parse_retry_after_ms
+from ._upstream import AttemptLostError, DraftAttempt
+
+MAX_ATTEMPTS = 8
+REPLICA_POLL_MS = 50.0
+RESUME_WAIT_MS = 1_000.0
+CANCEL_TIMEOUT_MS = 300.0
+DETACHED_KEEP_MS = 10_000
+REFUSED_BEFORE_RUN = (409, 429, 503)
+GAP_BATCHES = 4
+HOPS_HEADER = "X-Corianderhaven-Hops"
+ACCOUNT_HEADER = "X-Corianderhaven-Account"
+SIGNATURE_HEADER = "X-Corianderhaven-Signature"
+
+
+@dataclass
+class DraftRequest:
+    """One draft asked for.
+
+    Attributes
+    ----------
+    path : str
+        ``/v1/chat/completions`` or ``/v1/completions``.
+    body : dict
+        As the caller sent it.
+    delivered : int
+        Tokens that were generated elsewhere before this request.
+    prefix_text : str
+        Their text; not known when `resume` is given.
+    resume : ResumePoint or None
+        Where to go on after a caller has reconnected.
+    hops : int
+        1 when another zone's daemon has forwarded it.
+    """
+
+    request_id: str
+    account: object
+    deployments: list
+    path: str
+    body: dict
+    prompt: str
+    max_tokens: int
+    delivered: int = 0
+    prefix_text: str = ""
+    resume: ResumePoint | None = None
+    hops: int = 0
+
+
+@dataclass(frozen=True)
+class Target:
+    """Where one attempt goes: a replica, or a daemon of another zone."""
+
+    address: str
+    deployment: object
+    replica: object = None
+    zone: str = ""
+
+    @property
+    def key(self):
+        """Return the replica's key, or the peer's address."""
+        return self.replica.key if self.replica else self.address
+
+
+@dataclass
+class RelayState:
+    """What a relay has done so far."""
+
+    delivered: int
+    chunks: list = field(default_factory=list)
+    attempts: int = 0
+    excluded: set = field(default_factory=set)
+    may_have_run: bool = False
+
+
+class DraftRouter:
+    """Everything that relays share.
+
+    Parameters
+    ----------
+    clock : Clock
+    view : ReplicaView
+    chooser : BaseReplicaChooser
+    load_book : LoadBook
+    admission : AdmissionController
+    remote_zones : RemoteZones
+    adoption : ZoneAdoption
+    decisions : DecisionLog
+    secret : str
+        Of peer messages.
+    resume_enabled : bool
+        False is the baseline without resumption.
+    """
+
+    def __init__(
+        self,
+        clock,
+        view,
+        chooser,
+        load_book,
+        admission,
+        remote_zones,
+        adoption,
+        decisions,
+        secret,
+        resume_enabled=True,
+    ):
+        self.clock = clock
+        self.view = view
+        self.chooser = chooser
+        self.load_book = load_book
+        self.admission = admission
+        self.remote_zones = remote_zones
+        self.adoption = adoption
+        self.decisions = decisions
+        self.secret = secret
+        self.resume_enabled = resume_enabled
+        self.backoff = Backoff()
+        self.budgets = {}
+        self.random = random.Random()
+
+    def relay(self, request):
+        """Return a `DraftRelay` for a `DraftRequest`."""
+        return DraftRelay(self, request)
+
+    def budget(self, deployment):
+        """Return the retry budget of a deployment."""
+        budget = self.budgets.get(deployment.name)
+        if budget is None or budget.ratio != deployment.limits.retry_budget:
+            budget = self.budgets[deployment.name] = RetryBudget(deployment.limits.retry_budget)
+        return budget
+
+    def slots(self, deployment, hops):
+        """Return how many drafts of a deployment this daemon may run now."""
+        bound = deployment.limits.in_flight_per_replica
+        local = 0
+        for replica in self.view.for_deployment(deployment):
+            own = self.load_book.replicas.get(replica.key, 0)
+            local += max(0, bound - (self.load_book.in_flight(replica.key) - own))
+        if hops:
+            return local
+        remote = self.remote_zones.for_deployment(deployment.name)
+        return local + sum(zone.free_slots for zone in remote)
+
+    def local_target(self, deployment, blocks, excluded):
+        """Choose a replica of this zone with a free slot; returns a `Target` or None."""
+        bound = deployment.limits.in_flight_per_replica
+        replicas = [r for r in self.view.for_deployment(deployment) if r.key not in excluded]
+        free = [r for r in replicas if self.load_book.in_flight(r.key) < bound]
+        if not free:
+            return None, None
+        choice = self.chooser.choose(free, blocks)
+        return Target(choice.replica.address, deployment, choice.replica), choice
+
+    def remote_target(self, deployment, excluded):
+        """Choose a daemon of the nearest other zone with capacity; returns a `Target` or None."""
+        for zone in self.remote_zones.for_deployment(deployment.name):
+            addresses = [a for a in zone.addresses if a not in excluded]
+            if addresses:
+                return Target(self.random.choice(addresses), deployment, zone=zone.zone)
+        return None
+
+
+class DraftRelay:
+    """Relays one draft, over as many attempts as it takes, each token once.
+
+    Parameters
+    ----------
+    router : DraftRouter
+    request : DraftRequest
+    """
+
+    def __init__(self, router, request):
+        self.router = router
+        self.request = request
+        self.state = RelayState(request.delivered)
+        self.attempt = None
+        self.stream_id = None
+        self.caller_left = False
+        self.clock = router.clock
+        self.accepted_ms = router.clock.now_ms()
+        self.blocks = prompt_blocks(request.prompt)
+        self.deployment = request.deployments[0]
+
+    def caller_gone(self):
+        """Note from another thread that the caller has left, and break what waits."""
+        self.caller_left = True
+        attempt = self.attempt
+        if attempt is not None:
+            attempt.abort()
+
+    def batches(self):
+        """Yield lists of `DraftEvent`, each token once and in order, until the end marker.
+
+        Raises
+        ------
+        CorianderhavenError
+            When the answer can't be completed; says what is known.
+        """
+        self.deployment = self._choose_deployment()
+        ticket = self._admit()
+        self.router.budget(self.deployment).earn()
+        outcome = Outcome.FAILED
+        try:
+            yield from self._run()
+            outcome = Outcome.COMPLETE
+        except CorianderhavenError as error:
+            outcome = error.outcome
+            raise
+        except GeneratorExit:
+            outcome = "caller_left"
+            raise
+        finally:
+            self.router.admission.release(self.deployment, ticket)
+            self._finish(outcome)
+
+    def _choose_deployment(self):
+        """Prefer a deployment with free slots, in the order of their priority."""
+        router, hops = self.router, self.request.hops
+        free = (d for d in self.request.deployments if router.slots(d, hops) > 0)
+        return next(free, self.request.deployments[0])
+
+    def _admit(self):
+        return self.router.admission.admit(
+            self.deployment,
+            self.request.account,
+            self.request.max_tokens,
+            lambda: self.router.slots(self.deployment, self.request.hops),
+            lambda: self.caller_left,
+        )
+
+    def _run(self):
+        resume_at = self.request.resume
+        while True:
+            target = self._locate(resume_at) if resume_at else self._next_target()
+            try:
+                yield from self._attempt(target, resume_at)
+                return
+            except AttemptLostError as lost:
+                resume_at = self._after_loss(target, lost, resume_at)
+
+    def _attempt(self, target, resume_at):
+        """Run one attempt and yield its new events."""
+        self.state.attempts += 1
+        key = target.key
+        limits = self.deployment.limits
+        self.router.load_book.begin(key)
+        attempt = self._make_attempt(target, resume_at, limits)
+        self.attempt = attempt
+        if self.caller_left:
+            attempt.aborted = True
+        try:
+            attempt.start()
+            yield from self._relay_events(attempt, key)
+        except GeneratorExit:
+            self._cancel(target, DETACHED_KEEP_MS)
+            raise
+        except AttemptLostError as lost:
+            if lost.reason in ("timeout", "reset"):
+                attempt.close()
+            raise
+        finally:
+            self.attempt = None
+            self.router.load_book.end(key)
+            attempt.close()
+
+    def _relay_events(self, attempt, key):
+        state = self.state
+        clock, load_book = self.clock, self.router.load_book
+        gap_started, gap_tokens = None, 0
+        for number, batch in enumerate(attempt.batches()):
+            events = [e for e in batch if e.offset is None or e.offset > state.delivered]
+            now = clock.now_ms()
+            if number == 0 and not state.chunks:
+                self._note_first_token(now)
+            if gap_started is None:
+                gap_started = now
+            else:
+                gap_tokens += len(batch)
+                if number % GAP_BATCHES == 0:
+                    load_book.note_gap(key, (now - gap_started) / gap_tokens)
+                    gap_started, gap_tokens = now, 0
+            if not events:
+                continue
+            self.stream_id = attempt.stream_id or self.stream_id
+            if events[-1].offset is not None:
+                state.delivered = events[-1].offset
+                state.chunks.extend(event.data for event in events)
+            yield events
+
+    def _note_first_token(self, now):
+        latency_s = (now - self.accepted_ms) / 1000
+        metrics.FIRST_TOKEN.labels(self.deployment.name).observe(latency_s)
+
+    def _make_attempt(self, target, resume_at, limits):
+        request = self.request
+        headers = {"X-Request-Id": request.request_id, "Content-Type": "application/json"}
+        if resume_at is not None:
+            path = f"/v1/streams/{resume_at.stream_id}"
+            query = f"?offset={resume_at.offset}"
+            method, body = "GET", None
+        else:
+            path, query, method = request.path, "", "POST"
+            body = self._body()
+        if target.replica is None and target.zone:
+            path = "/peer" + path
+            headers[HOPS_HEADER] = "1"
+            headers[ACCOUNT_HEADER] = request.account.name
+            headers[SIGNATURE_HEADER] = peer_signature(
+                self.router.secret, method, path, body or b""
+            )
+        elif target.replica is not None and resume_at is None:
+            headers["X-Stream-Id"] = self._new_stream_id(target.replica)
+        first_ms = RESUME_WAIT_MS if resume_at else limits.first_token_deadline_ms
+        first_ms = max(1.0, min(first_ms, self._remaining_ms()))
+        return DraftAttempt(
+            target.address, method, path + query, body, headers, first_ms, limits.gap_deadline_ms
+        )
+
+    def _body(self):
+        request = self.request
+        body = {
+            **request.body,
+            "stream": True,
+            "priority": min(request.account.priority, self.deployment.priority),
+        }
+        if self.state.delivered:
+            body["continue_from"] = {"text": self._text(), "tokens": self.state.delivered}
+        return msgspec.json.encode(body)
+
+    def _text(self):
+        """Return the text delivered so far, read from the chunks only when it is needed."""
+        return self.request.prefix_text + "".join(map(chunk_text, self.state.chunks))
+
+    def _new_stream_id(self, replica):
+        parts = (replica.zone, replica.replica_id, str(replica.generation), secrets.token_hex(6))
+        return STREAM_SEPARATOR.join(parts)
+
+    def _next_target(self):
+        """Choose where to go next, waiting for a replica if there is none."""
+        waited = False
+        while True:
+            target, choice = self._choose_once()
+            if target is not None:
+                self._log_choice(target, choice)
+                if target.replica is not None:
+                    self.router.chooser.note_sent(target.replica, self.blocks)
+                return target
+            if not waited and self.state.excluded:
+                self.state.excluded.clear()
+                waited = True
+            self._check_patience()
+            self.clock.sleep_ms(REPLICA_POLL_MS)
+
+    def _choose_once(self):
+        excluded = self.state.excluded
+        target, choice = self.router.local_target(self.deployment, self.blocks, excluded)
+        if target is None and self.request.hops == 0:
+            target = self.router.remote_target(self.deployment, excluded)
+        return target, choice
+
+    def _check_patience(self):
+        """Raise when waiting for a replica has no more sense."""
+        begun = self.state.delivered > self.request.delivered or self.request.resume is not None
+        limits = self.deployment.limits
+        waited_ms = self.clock.now_ms() - self.accepted_ms
+        patience = limits.total_deadline_ms if begun else limits.queue_deadline_ms
+        if waited_ms < patience and not self.caller_left:
+            return
+        raise self._failure(ErrorCode.NO_REPLICA, "no whole replica")
+
+    def _locate(self, resume_at):
+        """Return the target that keeps the stream of a resume point."""
+        address = self.router.view.leader_address(resume_at.replica_id, resume_at.generation)
+        if address is not None:
+            replica = self.router.view.find(resume_at.replica_id, resume_at.generation)
+            return Target(address, self.deployment, replica)
+        addresses = self.router.remote_zones.addresses(resume_at.zone)
+        if addresses and self.request.hops == 0:
+            return Target(addresses[0], self.deployment, zone=resume_at.zone)
+        raise self._stream_lost()
+
+    def _after_loss(self, target, lost, resume_at):
+        """Decide after a broken attempt; returns a resume point, or None to go elsewhere."""
+        state = self.state
+        state.may_have_run = state.may_have_run or lost.reason not in ("connect", "refused")
+        metrics.ATTEMPTS_LOST.labels(self.deployment.name, lost.reason).inc()
+        self.router.decisions.record(
+            "attempt_lost",
+            request_id=self.request.request_id,
+            target=target.key,
+            reason=lost.reason,
+            status=lost.status,
+            delivered=state.delivered,
+        )
+        self._check_continuable(lost)
+        if lost.status is not None and lost.status < 500 and lost.reason == "refused":
+            self._check_refusal(lost)
+        if self.request.resume is not None:
+            return self._kept_stream(lost)
+        begun = state.delivered > self.request.delivered
+        can_resume = self.stream_id is not None and begun and resume_at is None
+        if can_resume and lost.reason in ("timeout", "reset", "no_end_marker"):
+            return ResumePoint(self.stream_id, state.delivered)
+        self._leave(target, lost, begun)
+        return None
+
+    def _kept_stream(self, lost):
+        """Return where to go on with a stream whose earlier text this daemon never had."""
+        if lost.reason == "gone":
+            raise self._stream_lost()
+        self.clock.sleep_ms(self.router.backoff.pause_ms(self.state.attempts))
+        stream_id = self.stream_id or self.request.resume.stream_id
+        return ResumePoint(stream_id, self.state.delivered)
+
+    def _leave(self, target, lost, begun):
+        """Give up a target: exclude it, cancel what may still run there, spend a retry."""
+        self.state.excluded.add(target.key)
+        if lost.reason not in ("connect", "refused", "gone"):
+            self._cancel(target, 0)
+        if not begun and lost.reason != "connect":
+            if not self.router.budget(self.deployment).spend():
+                raise self._failure(ErrorCode.ENDPOINT_LOST, "retry budget spent")
+            retry_after = parse_retry_after_ms(lost.retry_after)
+            pause = self.router.backoff.pause_ms(self.state.attempts, retry_after)
+            if pause > self._remaining_ms():
+                raise self._failure(ErrorCode.ENDPOINT_REFUSED, "refused until past the deadline")
+            self.clock.sleep_ms(pause)
+
+    def _check_continuable(self, lost):
+        if self.caller_left:
+            raise self._failure(ErrorCode.ENDPOINT_LOST, "the caller has left")
+        if self._remaining_ms() <= 0:
+            raise self._failure(ErrorCode.DEADLINE_EXCEEDED, "total deadline passed")
+        begun = self.state.delivered > self.request.delivered
+        if begun and not self.router.resume_enabled:
+            raise self._failure(ErrorCode.INCOMPLETE_STREAM, "resumption is switched off")
+        if self.state.attempts >= MAX_ATTEMPTS:
+            message = f"{self.state.attempts} attempts broke, the last by {lost.reason}"
+            raise self._failure(ErrorCode.ENDPOINT_LOST, message)
+
+    def _check_refusal(self, lost):
+        """Pass on an endpoint's verdict about the request itself."""
+        evidence = AttemptEvidence(AttemptStage.ANSWERED, lost.status)
+        if judge(evidence, REFUSED_BEFORE_RUN) is Verdict.ANSWERED and lost.status != 404:
+            raise CorianderhavenError(
+                ErrorCode.INVALID_REQUEST,
+                "the engine refused the request: " + lost.body.decode("utf-8", "replace")[:500],
+                Outcome.NOT_RUN,
+            )
+
+    def _failure(self, code, message):
+        """Return the error to tell; drafts are idempotent, so only tokens make a difference."""
+        begun = self.state.delivered > self.request.delivered
+        if begun:
+            return CorianderhavenError(ErrorCode.INCOMPLETE_STREAM, message, Outcome.FAILED)
+        outcome = Outcome.UNKNOWN if self.state.may_have_run else Outcome.NOT_RUN
+        return CorianderhavenError(code, message, outcome, retry_after_ms=1000)
+
+    def _stream_lost(self):
+        message = "the stream is no longer kept; ask anew without Last-Event-ID"
+        return CorianderhavenError(ErrorCode.STREAM_LOST, message, Outcome.FAILED)
+
+    def _remaining_ms(self):
+        spent = self.clock.now_ms() - self.accepted_ms
+        return self.deployment.limits.total_deadline_ms - spent
+
+    def _cancel(self, target, after_ms):
+        """Tell the engine in the background that nobody reads the stream any more."""
+        stream_id = self.stream_id
+        if stream_id is None or target.replica is None:
+            return
+        threading.Thread(
+            target=_send_cancel, args=(target.address, stream_id, after_ms), daemon=True
+        ).start()
+
+    def _log_choice(self, target, choice):
+        self.router.decisions.record(
+            "replica_chosen",
+            request_id=self.request.request_id,
+            account=self.request.account.name,
+            deployment=self.deployment.name,
+            target=target.key,
+            zone=target.zone or (target.replica.zone if target.replica else ""),
+            attempt=self.state.attempts + 1,
+            reason=choice.reason if choice else "other_zone",
+            scores=choice.scores if choice else {},
+            excluded=sorted(self.state.excluded),
+        )
+
+    def _finish(self, outcome):
+        name = self.deployment.name
+        metrics.DRAFTS.labels(name, str(outcome)).inc()
+        metrics.TOKENS.labels(name).inc(self.state.delivered - self.request.delivered)
+        self.router.decisions.record(
+            "draft_ended",
+            request_id=self.request.request_id,
+            outcome=str(outcome),
+            attempts=self.state.attempts,
+            tokens=self.state.delivered,
+            took_ms=round(self.clock.now_ms() - self.accepted_ms, 1),
+        )
+
+
+class _ChunkDelta(msgspec.Struct):
+    content: str | None = None
+
+
+class _ChunkChoice(msgspec.Struct):
+    text: str | None = None
+    delta: _ChunkDelta | None = None
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct):
+    choices: list[_ChunkChoice] = []
+
+
+_CHUNK_DECODER = msgspec.json.Decoder(_Chunk)
+
+
+def chunk_text(data):
+    """Return the text of one chunk of the published format."""
+    choices = _CHUNK_DECODER.decode(data).choices
+    if not choices:
+        return ""
+    choice = choices[0]
+    return choice.text or (choice.delta.content if choice.delta else None) or ""
+
+
+def chunk_finish_reason(data):
+    """Return the finish reason of one chunk, or None."""
+    choices = _CHUNK_DECODER.decode(data).choices
+    return next(itertools.chain((c.finish_reason for c in choices), [None]))
+
+
+def _send_cancel(address, stream_id, after_ms):
+    client = JsonClient(address, CANCEL_TIMEOUT_MS)
+    try:
+        client.call("POST", f"/v1/streams/{stream_id}/cancel", {"after_ms": after_ms})
+    except TransportError:
+        pass
+    finally:
+        client.close()
--- /dev/null
+++ b/libraries/routing/src/corianderhaven/routing/_operations.py
@@ -0,0 +1,374 @@
+"""Operations of plain services: one send for those that are not idempotent."""
+
+import hashlib
+import http.client
+import random
+import threading
+from collections import Counter
+from dataclasses import dataclass
+
+import msgspec
+
+from corianderhaven.common import (
+    NETWORK_ERRORS,
+    CorianderhavenError,
+    ErrorCode,
+    Outcome,
+    TransportError,
+    open_connection,
+)
+from corianderhaven.membership import peer_signature
+from corianderhaven.platform import VmKind
+
+from . import _metrics as metrics
+from ._claims import ClaimState, claim_key
+from ._outcomes import AttemptEvidence, AttemptStage, Verdict, judge, may_retry
+from ._retry import Backoff, RetryBudget, parse_retry_after_ms
+
+CONNECT_TIMEOUT_MS = 500.0
+MAX_ATTEMPTS = 4
+SERVICE_RETRY_RATIO = 0.2
+SAMPLE_SIZE = 2
+READ_BYTES = 65_536
+IN_PROGRESS_RETRY_MS = 500
+
+
+@dataclass
+class OperationRequest:
+    """One operation asked for.
+
+    Attributes
+    ----------
+    idempotency_key : str or None
+        The caller's; scoped by client account and operation.
+    hops : int
+        1 when another zone's daemon has forwarded it.
+    """
+
+    request_id: str
+    account: object
+    service: object
+    operation: object
+    body: bytes
+    idempotency_key: str | None = None
+    hops: int = 0
+
+
+@dataclass(frozen=True)
+class OperationAnswer:
+    """The endpoint's answer, or the recorded one of an earlier run."""
+
+    status: int
+    content_type: str
+    body: bytes
+    replayed: bool = False
+
+
+@dataclass(frozen=True)
+class AttemptResult:
+    """One attempt at an operation."""
+
+    verdict: Verdict
+    answer: OperationAnswer | None = None
+    retry_after_ms: float | None = None
+
+
+@dataclass(frozen=True)
+class ServiceTarget:
+    """An endpoint, or a daemon of another zone when `zone` is set."""
+
+    address: str
+    vm: str
+    zone: str = ""
+
+
+class OperationRouter:
+    """Runs operations.
+
+    Parameters
+    ----------
+    clock : Clock
+    facts : FactBoard
+    directory : VmDirectory
+    adoption : ZoneAdoption
+    remote_zones : RemoteZones
+    claims : ClaimBook
+    decisions : DecisionLog
+    secret : str
+        Of peer messages.
+    """
+
+    def __init__(self, clock, facts, directory, adoption, remote_zones, claims, decisions, secret):
+        self.clock = clock
+        self.facts = facts
+        self.directory = directory
+        self.adoption = adoption
+        self.remote_zones = remote_zones
+        self.claims = claims
+        self.decisions = decisions
+        self.secret = secret
+        self.budgets = {}
+        self.backoff = Backoff()
+        self.in_flight = Counter()
+        self.random = random.Random()
+        self.lock = threading.Lock()
+
+    def run(self, request):
+        """Run an operation and return its `OperationAnswer`.
+
+        Raises
+        ------
+        CorianderhavenError
+            With an outcome that is true: ``not_run`` only with proof.
+        """
+        claims_here = request.hops == 0 and not request.operation.idempotent
+        keyed = request.idempotency_key is not None and claims_here
+        try:
+            answer = self._run_keyed(request) if keyed else self._run_unkeyed(request)
+        except CorianderhavenError as error:
+            self._note(request, error.outcome)
+            raise
+        self._note(request, Outcome.COMPLETE)
+        return answer
+
+    def outcome(self, account, service, operation, idempotency_key):
+        """Return the latest known `Claim` of a key, or None; raises `KeyValueError`."""
+        key = claim_key(account.name, service.name, operation.name, idempotency_key)
+        claim = self.claims.read(key)
+        return None if claim is None else self.claims.resolve(claim)
+
+    def endpoints(self, service):
+        """Return the targets of this zone that may take new work."""
+        selector = service.vms
+        return [
+            ServiceTarget(vm.address, vm.id)
+            for vm in self.directory.endpoints(self.adoption.served_zones())
+            if vm.kind is VmKind.SERVICE
+            and vm.label == selector.label
+            and (not selector.zones or vm.zone in selector.zones)
+            and not self.directory.is_leaving(vm.id)
+            and self._is_serving(vm.id)
+        ]
+
+    def _is_serving(self, vm_id):
+        report = self.facts.fresh_report(vm_id)
+        return report is not None and report.status == "serving" and not report.leaving
+
+    def _run_keyed(self, request):
+        key = claim_key(
+            request.account.name,
+            request.service.name,
+            request.operation.name,
+            request.idempotency_key,
+        )
+        digest = hashlib.sha256(request.body).hexdigest()
+        result = self.claims.claim(key, digest, request.operation.retention_ms)
+        if result.earlier is not None:
+            return self._repeat(request, result.earlier, digest)
+        held = result.held
+        self.decisions.record(
+            "key_claimed", request_id=request.request_id, key=key, claim_id=held.claim.claim_id
+        )
+        try:
+            answer = self._attempts(request)
+        except CorianderhavenError as error:
+            if error.outcome is Outcome.NOT_RUN:
+                self.claims.release(held)
+            else:
+                self.claims.mark_unknown(held)
+            raise
+        except BaseException:
+            self.claims.mark_unknown(held)
+            raise
+        self.claims.complete(held, answer.status, answer.content_type, answer.body)
+        return answer
+
+    def _repeat(self, request, earlier, digest):
+        """Answer a request whose key was claimed before; it is never run."""
+        if earlier.payload_digest != digest:
+            raise CorianderhavenError(
+                ErrorCode.IDEMPOTENCY_KEY_REUSED,
+                "this Idempotency-Key was used with another body; this body was not run",
+            )
+        current = self.claims.resolve(earlier)
+        self.decisions.record(
+            "key_repeated",
+            request_id=request.request_id,
+            claim_id=earlier.claim_id,
+            state=current.state.value,
+        )
+        if current.state is ClaimState.DONE:
+            return OperationAnswer(current.status, current.content_type, current.body, True)
+        if current.state is ClaimState.CLAIMED:
+            raise CorianderhavenError(
+                ErrorCode.IN_PROGRESS,
+                "the first request with this Idempotency-Key is running",
+                Outcome.UNKNOWN,
+                retry_after_ms=IN_PROGRESS_RETRY_MS,
+            )
+        if current.state is ClaimState.RELEASED:
+            raise CorianderhavenError(
+                ErrorCode.NO_ENDPOINT,
+                "the first request with this Idempotency-Key has just been given up",
+                Outcome.NOT_RUN,
+                retry_after_ms=IN_PROGRESS_RETRY_MS,
+            )
+        raise CorianderhavenError(
+            ErrorCode.OPERATION_UNKNOWN,
+            "the first request with this Idempotency-Key may or may not have run",
+            Outcome.UNKNOWN,
+        )
+
+    def _run_unkeyed(self, request):
+        return self._attempts(request)
+
+    def _attempts(self, request):
+        """Try endpoints until one answers, as far as retries are harmless."""
+        budget = self._budget(request.service)
+        budget.earn()
+        tried = set()
+        verdicts = []
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            target = self._choose(request, tried)
+            if target is None:
+                break
+            tried.add(target.address)
+            result = self._attempt(request, target, attempt)
+            verdicts.append(result.verdict)
+            if result.verdict is Verdict.ANSWERED:
+                return result.answer
+            if not may_retry(result.verdict, request.operation.idempotent):
+                break
+            if not budget.spend():
+                break
+            if result.retry_after_ms and attempt < MAX_ATTEMPTS:
+                self.clock.sleep_ms(self.backoff.pause_ms(attempt))
+        raise self._error(request, verdicts)
+
+    def _error(self, request, verdicts):
+        unknown = Verdict.UNKNOWN in verdicts
+        name = f"{request.service.name}/{request.operation.name}"
+        if unknown:
+            return CorianderhavenError(
+                ErrorCode.ENDPOINT_LOST,
+                f"{name} was sent and its answer was lost; it may or may not have run",
+                Outcome.UNKNOWN,
+            )
+        code = ErrorCode.ENDPOINT_REFUSED if verdicts else ErrorCode.NO_ENDPOINT
+        message = f"no endpoint took {name}"
+        return CorianderhavenError(code, message, Outcome.NOT_RUN, retry_after_ms=1000)
+
+    def _choose(self, request, tried):
+        """Power of two choices on own requests in flight; another zone when there is none here."""
+        free = [t for t in self.endpoints(request.service) if t.address not in tried]
+        if free:
+            sample = self.random.sample(free, min(SAMPLE_SIZE, len(free)))
+            return min(sample, key=lambda target: self.in_flight[target.address])
+        if request.hops:
+            return None
+        for zone in self.remote_zones.for_service(request.service.name):
+            addresses = [address for address in zone.addresses if address not in tried]
+            if addresses:
+                return ServiceTarget(self.random.choice(addresses), "", zone.zone)
+        return None
+
+    def _attempt(self, request, target, attempt):
+        """Send once, on a connection opened for this send."""
+        self.decisions.record(
+            "endpoint_chosen",
+            request_id=request.request_id,
+            service=request.service.name,
+            operation=request.operation.name,
+            vm=target.vm or target.address,
+            zone=target.zone,
+            attempt=attempt,
+        )
+        with self.lock:
+            self.in_flight[target.address] += 1
+        try:
+            result = self._send(request, target)
+        finally:
+            with self.lock:
+                self.in_flight[target.address] -= 1
+        self.decisions.record(
+            "attempt_judged",
+            request_id=request.request_id,
+            vm=target.vm or target.address,
+            verdict=result.verdict.value,
+            status=result.answer.status if result.answer else None,
+        )
+        return result
+
+    def _send(self, request, target):
+        path, headers = self._envelope(request, target)
+        deadline_ms = request.operation.deadline_ms
+        try:
+            connection = open_connection(target.address, CONNECT_TIMEOUT_MS, deadline_ms)
+        except TransportError:
+            return AttemptResult(judge(AttemptEvidence(AttemptStage.NOT_CONNECTED), ()))
+        try:
+            connection.request(
+                "POST", path, body=request.body, headers=headers, preload_content=False
+            )
+            response = connection.getresponse()
+            body = self._read_until(response, self.clock.now_ms() + deadline_ms)
+        except NETWORK_ERRORS:
+            return AttemptResult(judge(AttemptEvidence(AttemptStage.SENT), ()))
+        finally:
+            connection.close()
+        return self._judge_answer(request, target, response, body)
+
+    def _read_until(self, response, deadline):
+        """Read the whole body; raises TimeoutError at the deadline, also when bytes trickle in."""
+        parts = []
+        for part in response.stream(READ_BYTES):
+            parts.append(part)
+            if self.clock.now_ms() > deadline:
+                raise TimeoutError("operation deadline passed")
+        return b"".join(parts)
+
+    def _judge_answer(self, request, target, response, body):
+        if target.zone and response.status >= http.client.BAD_REQUEST:
+            return self._judge_peer(response, body)
+        evidence = AttemptEvidence(AttemptStage.ANSWERED, response.status)
+        verdict = judge(evidence, request.operation.refuses_before_run)
+        content_type = response.headers.get("Content-Type", "application/json")
+        answer = OperationAnswer(response.status, content_type, body)
+        retry_after = parse_retry_after_ms(response.headers.get("Retry-After"))
+        return AttemptResult(verdict, answer, retry_after)
+
+    def _judge_peer(self, response, body):
+        """Take over what another zone's daemon has proved."""
+        try:
+            outcome = msgspec.json.decode(body)["error"]["outcome"]
+        except (msgspec.DecodeError, KeyError, TypeError):
+            outcome = None
+        if outcome == Outcome.NOT_RUN.value:
+            return AttemptResult(Verdict.NOT_RUN, None, None)
+        if outcome is not None:
+            return AttemptResult(Verdict.UNKNOWN, None, None)
+        content_type = response.headers.get("Content-Type", "application/json")
+        return AttemptResult(Verdict.ANSWERED, OperationAnswer(response.status, content_type, body))
+
+    def _envelope(self, request, target):
+        headers = {"X-Request-Id": request.request_id, "Content-Type": "application/json"}
+        if request.idempotency_key is not None:
+            headers["Idempotency-Key"] = request.idempotency_key
+        if not target.zone:
+            return f"/operations/{request.operation.name}", headers
+        path = f"/peer/v1/services/{request.service.name}/{request.operation.name}"
+        headers["X-Corianderhaven-Hops"] = "1"
+        headers["X-Corianderhaven-Account"] = request.account.name
+        headers["X-Corianderhaven-Signature"] = peer_signature(
+            self.secret, "POST", path, request.body
+        )
+        return path, headers
+
+    def _budget(self, service):
+        with self.lock:
+            if service.name not in self.budgets:
+                self.budgets[service.name] = RetryBudget(SERVICE_RETRY_RATIO)
+            return self.budgets[service.name]
+
+    def _note(self, request, outcome):
+        metrics.OPERATIONS.labels(request.service.name, request.operation.name, outcome.value).inc()
--- /dev/null
+++ b/libraries/routing/src/corianderhaven/routing/_spill.py
@@ -0,0 +1,62 @@
+"""Capacity of other availability zones, reached by one hop through their daemons."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class RemoteZone:
+    """A zone that can take drafts of a deployment.
+
+    Attributes
+    ----------
+    addresses : tuple of str
+        Peer addresses of a few of its daemons.
+    """
+
+    zone: str
+    addresses: tuple
+    free_slots: int
+
+
+class RemoteZones:
+    """Reads the zone summaries.
+
+    Parameters
+    ----------
+    adoption : ZoneAdoption
+    peers : PeerTable
+    """
+
+    def __init__(self, adoption, peers):
+        self.adoption = adoption
+        self.peers = peers
+
+    def for_deployment(self, name):
+        """Return the zones with whole replicas of a deployment, nearest first."""
+        found = []
+        for zone in self.adoption.nearest_first(self.peers.own.zone):
+            record = self.adoption.records.get(zone)
+            if record is None or not self.adoption.zone_is_live(zone):
+                continue
+            capacity = record.summary.deployments.get(name)
+            addresses = self.addresses(zone)
+            if capacity is not None and capacity.whole_replicas and addresses:
+                found.append(RemoteZone(zone, addresses, capacity.free_slots))
+        return found
+
+    def for_service(self, name):
+        """Return the zones with endpoints of a plain service, nearest first."""
+        return [
+            RemoteZone(zone, self.addresses(zone), 0)
+            for zone in self.adoption.nearest_first(self.peers.own.zone)
+            if (record := self.adoption.records.get(zone)) is not None
+            and record.summary.services.get(name)
+            and self.addresses(zone)
+        ]
+
+    def addresses(self, zone):
+        """Return peer addresses of live daemons that serve `zone`."""
+        record = self.adoption.records.get(zone)
+        summarised = record.summary.daemons if record is not None else []
+        direct = [r.info for r in self.peers.live(zone)]
+        return tuple({i.address: i for i in [*direct, *summarised] if not i.draining})
--- /dev/null
+++ b/libraries/standins/src/corianderhaven/standins/_local_site.py
@@ -0,0 +1,211 @@
+"""A whole site on one machine: stand-ins and daemons as processes."""
+
+import contextlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from corianderhaven.common import JsonClient, TransportError
+
+from ._layout import EngineLayout, Layout, PlatformLayout, VmLayout
+
+SECRET = "an-example-secret-for-local-sites"
+BOOTSTRAP_KEY = "bootstrap.local"
+START_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+
+def free_address(ip="127.0.0.1"):
+    """Return ``IP:port`` with a port that is free now."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind((ip, 0))
+        return f"{ip}:{probe.getsockname()[1]}"
+
+
+@dataclass
+class DaemonProcess:
+    """One daemon of a local site."""
+
+    name: str
+    zone: str
+    callers: str
+    peers: str
+    source_ip: str = ""
+    process: subprocess.Popen | None = None
+    log_path: str = ""
+
+
+@dataclass
+class LocalSite:
+    """Starts, drives and stops a site.
+
+    Parameters
+    ----------
+    zones : dict of str to int
+        Number of daemons by availability zone.
+    endpoints : list of VmLayout
+        Addresses may be empty; they are then chosen.
+    engine : EngineLayout
+    platform_limits : dict
+        Fields of `PlatformLayout` that differ from the defaults.
+    daemon_flags : list of str
+        Further flags of every daemon.
+    callers_ports : list of int
+        Fixed callers' ports; free ones by default.
+    """
+
+    zones: dict
+    endpoints: list
+    engine: EngineLayout = field(default_factory=EngineLayout)
+    platform_limits: dict = field(default_factory=dict)
+    daemon_flags: list = field(default_factory=list)
+    callers_ports: list = field(default_factory=list)
+    seed: int = 1
+
+    def start(self):
+        """Start the stand-ins, then the daemons."""
+        self.folder = tempfile.mkdtemp(prefix="corianderhaven-")
+        self.control = free_address()
+        self.platform = free_address()
+        self.daemons = self._plan_daemons()
+        for endpoint in self.endpoints:
+            endpoint.address = endpoint.address or free_address()
+        self._start_standins()
+        for daemon in self.daemons:
+            self.start_daemon(daemon)
+        for daemon in self.daemons:
+            self.wait_http(daemon.peers, "/healthz")
+        return self
+
+    def close(self):
+        """End every process that this site started."""
+        processes = [d.process for d in self.daemons] + [self.standins]
+        for process in processes:
+            if process is not None and process.poll() is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in filter(None, processes):
+            process.wait()
+
+    def start_daemon(self, daemon):
+        """Start one daemon process."""
+        daemon.log_path = str(Path(self.folder) / f"{daemon.name}.log")
+        command = [sys.executable, "-m", "corianderhaven.daemon"]
+        flags = {
+            "name": daemon.name,
+            "zone": daemon.zone,
+            "callers": daemon.callers,
+            "peers": daemon.peers,
+            "platform": self.platform,
+            "secret": SECRET,
+            "bootstrap-key": BOOTSTRAP_KEY,
+            "source-ip": daemon.source_ip,
+        }
+        command += [f"--{name}={value}" for name, value in flags.items() if value]
+        with Path(daemon.log_path).open("ab") as log:
+            daemon.process = subprocess.Popen([*command, *self.daemon_flags], stderr=log)
+
+    def apply(self, document, key=BOOTSTRAP_KEY, base_revision=0):
+        """Apply a document through the first daemon; returns the revision."""
+        client = JsonClient(self.daemons[0].peers, 20_000.0, {"Authorization": f"Bearer {key}"})
+        body = {"base_revision": base_revision, "document": document}
+        for _ in range(100):
+            exchange = client.call("POST", "/operators/config", body)
+            if exchange.status != 503:
+                break
+            time.sleep(POLL_S)
+        if exchange.status != 200:
+            raise RuntimeError(exchange.body.decode())
+        return exchange.json()["revision"]
+
+    def operator(self, daemon, path, key=BOOTSTRAP_KEY):
+        """Return the decoded answer of an operators' path."""
+        headers = {"Authorization": f"Bearer {key}"}
+        return JsonClient(daemon.peers, 5_000.0, headers).json("GET", path)
+
+    def fault(self, target, fault, value=None):
+        """Set a fault at the stand-ins."""
+        body = {"target": target, "fault": fault, "value": value}
+        JsonClient(self.control, 5_000.0).json("POST", "/faults", body)
+
+    def counters(self):
+        """Return the stand-ins' counters."""
+        return JsonClient(self.control, 5_000.0).json("GET", "/counters")
+
+    def executions(self):
+        """Return executions by service and operation id."""
+        return JsonClient(self.control, 5_000.0).json("GET", "/executions")["executions"]
+
+    def wait_http(self, address, path, timeout_s=START_TIMEOUT_S):
+        """Wait until a GET is answered with 200."""
+        self.wait_for(lambda: _get_status(address, path) == 200, f"{address}{path}", timeout_s)
+
+    def wait_ready(self):
+        """Wait until every daemon is ready."""
+        for daemon in self.daemons:
+            self.wait_http(daemon.callers, "/readyz")
+
+    def wait_for(self, condition, what, timeout_s=START_TIMEOUT_S):
+        """Wait for a condition; raises TimeoutError."""
+        deadline = time.monotonic() + timeout_s
+        while not condition():
+            if time.monotonic() > deadline:
+                raise TimeoutError(what)
+            time.sleep(POLL_S)
+
+    def whole_replicas(self):
+        """Return how many whole replicas the daemons see, over all zones."""
+        seen = set()
+        for daemon in self.daemons:
+            if daemon.process.poll() is None:
+                answer = self.operator(daemon, "/operators/replicas")
+                seen |= {r["replica"] for r in answer["replicas"] if r["whole"]}
+        return len(seen)
+
+    def _plan_daemons(self):
+        ports = iter(self.callers_ports)
+        daemons = []
+        for zone, count in self.zones.items():
+            for number in range(1, count + 1):
+                port = next(ports, None)
+                callers = f"127.0.0.1:{port}" if port else free_address()
+                source_ip = f"127.0.1.{len(daemons) + 1}"
+                name = f"entry-{zone}-{number}"
+                daemons.append(DaemonProcess(name, zone, callers, free_address(), source_ip))
+        return daemons
+
+    def _start_standins(self):
+        entries = [
+            VmLayout(id=d.name, address=d.peers, zone=d.zone, kind="entry", label="entry")
+            for d in self.daemons
+        ]
+        layout = Layout(
+            control_address=self.control,
+            platform=PlatformLayout(address=self.platform, **self.platform_limits),
+            engine=self.engine,
+            vms=[*entries, *self.endpoints],
+            seed=self.seed,
+        )
+        path = Path(self.folder) / "layout.json"
+        path.write_bytes(msgspec.json.encode(layout))
+        command = [sys.executable, "-m", "corianderhaven.standins", f"--layout={path}"]
+        with (Path(self.folder) / "standins.log").open("ab") as log:
+            self.standins = subprocess.Popen(command, stderr=log, env=os.environ)
+        self.wait_http(self.control, "/counters")
+
+
+def _get_status(address, path):
+    try:
+        return JsonClient(address, 1_000.0).call("GET", path).status
+    except TransportError:
+        return None
