--- a/libraries/common/src/corianderhaven/common/_http_server.py
+++ b/libraries/common/src/corianderhaven/common/_http_server.py
@@ -195,9 +195,6 @@
 
     def _read_body(self, environ):
         length = environ.get("CONTENT_LENGTH") or "0"
-        too_large = CorianderhavenError(
-            ErrorCode.BODY_TOO_LARGE, f"body above {self.max_body_bytes} bytes"
-        )
         if not length.isdigit():
             raise CorianderhavenError(ErrorCode.INVALID_REQUEST, "bad Content-Length")
         source = environ["wsgi.input"]
