--- a/libraries/conftest.py
+++ b/libraries/conftest.py
@@ -195,7 +195,13 @@
         site.close()
 
 
-@pytest.fixture
-def layouts():
+@pytest.fixture(scope="session")
+def layout_functions():
     """Return the functions that describe endpoint VMs."""
     return engine, service
+
+
+@pytest.fixture(scope="session")
+def site_type():
+    """Return the type of a site in this process."""
+    return TestSite
--- a/libraries/standins/src/corianderhaven/standins/_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_site.py
@@ -25,6 +25,7 @@
 SERVICE_THREADS = 24
 CONTROL_THREADS = 8
 PLATFORM_THREADS = 80
+KILL_TIMEOUT_S = 0.2
 
 
 class FaultOrder(msgspec.Struct):
@@ -117,7 +118,7 @@
             router, threads = self.services[vm.id].router, SERVICE_THREADS
         else:
             return
-        self.servers[vm.id] = HttpServer(vm.address, router, threads).start()
+        self.servers[vm.id] = HttpServer(vm.address, router, threads, KILL_TIMEOUT_S).start()
 
     def set_fault(self, target, fault, value=None):
         """Set one fault; raises `CorianderhavenError` for an unknown one."""
@@ -154,8 +155,11 @@
             return
         if fault == "kill":
             endpoint.kill()
+            self.servers[vm.id].close()
         elif fault == "restore":
             endpoint.restore()
+            if self.servers[vm.id].server is None:
+                self.servers[vm.id].start()
         elif fault == "silent":
             endpoint.condition = VmCondition.SILENT
         elif fault == "silence_existing":
