Honour the read deadline of an exchange, and tell refused from silent

Cause: urllib3 sets a socket's timeout anew from the connection's own at each request, so that the 500 ms bound on connecting also cut off every answer that took longer: operations ended as unknown. Found by the test of a repeat while the first request runs (claimed, then unknown after 0.51 s). Ruled out: a lost claim, since the log shows the claim held by its owner until then. A refused connection is derived from a timeout in urllib3 and was taken for silence.

Change: the connection carries the read deadline; refusal is told apart.

--- a/libraries/common/src/corianderhaven/common/_http_client.py
+++ b/libraries/common/src/corianderhaven/common/_http_client.py
@@ -6,7 +6,7 @@
 
 import msgspec
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, NewConnectionError
 from urllib3.exceptions import TimeoutError as HttpTimeoutError
 
 from ._clock import MS_PER_S
@@ -89,10 +89,14 @@
         connection.connect()
     except NETWORK_ERRORS as error:
         connection.close()
-        timed_out = isinstance(error, TIMEOUT_ERRORS)
+        # A refused connection is derived from a timeout in urllib3.
+        refused = isinstance(error, NewConnectionError)
+        timed_out = isinstance(error, TIMEOUT_ERRORS) and not refused
         raise TransportError(f"cannot connect to {address}: {error}", False, timed_out)
     timeout_ms = connect_timeout_ms if read_timeout_ms is None else read_timeout_ms
-    connection.sock.settimeout(timeout_ms / MS_PER_S)
+    # Each request sets the socket's timeout anew from this attribute.
+    connection.timeout = timeout_ms / MS_PER_S
+    connection.sock.settimeout(connection.timeout)
     return connection
 
 
