Add the load and experiment tool with traces and a report

Change: corianderhaven load (arrivals from a seed or a JSON lines trace, faults on a schedule, executions compared with what callers were told, hdrhistogram percentiles, table, JSON, plot) and benchmarks/requests_bench.py over sites of today's size; the stand-ins of each zone can run in a process of their own.

--- a/libraries/cli/src/corianderhaven/cli/_main.py
+++ b/libraries/cli/src/corianderhaven/cli/_main.py
@@ -14,6 +14,7 @@
 
 from . import _config_commands as config_commands
 from . import _site_commands as site_commands
+from ._load_command import load
 from ._output import (
     EXIT_CONFLICT,
     EXIT_FAILURE,
@@ -36,6 +37,7 @@
     "vms": site_commands.vms,
     "why": site_commands.why,
     "drain": site_commands.drain,
+    "load": load,
 }
 INVALID_CODES = (
     ErrorCode.INVALID_DOCUMENT,
--- a/libraries/standins/src/corianderhaven/standins/_layout.py
+++ b/libraries/standins/src/corianderhaven/standins/_layout.py
@@ -81,10 +81,13 @@
         Where faults are set.
     platform : PlatformLayout or None
         None when another process stands in for the platform.
+    only_listed : bool
+        Whether the VMs are only listed here, and run by other processes.
     """
 
     control_address: str
     platform: PlatformLayout | None = None
     engine: EngineLayout = msgspec.field(default_factory=EngineLayout)
     vms: list[VmLayout] = []
+    only_listed: bool = False
     seed: int = 1
--- a/libraries/standins/src/corianderhaven/standins/_local_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_local_site.py
@@ -21,6 +21,7 @@
 BOOTSTRAP_KEY = "bootstrap.local"
 START_TIMEOUT_S = 20.0
 POLL_S = 0.05
+PLATFORM_GROUP = "platform"
 
 
 def free_address(ip="127.0.0.1"):
@@ -61,6 +62,8 @@
         Further flags of every daemon.
     callers_ports : list of int
         Fixed callers' ports; free ones by default.
+    split_zones : bool
+        Whether the endpoints of each zone run in a process of their own.
     """
 
     zones: dict
@@ -70,11 +73,13 @@
     daemon_flags: list = field(default_factory=list)
     callers_ports: list = field(default_factory=list)
     seed: int = 1
+    split_zones: bool = False
 
     def start(self):
         """Start the stand-ins, then the daemons."""
         self.folder = tempfile.mkdtemp(prefix="corianderhaven-")
-        self.control = free_address()
+        self.controls = {}
+        self.standins = []
         self.platform = free_address()
         self.daemons = self._plan_daemons()
         for endpoint in self.endpoints:
@@ -88,7 +93,7 @@
 
     def close(self):
         """End every process that this site started."""
-        processes = [d.process for d in self.daemons] + [self.standins]
+        processes = [d.process for d in self.daemons] + self.standins
         for process in processes:
             if process is not None and process.poll() is None:
                 with contextlib.suppress(ProcessLookupError):
@@ -134,17 +139,30 @@
         return JsonClient(daemon.peers, 5_000.0, headers).json("GET", path)
 
     def fault(self, target, fault, value=None):
-        """Set a fault at the stand-ins."""
+        """Set a fault at the stand-ins that have the target."""
         body = {"target": target, "fault": fault, "value": value}
-        JsonClient(self.control, 5_000.0).json("POST", "/faults", body)
+        kind, _, name = target.rpartition(":")
+        attribute = {"domain": "fabric_domain", "zone": "zone"}.get(kind, "id")
+        zones = {e.zone for e in self.endpoints if getattr(e, attribute) == name}
+        for group in zones or {PLATFORM_GROUP}:
+            address = self.controls.get(group, self.controls[PLATFORM_GROUP])
+            JsonClient(address, 5_000.0).json("POST", "/faults", body)
 
     def counters(self):
-        """Return the stand-ins' counters."""
-        return JsonClient(self.control, 5_000.0).json("GET", "/counters")
+        """Return the counters of each stand-ins process, by group."""
+        return {
+            group: JsonClient(address, 5_000.0).json("GET", "/counters")
+            for group, address in self.controls.items()
+        }
 
     def executions(self):
         """Return executions by service and operation id."""
-        return JsonClient(self.control, 5_000.0).json("GET", "/executions")["executions"]
+        found = {}
+        for address in self.controls.values():
+            answer = JsonClient(address, 5_000.0).json("GET", "/executions")
+            for service, counts in answer["executions"].items():
+                found.setdefault(service, {}).update(counts)
+        return found
 
     def wait_http(self, address, path, timeout_s=START_TIMEOUT_S):
         """Wait until a GET is answered with 200."""
@@ -189,19 +207,33 @@
             VmLayout(id=d.name, address=d.peers, zone=d.zone, kind="entry", label="entry")
             for d in self.daemons
         ]
+        groups = {PLATFORM_GROUP: [*entries, *self.endpoints]}
+        if self.split_zones:
+            for endpoint in self.endpoints:
+                groups.setdefault(endpoint.zone, []).append(endpoint)
+        for group, vms in groups.items():
+            self._start_group(group, vms)
+        for address in self.controls.values():
+            self.wait_http(address, "/counters")
+
+    def _start_group(self, group, vms):
+        """Start one stand-ins process; only the platform's lists VMs that others run."""
+        is_platform = group == PLATFORM_GROUP
+        platform = PlatformLayout(address=self.platform, **self.platform_limits)
         layout = Layout(
-            control_address=self.control,
-            platform=PlatformLayout(address=self.platform, **self.platform_limits),
+            control_address=free_address(),
+            platform=platform if is_platform else None,
             engine=self.engine,
-            vms=[*entries, *self.endpoints],
+            vms=vms,
+            only_listed=is_platform and self.split_zones,
             seed=self.seed,
         )
-        path = Path(self.folder) / "layout.json"
+        self.controls[group] = layout.control_address
+        path = Path(self.folder) / f"layout-{group}.json"
         path.write_bytes(msgspec.json.encode(layout))
         command = [sys.executable, "-m", "corianderhaven.standins", f"--layout={path}"]
-        with (Path(self.folder) / "standins.log").open("ab") as log:
-            self.standins = subprocess.Popen(command, stderr=log, env=os.environ)
-        self.wait_http(self.control, "/counters")
+        with (Path(self.folder) / f"standins-{group}.log").open("ab") as log:
+            self.standins.append(subprocess.Popen(command, stderr=log, env=os.environ))
 
 
 def _get_status(address, path):
--- a/libraries/standins/src/corianderhaven/standins/_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_site.py
@@ -73,7 +73,7 @@
         """Start every listener and engine loop."""
         if self.layout.platform is not None:
             self._start_platform()
-        for vm in self.layout.vms:
+        for vm in () if self.layout.only_listed else self.layout.vms:
             self._start_vm(vm)
         router = Router()
         router.add("POST", "/faults", self._set_fault)
@@ -123,6 +123,8 @@
     def set_fault(self, target, fault, value=None):
         """Set one fault; raises `CorianderhavenError` for an unknown one."""
         if target == "platform":
+            if self.kv_gateway is None:
+                raise CorianderhavenError(ErrorCode.NOT_FOUND, "no platform here")
             self._platform_fault(fault, value)
             return
         for vm in self._targets(target):
@@ -131,7 +133,8 @@
     def _targets(self, target):
         kind, _, name = target.rpartition(":")
         attribute = {"domain": "fabric_domain", "zone": "zone", "": "id"}.get(kind, "id")
-        found = [vm for vm in self.layout.vms if getattr(vm, attribute) == name]
+        running = [] if self.layout.only_listed else self.layout.vms
+        found = [vm for vm in running if getattr(vm, attribute) == name]
         if not found:
             raise CorianderhavenError(ErrorCode.NOT_FOUND, f"no such target: {target}")
         return found
