Relay with fewer layers and system calls per token

The profile was spread over cheroot's Python buffers, urllib3's chunk reader and a lock per batch; each call on a socket with a timeout polls first, giving up the interpreter lock twice.

Change: later chunks go out in one sendall; the relay reads the standard library's response; bounds of both sockets are set in the kernel; the caller watch is touched once per draft; one pass parses an event. A site's free ports lie outside the range of outgoing connections (a daemon once found its port taken), and a daemon binds both listeners or neither.

--- a/libraries/common/src/corianderhaven/common/__init__.py
+++ b/libraries/common/src/corianderhaven/common/__init__.py
@@ -11,7 +11,14 @@
     open_connection,
     set_source_ip,
 )
-from ._http_server import HttpServer, Request, Response, Router, json_response
+from ._http_server import (
+    HttpServer,
+    Request,
+    Response,
+    Router,
+    json_response,
+    set_kernel_timeout,
+)
 from ._ids import new_id, rendezvous_order
 from ._logging import DecisionLog, configure_logging
 from ._settings import check_address, check_positive, run_program
@@ -45,5 +52,6 @@
     "open_connection",
     "rendezvous_order",
     "run_program",
+    "set_kernel_timeout",
     "set_source_ip",
 ]
--- a/libraries/common/src/corianderhaven/common/_http_server.py
+++ b/libraries/common/src/corianderhaven/common/_http_server.py
@@ -4,6 +4,7 @@
 import re
 import select
 import socket
+import struct
 import threading
 from dataclasses import dataclass, field
 
@@ -23,10 +24,18 @@
 REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,80}")
 
 
+def set_kernel_timeout(sock, option, timeout_s):
+    """Bound a blocking socket's calls in the kernel, which saves a poll before each call."""
+    seconds = int(timeout_s)
+    microseconds = int((timeout_s - seconds) * 1_000_000)
+    sock.setsockopt(socket.SOL_SOCKET, option, struct.pack("ll", seconds, microseconds))
+
+
 class _Gateway(wsgi.Gateway_10):
     """Hands the caller's connection to the application."""
 
     version = (1, 5)
+    streaming = False
 
     def get_environ(self):
         environ = super().get_environ()
@@ -34,6 +43,27 @@
         environ["corianderhaven.connection"] = self.req.conn
         return environ
 
+    def respond(self):
+        """Answer, and give a kept connection its timeout back after a stream."""
+        try:
+            super().respond()
+        finally:
+            if self.streaming:
+                self.req.conn.socket.settimeout(self.req.server.timeout)
+
+    def write(self, chunk):
+        """Send a later chunk of a stream in one call, past the layers of buffers."""
+        request = self.req
+        if request.sent_headers and request.chunked_write and chunk:
+            sock = request.conn.socket
+            if not self.streaming:
+                self.streaming = True
+                sock.settimeout(None)
+                set_kernel_timeout(sock, socket.SO_SNDTIMEO, WRITE_TIMEOUT_S)
+            sock.sendall(b"%x\r\n%b\r\n" % (len(chunk), chunk))
+        else:
+            super().write(chunk)
+
 
 @dataclass
 class Request:
--- a/libraries/daemon/src/corianderhaven/daemon/_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_daemon.py
@@ -310,14 +310,18 @@
         )
 
     def _start_listeners(self):
+        """Bind both listeners or neither."""
+        callers = CallersFront(self)
+        self.callers_server = HttpServer(
+            self.settings.callers, callers.router, self.settings.caller_threads
+        ).start()
         operators_router = Router()
         PeerFront(self).register(operators_router)
         OperatorFront(self).register(operators_router)
         self.peers_server = HttpServer(self.settings.peers, operators_router, PEER_THREADS)
-        self.peers_server.start()
+        try:
+            self.peers_server.start()
+        except OSError:
+            self.callers_server.close()
+            raise
         self.own.address = self.peers_server.address
-        callers = CallersFront(self)
-        self.callers_server = HttpServer(
-            self.settings.callers, callers.router, self.settings.caller_threads
-        )
-        self.callers_server.start()
--- a/libraries/daemon/src/corianderhaven/daemon/_draft_front.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_draft_front.py
@@ -96,9 +96,10 @@
         handle = watch.add(request, relay.caller_gone)
         batches = relay.batches()
         try:
-            for batch in batches:
-                watch.remove(handle)
-                yield batch
+            first = next(batches)
+            watch.remove(handle)
+            yield first
+            yield from batches
         finally:
             watch.remove(handle)
             batches.close()
--- a/libraries/routing/src/corianderhaven/routing/_upstream.py
+++ b/libraries/routing/src/corianderhaven/routing/_upstream.py
@@ -10,11 +10,13 @@
     TIMEOUT_ERRORS,
     TransportError,
     open_connection,
+    set_kernel_timeout,
 )
 
 CONNECT_TIMEOUT_MS = 500.0
 ERROR_BODY_BYTES = 4096
 END_MARKER = b"[DONE]"
+READ_BYTES = 65_536
 
 
 @dataclass(slots=True)
@@ -83,6 +85,7 @@
         self.connection = None
         self.response = None
         self.stream_id = None
+        self.stream_bytes = None
         self.complete = False
         self.aborted = False
 
@@ -105,7 +108,8 @@
                 preload_content=False,
                 decode_content=False,
             )
-            self.response = self.connection.getresponse()
+            # The relay loop reads the standard library's response, whose layers are few.
+            self.response = http.client.HTTPConnection.getresponse(self.connection)
         except NETWORK_ERRORS as error:
             raise AttemptLostError(_reason(error)) from error
         self._check_status()
@@ -159,12 +163,12 @@
     def _parsed(self):
         """Split the body into events."""
         pending = b""
-        gap_s = self.gap_deadline_ms / MS_PER_S
         first = True
-        for part in self.response.stream(None):
-            if first and self.connection.sock is not None:
-                self.connection.sock.settimeout(gap_s)
+        read = self.response.read1
+        while part := read(READ_BYTES):
+            if first:
                 first = False
+                self._expect_gaps()
             *blocks, pending = (pending + part).split(b"\n\n")
             events = [event for block in blocks if (event := self._event(block)) is not None]
             if events or self.complete:
@@ -172,18 +176,25 @@
             if self.complete:
                 return
 
+    def _expect_gaps(self):
+        """From the first event on, bound the time between events."""
+        sock = self.connection.sock
+        if sock is not None:
+            sock.settimeout(None)
+            set_kernel_timeout(sock, socket.SO_RCVTIMEO, self.gap_deadline_ms / MS_PER_S)
+
     def _event(self, block):
         """Return the `DraftEvent` of one block of lines, or None for a marker or comment."""
-        offset = None
-        data = None
-        for line in block.split(b"\n"):
-            if line.startswith(b"data: "):
-                data = line[6:]
-            elif line.startswith(b"id: "):
-                stream_id, _, number = line[4:].decode().rpartition("/")
-                self.stream_id = stream_id
-                offset = int(number)
+        head, found, data = block.rpartition(b"data: ")
+        if not found:
+            return None
         if data == END_MARKER:
             self.complete = True
             return None
-        return None if data is None else DraftEvent(offset, data)
+        if not head.startswith(b"id: "):
+            return DraftEvent(None, data)
+        stream_id, _, number = head[4:-1].rpartition(b"/")
+        if stream_id != self.stream_bytes:
+            self.stream_bytes = stream_id
+            self.stream_id = stream_id.decode()
+        return DraftEvent(int(number), data)
--- a/libraries/standins/src/corianderhaven/standins/_local_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_local_site.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -21,15 +22,26 @@
 BOOTSTRAP_KEY = "bootstrap.local"
 START_TIMEOUT_S = 20.0
 POLL_S = 0.05
+LOWEST_PORT = 12_000
+HIGHEST_PORT = 32_000
 PLATFORM_GROUP = "platform"
 
 
+_ports = random.Random()
+_used_ports = set()
+
+
 def free_address(ip="127.0.0.1"):
-    """Return ``IP:port`` with a port that is free now."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((ip, 0))
-        return f"{ip}:{probe.getsockname()[1]}"
+    """Return ``IP:port`` with a port that is free now and that no outgoing connection takes."""
+    while True:
+        port = _ports.randrange(LOWEST_PORT, HIGHEST_PORT)
+        if port in _used_ports:
+            continue
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            probe.bind((ip, port))
+            _used_ports.add(port)
+            return f"{ip}:{port}"
 
 
 @dataclass
