--- a/libraries/placement/src/corianderhaven/placement/_planner.py
+++ b/libraries/placement/src/corianderhaven/placement/_planner.py
@@ -403,6 +403,8 @@
         for deployment in deployments:
             if self._count(plan, deployment) >= deployment.floor.whole_replicas:
                 continue
+            if self._room_is_coming(plan, deployment):
+                continue
             victims = [
                 (other, replica)
                 for other in deployments
@@ -420,6 +422,16 @@
                 self._note(plan, "replica_preempted", replica.replica_id, by=deployment.name)
                 return
 
+    def _room_is_coming(self, plan, deployment):
+        """Return whether VMs that no replica is meant to have will do for a new one."""
+        used = plan.intent.used_vms()
+        unused = Counter(
+            vm.fabric_domain
+            for vm in self.eligible(deployment)
+            if vm.id not in used and self.facts.fresh_report(vm.id) is not None
+        )
+        return any(count >= deployment.members_per_replica for count in unused.values())
+
     def _assignments(self):
         engines = {vm.id for vm in self.engines()}
         fresh = self.facts.fresh_facts()
