Share a zone's slots between daemons by their accounts' demand

Cause: with one account at 5 times capacity the small accounts waited for up to 2 s although their requests stood first: a daemon whose peer held all slots of a replica got none as they came free, and free slots of other zones counted against local ones when they vanished. Ruled out: the order in the queue, since the decision log shows the wait before the choice and no other account passing.

Change: a daemon may claim its fair share of what peers use, each account's weight being split by its demand; slots are counted as running plus free now, and another zone's free slots less what was sent there since its summary.

The p95 still holds a wait for slots that were over-committed for a second.

--- a/libraries/daemon/src/corianderhaven/daemon/_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_daemon.py
@@ -269,7 +269,7 @@
             self.load_book,
             self.admission,
             self.remote_zones,
-            self.adoption,
+            self.holder,
             self.decisions,
             settings.secret,
             settings.resume,
--- a/libraries/routing/src/corianderhaven/routing/_drafts.py
+++ b/libraries/routing/src/corianderhaven/routing/_drafts.py
@@ -1,6 +1,7 @@
 """Drafts: admission, choice, attempts and resumption at the exact offset."""
 
 import itertools
+import math
 import random
 import secrets
 import threading
@@ -106,7 +107,8 @@
     load_book : LoadBook
     admission : AdmissionController
     remote_zones : RemoteZones
-    adoption : ZoneAdoption
+    holder : ConfigHolder
+        Gives the weights of client accounts.
     decisions : DecisionLog
     secret : str
         Of peer messages.
@@ -122,7 +124,7 @@
         load_book,
         admission,
         remote_zones,
-        adoption,
+        holder,
         decisions,
         secret,
         resume_enabled=True,
@@ -133,7 +135,7 @@
         self.load_book = load_book
         self.admission = admission
         self.remote_zones = remote_zones
-        self.adoption = adoption
+        self.holder = holder
         self.decisions = decisions
         self.secret = secret
         self.resume_enabled = resume_enabled
@@ -153,22 +155,51 @@
         return budget
 
     def slots(self, deployment, hops):
-        """Return how many drafts of a deployment this daemon may run now."""
+        """Return how many drafts of a deployment this daemon may run now.
+
+        What peers leave free may be used whole; of what they use this daemon may claim its
+        fair share, so that whoever came first doesn't keep all slots of a replica.
+        """
         bound = deployment.limits.in_flight_per_replica
-        local = 0
+        share = self.slot_share()
+        own = self.load_book.replicas
+        running = free = 0
         for replica in self.view.for_deployment(deployment):
-            own = self.load_book.replicas.get(replica.key, 0)
-            local += max(0, bound - (self.load_book.in_flight(replica.key) - own))
-        if hops:
-            return local
-        remote = self.remote_zones.for_deployment(deployment.name)
-        return local + sum(zone.free_slots for zone in remote)
+            running += own.get(replica.key, 0)
+            allowed = self._replica_slots(replica.key, bound, share)
+            free += max(0, allowed - own.get(replica.key, 0))
+        for zone in () if hops else self.remote_zones.for_deployment(deployment.name):
+            running += sum(own.get(address, 0) for address in zone.addresses)
+            free += self._remote_slots(zone, share)
+        return running + free
+
+    def _remote_slots(self, zone, share):
+        """Return the part of a zone's free slots that is left since its summary was made."""
+        sent = sum(self.load_book.started_since(a, zone.made_ms) for a in zone.addresses)
+        return max(0, math.ceil(zone.free_slots * share) - sent)
+
+    def slot_share(self):
+        """Return this daemon's fair part of the zone's slots."""
+        document = self.holder.document
+        weights = {account.name: account.weight for account in document.accounts}
+        return self.load_book.slot_share(weights)
+
+    def _replica_slots(self, key, bound, share):
+        own = self.load_book.replicas.get(key, 0)
+        left_by_peers = bound - (self.load_book.in_flight(key) - own)
+        return max(left_by_peers, math.ceil(bound * share))
 
     def local_target(self, deployment, blocks, excluded):
         """Choose a replica of this zone with a free slot; returns a `Target` or None."""
         bound = deployment.limits.in_flight_per_replica
-        replicas = [r for r in self.view.for_deployment(deployment) if r.key not in excluded]
-        free = [r for r in replicas if self.load_book.in_flight(r.key) < bound]
+        share = self.slot_share()
+        free = [
+            replica
+            for replica in self.view.for_deployment(deployment)
+            if replica.key not in excluded
+            and self.load_book.replicas.get(replica.key, 0)
+            < self._replica_slots(replica.key, bound, share)
+        ]
         if not free:
             return None, None
         choice = self.chooser.choose(free, blocks)
--- a/libraries/routing/src/corianderhaven/routing/_load_book.py
+++ b/libraries/routing/src/corianderhaven/routing/_load_book.py
@@ -80,6 +80,30 @@
         others = sum(r.accounts.get(account, 0) for r in self._recent_peers())
         return max(1.0, limit * own / (own + others))
 
+    def slot_share(self, weights):
+        """Return this daemon's fair part of the zone's slots, from 0 to 1.
+
+        Each account's weight is split between the daemons by its demand there, so that a
+        daemon with the few requests of a small account isn't crowded out by its peers.
+
+        Parameters
+        ----------
+        weights : dict of str to float
+            By client account.
+        """
+        own = self.own_accounts()
+        peers = Counter()
+        for record in self._recent_peers():
+            peers.update(record.accounts)
+        total = sum(weights.get(account, 1.0) for account in {*own, *peers})
+        if not own or not total:
+            return 1.0
+        part = sum(
+            weights.get(account, 1.0) * count / (count + peers[account])
+            for account, count in own.items()
+        )
+        return part / total
+
     def estimate(self, replica):
         """Return the requests likely at a replica: the lagged report, corrected.
 
@@ -88,10 +112,14 @@
         """
         reported = replica.load.running + replica.load.queued
         true_at = self.clock.now_ms() - replica.load_age_ms
-        with self.lock:
-            started = sum(1 for at in self.starts.get(replica.key, ()) if at > true_at)
+        started = self.started_since(replica.key, true_at)
         return max(reported + started, self.in_flight(replica.key))
 
+    def started_since(self, key, since_ms):
+        """Return how many requests were begun at a replica or address since a time."""
+        with self.lock:
+            return sum(1 for at in self.starts.get(key, ()) if at > since_ms)
+
     def note_gap(self, replica_key, gap_ms):
         """Take in one measured time between tokens."""
         with self.lock:
--- a/libraries/routing/src/corianderhaven/routing/_spill.py
+++ b/libraries/routing/src/corianderhaven/routing/_spill.py
@@ -11,11 +11,14 @@
     ----------
     addresses : tuple of str
         Peer addresses of a few of its daemons.
+    made_ms : float
+        Local monotonic time at which the summary was made.
     """
 
     zone: str
     addresses: tuple
     free_slots: int
+    made_ms: float
 
 
 class RemoteZones:
@@ -41,13 +44,13 @@
             capacity = record.summary.deployments.get(name)
             addresses = self.addresses(zone)
             if capacity is not None and capacity.whole_replicas and addresses:
-                found.append(RemoteZone(zone, addresses, capacity.free_slots))
+                found.append(RemoteZone(zone, addresses, capacity.free_slots, record.made_ms))
         return found
 
     def for_service(self, name):
         """Return the zones with endpoints of a plain service, nearest first."""
         return [
-            RemoteZone(zone, self.addresses(zone), 0)
+            RemoteZone(zone, self.addresses(zone), 0, record.made_ms)
             for zone in self.adoption.nearest_first(self.peers.own.zone)
             if (record := self.adoption.records.get(zone)) is not None
             and record.summary.services.get(name)
