Add the console, configuration tests and operators' pages

Cause: operators had no forms, and configuration races, outages and restored stores were untested.

Change: server-rendered console (forms drawn from the document's models, errors beside fields, difference, confirmation, conflict, live page; sessions and forms signed without state); tests of proposals with a hypothesis run over lost answers and restored stores; README, glossary, callers' and operators' pages, a reference made from the code; endpoints are probed every 1 s by two daemons instead of every 0.5 s; daemons that are not ranked no longer keep a watch open at first.

--- a/libraries/daemon/src/corianderhaven/daemon/_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_daemon.py
@@ -45,6 +45,7 @@
 )
 
 from ._callers import CallersFront
+from ._console import Console
 from ._in_flight import InFlight
 from ._operator_front import OperatorFront
 from ._peer_front import PeerFront
@@ -318,6 +319,7 @@
         operators_router = Router()
         PeerFront(self).register(operators_router)
         OperatorFront(self).register(operators_router)
+        Console(self).register(operators_router)
         self.peers_server = HttpServer(self.settings.peers, operators_router, PEER_THREADS)
         try:
             self.peers_server.start()
--- a/libraries/membership/src/corianderhaven/membership/_config_spread.py
+++ b/libraries/membership/src/corianderhaven/membership/_config_spread.py
@@ -201,7 +201,9 @@
     def _run(self):
         while not self.stopping.is_set():
             try:
-                if self.holder.revision and not self.peers.is_ranked("config", WATCHERS_PER_ZONE):
+                if not self.peers.is_ranked("config", WATCHERS_PER_ZONE):
+                    if not self.holder.revision:
+                        self.proposer.reconcile()
                     self.stopping.wait(1.0)
                     continue
                 self.proposer.reconcile()
--- a/libraries/membership/src/corianderhaven/membership/_probing.py
+++ b/libraries/membership/src/corianderhaven/membership/_probing.py
@@ -15,7 +15,7 @@
 
 from ._facts import decode_report
 
-PROBE_PERIOD_MS = 500.0
+PROBE_PERIOD_MS = 1_000.0
 PROBE_TIMEOUT_MS = 700.0
 PROBERS_PER_ENDPOINT = 2
 SUPERVISION_PERIOD_MS = 500.0
