Vouch for facts by version instead of repeating them

Change: a change of state is pushed once, with a version that counts the prober's changes; between changes the prober vouches for all its facts by version and age of the oldest, and that line is what spreads. Who has missed a change sees it by the version and asks for the whole set. A silent endpoint is pushed as such and not vouched for. One peer a second instead of two; summaries of other zones one at a time. Whole replicas are built from facts at most every 20 ms.

Conclusion: state is sent when it changes; what repeats is one line per daemon.

--- a/libraries/daemon/src/corianderhaven/daemon/_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_daemon.py
@@ -233,7 +233,7 @@
         self.watcher = ConfigWatcher(
             self.store, self.proposer, self.holder, self.peers, self.transport
         )
-        self.facts = FactBoard(self.clock)
+        self.facts = FactBoard(self.clock, self.own.name)
         self.heartbeater = Heartbeater(
             self.clock,
             self.peers,
--- a/libraries/daemon/src/corianderhaven/daemon/_peer_front.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_peer_front.py
@@ -9,7 +9,7 @@
     json_response,
 )
 from corianderhaven.config import ConfigRecord
-from corianderhaven.membership import verify_peer_signature
+from corianderhaven.membership import FactMessage, verify_peer_signature
 from corianderhaven.routing import OperationRequest, ResumePoint
 
 from ._callers import DRAFT_PATHS, answer_response
@@ -34,6 +34,8 @@
         """Add the routes."""
         routes = [
             ("POST", "/peer/heartbeat", self._heartbeat),
+            ("GET", "/peer/facts", self._facts),
+            ("POST", "/peer/facts", self._take_facts),
             ("GET", "/peer/config", self._config),
             ("POST", "/peer/config", self._take_config),
             ("GET", "/peer/vms", self._vms),
@@ -58,6 +60,14 @@
         self.daemon.transport.count_served(len(request.body), len(answer))
         return Response(200, answer, dict(JSON_HEADERS))
 
+    def _facts(self, request):
+        return json_response(self.daemon.heartbeater.own_facts())
+
+    def _take_facts(self, request):
+        message = msgspec.json.decode(request.body, type=FactMessage)
+        self.daemon.heartbeater.receive_facts(message)
+        return json_response({})
+
     def _config(self, request):
         record = self.daemon.holder.record
         if record is None:
--- a/libraries/daemon/src/corianderhaven/daemon/_reports.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_reports.py
@@ -182,7 +182,7 @@
         elif report is None:
             status = "lost"
         else:
-            status = report.status.value if age <= daemon.facts.fresh_bound_ms else "silent"
+            status = report.status.value if daemon.facts.is_fresh(fact) else "silent"
         return {
             "vm": vm.id,
             "zone": vm.zone,
--- a/libraries/membership/src/corianderhaven/membership/_heartbeat.py
+++ b/libraries/membership/src/corianderhaven/membership/_heartbeat.py
@@ -7,13 +7,17 @@
 
 from corianderhaven.common import PeriodicThread, TransportError
 
-from ._messages import Digest, PeerInfo
+from ._facts import VersionCheck
+from ._messages import Digest, FactMessage, HeardPeer, PeerInfo
 from ._peers import PeerState
 
 PERIOD_MS = 1_000.0
-PEERS_PER_PERIOD = 2
+PEERS_PER_PERIOD = 1
+UNKNOWN_PER_PERIOD = 2
+PULL_PAUSE_MS = 500.0
 CROSS_ZONE_SENDERS = 2
 HEARTBEAT_PATH = "/peer/heartbeat"
+FACTS_PATH = "/peer/facts"
 
 
 class PeerMemory:
@@ -21,7 +25,6 @@
 
     def __init__(self, instance):
         self.instance = instance
-        self.states = {}
         self.peers = {}
 
 
@@ -55,6 +58,7 @@
         self.transport = transport
         self.seeds = seeds
         self.memories = {}
+        self.pulled_ms = {}
         self.lock = threading.Lock()
         self.random = random.Random()
         self.rounds = 0
@@ -113,16 +117,15 @@
         if sender.name == self.peers.own.name:
             return
         self.peers.learn(sender)
-        self.peers.heard(sender.name, sender.instance)
         self._note_report(digest)
         for info in digest.peers:
             self.peers.learn(info)
-        for heard in digest.heard:
-            self.peers.heard(heard.name, heard.instance, heard.age_ms)
-        for entry in digest.facts:
-            self.facts.observe(entry.vm, entry.report, entry.age_ms)
-        for age in digest.ages:
-            self.facts.refresh(age)
+        own = HeardPeer(sender.name, sender.instance, 0, digest.fact_version, digest.worst_age_ms)
+        for heard in [own, *digest.heard]:
+            if self.peers.heard(heard):
+                self._take_vouch(heard)
+        for entry in digest.loads:
+            self.facts.receive_load(entry)
         for summary in digest.zones:
             self.adoption.learn(summary)
         if digest.revision > self.holder.revision:
@@ -138,20 +141,76 @@
         record = self.peers.records.get(name)
         if record is None:
             return digest
-        digest.zones = [s for s in [self.summary_source(), *self.adoption.summaries()] if s]
+        digest.zones = self._summaries(record)
         digest.in_flight = self.in_flight_source()
         digest.accounts = self.accounts_source()
         if record.info.zone == own.zone:
             memory = self._memory(record)
             digest.heard = self.peers.youngest_heard()
-            digest.facts, digest.ages = self.facts.digest_for(memory.states)
+            digest.fact_version = self.facts.own_version
+            digest.worst_age_ms = int(self.facts.worst_age_ms())
+            digest.loads = self.facts.load_entries()
             digest.peers = self._news_of_peers(memory)
         return digest
 
+    def _summaries(self, record):
+        """Return the own summary for another zone, or one of another zone for the own."""
+        if record.info.zone != self.peers.own.zone:
+            return [summary for summary in [self.summary_source()] if summary]
+        known = self.adoption.summaries()
+        return [self.random.choice(known)] if known else []
+
+    def _take_vouch(self, heard):
+        """Make a peer's facts younger, or ask it for those that are missing here."""
+        record = self.peers.records.get(heard.name)
+        if record is None or record.info.zone != self.peers.own.zone:
+            return
+        age = heard.age_ms + heard.worst_age_ms
+        check = self.facts.vouch(heard.name, heard.instance, heard.fact_version, age)
+        if check is VersionCheck.BEHIND and heard.fact_version:
+            self.pull_facts(record)
+
+    def pull_facts(self, record):
+        """Ask a peer for all its facts, at most once in a while."""
+        now = self.clock.now_ms()
+        with self.lock:
+            if now - self.pulled_ms.get(record.info.name, float("-inf")) < PULL_PAUSE_MS:
+                return
+            self.pulled_ms[record.info.name] = now
+        try:
+            exchange = self.transport.call(record.info.address, "GET", FACTS_PATH)
+            message = msgspec.json.decode(exchange.body, type=FactMessage)
+        except (TransportError, msgspec.DecodeError):
+            return
+        self.receive_facts(message)
+
+    def receive_facts(self, message):
+        """Take in a peer's facts; asks for all of them when some are missing between."""
+        sender = message.sender
+        self.peers.learn(sender)
+        check = self.facts.receive(sender.name, sender.instance, message.facts)
+        record = self.peers.records.get(sender.name)
+        if check is VersionCheck.BEHIND and record is not None:
+            self.pull_facts(record)
+
+    def own_facts(self):
+        """Return the `FactMessage` for a peer that asks."""
+        return FactMessage(self.peers.own, self.facts.own_facts())
+
     def push_facts(self):
         """Send changed facts to all live peers of the zone at once."""
+        changes = self.facts.take_changes()
+        if changes is None:
+            return
+        message = FactMessage(self.peers.own, changes)
         for record in self.peers.live(self.peers.own.zone):
-            self.exchange(record.info.address, record.info.name)
+            threading.Thread(target=self._push_to, args=(record, message), daemon=True).start()
+
+    def _push_to(self, record, message):
+        try:
+            self.transport.call(record.info.address, "POST", FACTS_PATH, message)
+        except TransportError:
+            return
 
     def _note_report(self, digest):
         record = self.peers.records.get(digest.sender.name)
@@ -216,7 +275,7 @@
         listed = self.directory.entry_addresses()
         addresses = {a for group in listed.values() for a in group} | set(self.seeds)
         unknown = sorted(addresses - known - {self.peers.own.address})
-        return self.random.sample(unknown, min(PEERS_PER_PERIOD, len(unknown)))
+        return self.random.sample(unknown, min(UNKNOWN_PER_PERIOD, len(unknown)))
 
 
 def _fields(info):
--- a/libraries/membership/src/corianderhaven/membership/_messages.py
+++ b/libraries/membership/src/corianderhaven/membership/_messages.py
@@ -112,27 +112,63 @@
 
 
 class HeardPeer(msgspec.Struct, array_like=True):
-    """How long ago a peer was last known to be alive."""
+    """How long ago a peer was last known to be alive, and what it vouched for then.
+
+    Attributes
+    ----------
+    instance : str
+        The end of the peer's instance id.
+    fact_version : int
+        The peer's count of changes of its facts.
+    worst_age_ms : int
+        Age of its oldest fact at that time.
+    """
 
     name: str
     instance: str
     age_ms: int
+    fact_version: int = 0
+    worst_age_ms: int = 0
+
+
+class FactKind(enum.StrEnum):
+    """What a daemon knows of an endpoint that it probes."""
+
+    REPORT = "report"
+    LOST = "lost"
+    SILENT = "silent"
+    WITHDRAWN = "withdrawn"
 
 
 class FactEntry(msgspec.Struct, array_like=True):
-    """A whole fact; `report` is None for an endpoint that refuses connections."""
+    """One fact; `report` is the last one for a silent endpoint and None for a lost one."""
 
     vm: str
     age_ms: int
+    kind: FactKind
     report: MemberReport | None
 
 
-class FactAge(msgspec.Struct, array_like=True):
-    """A fact whose state the receiver already has, made younger."""
+class FactSet(msgspec.Struct):
+    """Facts of one daemon: changes after version `since`, or all when it is 0."""
+
+    since: int
+    version: int
+    entries: list[FactEntry]
+
+
+class FactMessage(msgspec.Struct):
+    """Facts on their way to a peer, or back from one that was asked."""
+
+    sender: "PeerInfo"
+    facts: FactSet
+
+
+class LoadEntry(msgspec.Struct, array_like=True):
+    """Load of a member that answers requests."""
 
     vm: str
     age_ms: int
-    state: str
     running: int
     queued: int
     step_ms: int
@@ -170,6 +206,8 @@
         Configuration revision in force at the sender, 0 for none.
     vms_stamp : int
         Wall-clock time at which the sender's VM list was read.
+    fact_version, worst_age_ms : int
+        What the sender vouches for, see `HeardPeer`.
     in_flight : dict of str to int
         The sender's own requests in flight by replica.
     accounts : dict of str to int
@@ -179,10 +217,11 @@
     sender: PeerInfo
     revision: int = 0
     vms_stamp: int = 0
+    fact_version: int = 0
+    worst_age_ms: int = 0
     heard: list[HeardPeer] = []
     peers: list[PeerInfo] = []
-    facts: list[FactEntry] = []
-    ages: list[FactAge] = []
+    loads: list[LoadEntry] = []
     zones: list[ZoneSummary] = []
     in_flight: dict[str, int] = {}
     accounts: dict[str, int] = {}
--- a/libraries/membership/src/corianderhaven/membership/_peers.py
+++ b/libraries/membership/src/corianderhaven/membership/_peers.py
@@ -13,6 +13,7 @@
 FORGET_AFTER_MS = 120_000.0
 REFUSALS_OF_DEAD = 2
 MAX_HEARD_ENTRIES = 8
+INSTANCE_TAIL = 6
 
 
 class PeerState(enum.StrEnum):
@@ -46,6 +47,8 @@
     refusals: int = 0
     revision: int = 0
     vms_stamp: int = 0
+    fact_version: int = 0
+    worst_age_ms: int = 0
     in_flight: dict = field(default_factory=dict)
     accounts: dict = field(default_factory=dict)
     reported_ms: float = float("-inf")
@@ -80,16 +83,20 @@
             elif info.instance == known.info.instance:
                 known.info.draining = known.info.draining or info.draining
 
-    def heard(self, name, instance, age_ms=0.0):
-        """Note that a peer's instance was alive `age_ms` ago."""
-        heard = self.clock.now_ms() - age_ms
+    def heard(self, heard):
+        """Take in a `HeardPeer`; returns whether it is news of a known instance."""
+        heard_ms = self.clock.now_ms() - heard.age_ms
         with self.lock:
-            record = self.records.get(name)
-            if record is None or record.info.instance != instance:
-                return
-            if heard > record.heard_ms:
-                record.heard_ms = heard
-                record.refusals = 0
+            record = self.records.get(heard.name)
+            if record is None or not record.info.instance.endswith(heard.instance):
+                return False
+            if heard_ms <= record.heard_ms and heard.age_ms:
+                return False
+            record.heard_ms = max(heard_ms, record.heard_ms)
+            record.refusals = 0
+            record.fact_version = heard.fact_version
+            record.worst_age_ms = heard.worst_age_ms
+            return True
 
     def refused(self, name):
         """Note that nobody listens at a peer's address."""
@@ -141,7 +148,13 @@
         now = self.clock.now_ms()
         records = sorted(self.live(self.own.zone), key=lambda r: r.heard_ms, reverse=True)
         return [
-            HeardPeer(r.info.name, r.info.instance, int(now - r.heard_ms))
+            HeardPeer(
+                r.info.name,
+                r.info.instance[-INSTANCE_TAIL:],
+                int(now - r.heard_ms),
+                r.fact_version,
+                r.worst_age_ms,
+            )
             for r in records[:MAX_HEARD_ENTRIES]
         ]
 
--- a/libraries/membership/src/corianderhaven/membership/_probing.py
+++ b/libraries/membership/src/corianderhaven/membership/_probing.py
@@ -121,6 +121,10 @@
         wanted = {vm.id: vm for vm in self._ranked()}
         for vm_id in [v for v, p in self.probes.items() if wanted.get(v) is None]:
             self.probes.pop(vm_id).close()
+            self.facts.stop_observing(vm_id)
+            self.changed.set()
+        for vm in self.facts.note_silence():
+            self._state_changed(vm, None, "silent")
         for vm_id, vm in wanted.items():
             running = self.probes.get(vm_id)
             if running is not None and running.vm.address == vm.address:
@@ -139,12 +143,12 @@
             if own in rendezvous_order(workers, vm.id)[:PROBERS_PER_ENDPOINT]
         ]
 
-    def _state_changed(self, vm_id, report):
+    def _state_changed(self, vm_id, report, otherwise="lost"):
         assignment = report.assignment if report else None
         self.decisions.record(
             "endpoint_changed",
             vm=vm_id,
-            status=report.status.value if report else "lost",
+            status=report.status.value if report else otherwise,
             instance=report.instance if report else None,
             leaving=report.leaving if report else None,
             replica=assignment.replica_id if assignment else None,
--- a/libraries/routing/src/corianderhaven/routing/_replicas.py
+++ b/libraries/routing/src/corianderhaven/routing/_replicas.py
@@ -4,6 +4,8 @@
 
 from corianderhaven.membership import Load, MemberReference
 
+KEEP_MS = 20.0
+
 
 @dataclass(frozen=True)
 class Replica:
@@ -52,12 +54,18 @@
         self.facts = facts
         self.directory = directory
         self.clock = clock
+        self.built = []
+        self.built_ms = float("-inf")
 
     def whole(self):
-        """Return all whole replicas that may take new work."""
-        fresh = self.facts.fresh_facts()
-        found = (self._build(fact, fresh) for fact in fresh.values())
-        return [replica for replica in found if replica is not None]
+        """Return all whole replicas that may take new work, as of a few ms ago at most."""
+        now = self.clock.now_ms()
+        if now - self.built_ms >= KEEP_MS:
+            fresh = self.facts.fresh_facts()
+            found = (self._build(fact, fresh) for fact in fresh.values())
+            self.built = [replica for replica in found if replica is not None]
+            self.built_ms = now
+        return self.built
 
     def for_deployment(self, deployment):
         """Return the whole replicas of `deployment` with its model, version and adapters."""
