--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,10 @@
 
 clean:
 	rm -rf $(VENV)
+
+.PHONY: replay reference
+replay: setup
+	$(BIN)/python examples/replay.py
+
+reference: setup
+	$(BIN)/python docs/make_reference.py
--- a/benchmarks/control_bench.py
+++ b/benchmarks/control_bench.py
@@ -35,7 +35,7 @@
         [*engines(per_zone), *services()],
         ENGINE,
         daemon_flags=FLAGS,
-        split_zones=True,
+        split=True,
     )
     return start(site, document(), per_zone // 4 * 3)
 
--- a/libraries/cli/src/corianderhaven/cli/_load_report.py
+++ b/libraries/cli/src/corianderhaven/cli/_load_report.py
@@ -170,10 +170,21 @@
         for name, actual, stated, at_most in checks
         if stated is not None and (actual > stated if at_most else actual < stated)
     ]
+    misses += _account_misses(report, expectation)
     wrong = every.outcomes.get("wrong", 0)
     return [*misses, f"wrong answers: {wrong}"] if wrong else misses
 
 
+def _account_misses(report, expectation):
+    misses = []
+    for key, stated in expectation.accounts_complete.items():
+        account = report.accounts.get(key)
+        complete = account.outcomes.get("complete", 0) / account.drafts if account else 0.0
+        if complete < stated:
+            misses.append(f"{key} complete: {complete:.4g}, stated at least {stated:.4g}")
+    return misses
+
+
 def table_rows(report):
     """Return one dict per account for a table."""
     return [
--- a/libraries/cli/src/corianderhaven/cli/_load_trace.py
+++ b/libraries/cli/src/corianderhaven/cli/_load_trace.py
@@ -72,6 +72,8 @@
         ``not_run`` although run.
     first_token_p95_ms, gap_p95_ms : float
         Greatest percentiles.
+    accounts_complete : dict of str to float
+        Least share of complete drafts by key id, refused ones included in the whole.
     """
 
     drafts_complete: float | None = None
@@ -81,6 +83,7 @@
     untrue: int = 0
     first_token_p95_ms: float | None = None
     gap_p95_ms: float | None = None
+    accounts_complete: dict[str, float] = {}
 
 
 TraceLine = PlannedDraft | PlannedOperation | PlannedFault | Expectation
--- /dev/null
+++ b/libraries/cli/src/corianderhaven/cli/tests/test_replay.py
@@ -0,0 +1,75 @@
+"""Replays the recorded traces through real daemons against stand-ins."""
+
+import importlib
+import sys
+from pathlib import Path
+
+import pytest
+
+from corianderhaven.cli import Expectation, Mix, generate_trace, read_trace, write_trace
+from corianderhaven.cli._load_caller import DraftResult, OperationResult
+from corianderhaven.cli._load_report import make_report
+from corianderhaven.common import SettingsError
+
+EXAMPLES = Path(__file__).parents[6] / "examples"
+TRACES = sorted((EXAMPLES / "traces").glob("*.jsonl"))
+
+
+@pytest.fixture
+def replay(monkeypatch):
+    monkeypatch.syspath_prepend(str(EXAMPLES))
+    yield importlib.import_module("replay").replay
+    for name in ("replay", "demonstration"):
+        sys.modules.pop(name, None)
+
+
+@pytest.mark.parametrize("path", TRACES, ids=lambda path: path.stem)
+def test_trace_keeps_its_stated_outcomes(replay, path):
+    assert replay(path).misses == []
+
+
+def test_at_least_four_traces_are_recorded():
+    assert len(TRACES) >= 4
+
+
+def mix(seed=1):
+    return Mix(
+        seed=seed,
+        rate_per_s=50.0,
+        duration_s=2.0,
+        keys={"a.x": 3.0, "b.x": 1.0},
+        daemons=2,
+        operation_share=0.3,
+        repeat_share=0.5,
+    )
+
+
+def test_same_seed_gives_the_same_trace(tmp_path):
+    first, second = generate_trace(mix()), generate_trace(mix())
+    assert first == second
+    assert first != generate_trace(mix(2))
+    write_trace(tmp_path / "t.jsonl", first)
+    assert read_trace(tmp_path / "t.jsonl") == first
+
+
+def test_broken_trace_names_its_line(tmp_path):
+    path = tmp_path / "t.jsonl"
+    path.write_text('{"kind": "expect"}\n{"kind": "surprise"}\n')
+    with pytest.raises(SettingsError, match="line 2"):
+        read_trace(path)
+
+
+def test_report_finds_doubled_lost_untrue_and_wrong():
+    operations = [
+        OperationResult("a.x", "doubled", "complete"),
+        OperationResult("a.x", "lost", "complete"),
+        OperationResult("a.x", "untrue", "not_run"),
+        OperationResult("a.x", "fine", "complete"),
+    ]
+    executions = {"doubled": 2, "untrue": 1, "fine": 1}
+    drafts = [DraftResult("a.x", "complete"), DraftResult("b.x", "wrong")]
+    report = make_report(drafts, operations, executions, 1.0, Expectation(drafts_complete=1.0))
+    found = report.operations
+    assert (found.doubled, found.lost, found.untrue, found.served_once) == (1, 1, 1, 1)
+    names = [miss.partition(":")[0] for miss in report.misses]
+    assert names == ["drafts_complete", "doubled", "lost", "untrue", "wrong answers"]
--- a/libraries/placement/src/corianderhaven/placement/tests/zone_model.py
+++ b/libraries/placement/src/corianderhaven/placement/tests/zone_model.py
@@ -265,6 +265,10 @@
                 found[own.replica_id] = {m.vm for m in own.members}
         return found
 
+    def document_limit(self):
+        """Return the greatest number of replicas that the document asks for."""
+        return self.holder.document.deployments[0].max_replicas_per_zone
+
     def stored_intent(self):
         item = self.store.kv.range(f"/corianderhaven/zones/{ZONE}/intent".encode())
         return json.loads(item[0].value) if item else {"replicas": [], "next_generation": 0}
--- a/libraries/standins/src/corianderhaven/standins/_layout.py
+++ b/libraries/standins/src/corianderhaven/standins/_layout.py
@@ -58,6 +58,8 @@
         Delay of cache events.
     cache_event_loss : float
         Fraction of cache events that are never published.
+    members_per_replica : int
+        For the sums of group downtime and stranded accelerators only.
     """
 
     token_ms: float = 25.0
@@ -69,6 +71,7 @@
     cache_event_lag_ms: float = 500.0
     cache_event_loss: float = 0.1
     stream_retention_ms: float = 20_000.0
+    members_per_replica: int = 4
     threads: int = 40
 
 
--- a/libraries/standins/src/corianderhaven/standins/_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_site.py
@@ -20,6 +20,7 @@
 from ._kv_store import KvStore
 from ._layout import VmLayout
 from ._service import ExecutionLedger, ServiceEndpoint
+from ._truth import TruthSampler
 from ._vm_list import VmList
 
 SERVICE_THREADS = 24
@@ -67,6 +68,7 @@
         self.vm_list = None
         self.weight_store = WeightStore()
         self.control = None
+        self.truth = TruthSampler(self.clock, self.engines, layout.engine.members_per_replica)
         self.lock = threading.Lock()
 
     def start(self):
@@ -75,8 +77,10 @@
             self._start_platform()
         for vm in () if self.layout.only_listed else self.layout.vms:
             self._start_vm(vm)
+        self.truth.start()
         router = Router()
         router.add("POST", "/faults", self._set_fault)
+        router.add("POST", "/truth/reset", self._reset_truth)
         router.add("GET", "/counters", self._counters)
         router.add("GET", "/executions", self._executions)
         self.control = HttpServer(self.layout.control_address, router, CONTROL_THREADS).start()
@@ -87,6 +91,7 @@
         for server in [self.control, *self.servers.values()]:
             server.shutdown_timeout_s = 0.1
             server.close()
+        self.truth.close()
         for engine in self.engines.values():
             engine.close()
 
@@ -197,9 +202,14 @@
             "received_while_leaving": {
                 vm_id: service.received_while_leaving for vm_id, service in self.services.items()
             },
+            "truth": self.truth.figures(),
             "weight_store_highest": self.weight_store.highest,
             "kv": dict(self.kv_gateway.calls) if self.kv_gateway else {},
         }
 
+    def _reset_truth(self, request):
+        self.truth.reset()
+        return json_response({})
+
     def _counters(self, request):
         return json_response(self.counters())
