Work out the capacity page from measured slopes

Change: benchmarks/capacity.py fits slopes and writes the page; a fact keeps the time at which its load was true; digests carry loads only of busy members and a summary every second round; a new daemon's first watches are short, since its rank changes as it meets its peers.

--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,191 @@
+"""Measures the slopes and rewrites docs/CAPACITY.md; ``--keep`` uses the saved results."""
+
+import argparse
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import numpy
+
+ROOT = Path(__file__).parent.parent
+RESULTS = ROOT / "benchmarks" / "results"
+DAEMONS, WORKERS, ZONES, MEMBERS = 360, 600, 11, 8
+TOKENS_PER_S, REQUESTS_PER_S, CHANGES_PER_DAY = 2_200_000, 5_100, 570
+FAILURES_PER_DAY, REPLACEMENTS_PER_DAY = 19, 350
+BUDGET_CORE, BUDGET_MB, BUDGET_BYTES = 0.042, 32.0, 3_000
+LIBRARIES = "cheroot.wsgi, urllib3, loguru, prometheus_client, msgspec, defopt, jinja2"
+PROBERS, PROBE_PERIOD_S, ZONES_MEASURED = 2, 1.0, 3
+
+
+def measure():
+    """Run the benchmarks that the page is worked from."""
+    for script, names in (
+        ("control_bench.py", []),
+        ("requests_bench.py", ["throughput", "operations"]),
+    ):
+        command = [sys.executable, str(ROOT / "benchmarks" / script), *names]
+        subprocess.run(command, check=True, cwd=ROOT / "benchmarks")
+
+
+def load(name):
+    """Return a saved result."""
+    return json.loads((RESULTS / f"{name}.json").read_text())
+
+
+def library_baseline_mb():
+    """Return the resident memory of an interpreter with the third-party libraries only."""
+    code = (
+        f"import {LIBRARIES}\n"
+        "print(next(l for l in open('/proc/self/status') if l.startswith('VmRSS')).split()[1])"
+    )
+    answer = subprocess.run([sys.executable, "-c", code], check=True, capture_output=True)
+    return int(answer.stdout) / 1024
+
+
+def rows():
+    """Return the control measurements as (daemons a zone, endpoints a zone, figures)."""
+    found = []
+    for name, figures in load("control_scale").items():
+        daemons, endpoints = (int(part.split()[0]) for part in name.split(", "))
+        found.append((daemons / ZONES_MEASURED, endpoints + 1, figures))
+    return found
+
+
+def fit(columns, values):
+    """Return least-squares coefficients, none below zero, for columns of inputs."""
+    matrix = numpy.array(columns, dtype=float).T
+    solution, *_ = numpy.linalg.lstsq(matrix, numpy.array(values, dtype=float), rcond=None)
+    return [max(0.0, float(value)) for value in solution]
+
+
+def slopes():
+    """Return the fitted slopes."""
+    measured = rows()
+    ones = [1.0] * len(measured)
+    daemons = [d for d, _, _ in measured]
+    figures = [f for _, _, f in measured]
+    probes = [f["probes_per_s"] for f in figures]
+    messages = [f["peer_messages_per_s"] for f in figures]
+    in_force = [max(f["in_force_ms"]) for f in figures]
+    cpu = fit([ones, probes, messages], [f["cpu_share_of_core"] for f in figures])
+    peer = fit([ones, daemons], [f["peer_bytes_per_s"] for f in figures])
+    memory = fit([ones, daemons], [f["resident_mb"] for f in figures])
+    spread = fit([ones, [d * ZONES_MEASURED for d in daemons]], in_force)
+    probe_bytes = sum(f["probe_bytes_per_s"] for f in figures) / max(1.0, sum(probes))
+    return {
+        "cpu": cpu,
+        "peer": peer,
+        "memory": memory,
+        "spread": spread,
+        "probe_bytes": probe_bytes,
+        "messages": sum(messages[-3:]) / 3,
+        "store_reads_zone": max(f["store_calls_per_s"]["read"] for f in figures) / ZONES_MEASURED,
+        "store_writes_zone": max(f["store_calls_per_s"]["write"] for f in figures) / ZONES_MEASURED,
+    }
+
+
+def at_target(found):
+    """Return the figures worked out for the two-year size."""
+    daemons, workers = DAEMONS / ZONES, WORKERS / ZONES
+    probes = PROBERS * workers / daemons / PROBE_PERIOD_S
+    cpu = found["cpu"]
+    member_factor = MEMBERS / 4
+    return {
+        "daemons": daemons,
+        "workers": workers,
+        "probes": probes,
+        "probe_bytes": probes * found["probe_bytes"] * member_factor,
+        "peer_bytes": found["peer"][0] + found["peer"][1] * min(daemons, 16.0),
+        "cpu": cpu[0] + cpu[1] * probes + cpu[2] * found["messages"],
+        "memory": found["memory"][0] + found["memory"][1] * daemons,
+        "in_force_ms": found["spread"][0] + found["spread"][1] * DAEMONS,
+        "tokens": TOKENS_PER_S / DAEMONS,
+        "reads": found["store_reads_zone"] * ZONES,
+        "writes": found["store_writes_zone"] * ZONES,
+    }
+
+
+def measured_table():
+    """Return the table of control measurements."""
+    lines = [
+        "| daemons | endpoints a zone | core | peer B/s | probe B/s | probes/s | MB | "
+        "store reads/s | store writes/s | in force ms (3 changes) | zone off the platform | "
+        "zone paused, after waking |",
+        "|---|---|---|---|---|---|---|---|---|---|---|---|",
+    ]
+    for daemons, endpoints, f in sorted(rows(), key=lambda row: row[:2]):
+        calls = f["store_calls_per_s"]
+        lines.append(
+            f"| {round(daemons * ZONES_MEASURED)} | {endpoints} | {f['cpu_share_of_core']} | "
+            f"{f['peer_bytes_per_s']} | {f['probe_bytes_per_s']} | {f['probes_per_s']} | "
+            f"{f['resident_mb']} | {calls['read']} | {calls['write']} | "
+            f"{', '.join(map(str, f['in_force_ms']))} | {f['in_force_zone_without_platform_ms']} | "
+            f"{f['in_force_after_paused_zone_ms']} |"
+        )
+    return "\n".join(lines)
+
+
+def verdict(value, budget):
+    """Return whether a value keeps its budget, in words."""
+    return "within" if value <= budget else f"**over by {value / budget:.1f} times**"
+
+
+def page():
+    """Return the text of the page."""
+    found = slopes()
+    target = at_target(found)
+    through = load("requests_throughput")["through_daemon"]
+    operations = load("requests_operations")
+    core_per_token = through["daemon_cores"] / through["tokens_per_s"]
+    writes_per_operation = operations["store_calls"]["write"] / operations["operations"]
+    control_bytes = target["probe_bytes"] + target["peer_bytes"]
+    baseline_mb = library_baseline_mb()
+    control_mb = max(0.0, target["memory"] - baseline_mb)
+    template = (ROOT / "docs" / "CAPACITY.template.md").read_text()
+    values = {
+        "measured": measured_table(),
+        "daemons": f"{target['daemons']:.1f}",
+        "workers": f"{target['workers']:.1f}",
+        "probes": f"{target['probes']:.1f}",
+        "probe_bytes": f"{target['probe_bytes']:.0f}",
+        "probe_size": f"{found['probe_bytes']:.0f}",
+        "peer_bytes": f"{target['peer_bytes']:.0f}",
+        "peer_base": f"{found['peer'][0]:.0f}",
+        "peer_slope": f"{found['peer'][1]:.0f}",
+        "control_bytes": f"{control_bytes:.0f}",
+        "bytes_verdict": verdict(control_bytes, BUDGET_BYTES),
+        "cpu": f"{target['cpu'] * 100:.2f}",
+        "cpu_base": f"{found['cpu'][0] * 100:.2f}",
+        "cpu_probe": f"{found['cpu'][1] * 1000:.2f}",
+        "cpu_message": f"{found['cpu'][2] * 1000:.2f}",
+        "cpu_verdict": verdict(target["cpu"], BUDGET_CORE),
+        "memory": f"{target['memory']:.1f}",
+        "baseline_mb": f"{baseline_mb:.1f}",
+        "control_mb": f"{control_mb:.1f}",
+        "memory_verdict": verdict(control_mb, BUDGET_MB),
+        "in_force": f"{target['in_force_ms']:.0f}",
+        "tokens": f"{target['tokens']:.0f}",
+        "relay_cores": f"{target['tokens'] * core_per_token:.2f}",
+        "relay_ms": f"{core_per_token * 1000:.3f}",
+        "relay_rate": f"{through['tokens_per_s']:.0f}",
+        "requests": f"{REQUESTS_PER_S / DAEMONS:.1f}",
+        "reads": f"{target['reads']:.1f}",
+        "writes": f"{target['writes']:.1f}",
+        "writes_operation": f"{writes_per_operation:.2f}",
+        "changes": f"{CHANGES_PER_DAY}",
+        "replicas": f"{WORKERS / MEMBERS / ZONES:.1f}",
+        "events": f"{FAILURES_PER_DAY + REPLACEMENTS_PER_DAY}",
+        "intent_bytes": f"{WORKERS / ZONES * 70:.0f}",
+    }
+    for name, value in values.items():
+        template = template.replace("{{" + name + "}}", value)
+    return template
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--keep", action="store_true", help="use the saved results")
+    if not parser.parse_args().keep:
+        measure()
+    (ROOT / "docs" / "CAPACITY.md").write_text(page())
--- a/benchmarks/control_bench.py
+++ b/benchmarks/control_bench.py
@@ -22,6 +22,7 @@
 )
 
 WINDOW_S = 12.0
+WARM_UP_S = 14.0
 ENGINE = EngineLayout(token_ms=50.0, load_ms=50.0, threads=6)
 FLAGS = ["--caller-threads=8", "--seed=1"]
 
@@ -111,7 +112,7 @@
     for daemons, per_zone in ((4, 20), (12, 20), (24, 20), (48, 20), (12, 8), (12, 40)):
         site = make_site(daemons, per_zone)
         try:
-            time.sleep(3)
+            time.sleep(WARM_UP_S)
             figures = control_rates(site)
             figures["in_force_ms"] = [time_in_force(site, n) for n in (1, 2, 3)]
             figures["in_force_zone_without_platform_ms"] = _cut_zone(site)
--- a/libraries/membership/src/corianderhaven/membership/_config_spread.py
+++ b/libraries/membership/src/corianderhaven/membership/_config_spread.py
@@ -17,6 +17,7 @@
 CONFIG_KEY = "/corianderhaven/config"
 WATCHERS_PER_ZONE = 2
 WATCH_IDLE_MS = 20_000.0
+FIRST_WATCH_IDLE_MS = 2_000.0
 RETRY_PAUSE_MS = 500.0
 PROPOSAL_ATTEMPTS = 8
 PROPOSAL_PAUSE_MS = 300.0
@@ -207,7 +208,8 @@
                     self.stopping.wait(1.0)
                     continue
                 self.proposer.reconcile()
-                for item in self.store.watch(CONFIG_KEY, WATCH_IDLE_MS):
+                idle_ms = min(WATCH_IDLE_MS, self._age_ms() + FIRST_WATCH_IDLE_MS)
+                for item in self.store.watch(CONFIG_KEY, idle_ms):
                     if self.stopping.is_set():
                         return
                     if item is not None:
@@ -217,6 +219,10 @@
             except (KeyValueError, msgspec.DecodeError):
                 self.stopping.wait(RETRY_PAUSE_MS / MS_PER_S)
 
+    def _age_ms(self):
+        """Return how long peers have been known: ranks of a new daemon change soon."""
+        return self.peers.clock.now_ms() - self.peers.started_ms
+
     def _adopted(self, record, source):
         """Push a configuration that did not come from a peer."""
         if source != SOURCE_PEER:
--- a/libraries/membership/src/corianderhaven/membership/_facts.py
+++ b/libraries/membership/src/corianderhaven/membership/_facts.py
@@ -38,6 +38,8 @@
         The reporter gets no answer any more; the fact only grows older.
     own : bool
         Whether this daemon probed it.
+    load_ms : float
+        Local monotonic time at which the reported load was true.
     """
 
     report: MemberReport | None
@@ -45,6 +47,7 @@
     state: str
     silent: bool = False
     own: bool = False
+    load_ms: float = 0.0
 
 
 @dataclass
@@ -102,7 +105,8 @@
             known = self.facts.setdefault(vm, {}).get(self.own_name)
             if known is not None and known.observed_ms >= observed:
                 return False
-            self.facts[vm][self.own_name] = Fact(report, observed, state, False, True)
+            load_ms = observed - (report.load.age_ms if report else 0.0)
+            self.facts[vm][self.own_name] = Fact(report, observed, state, False, True, load_ms)
             changed = known is None or known.state != state or known.silent
             if changed:
                 self._count_change(vm)
@@ -197,13 +201,13 @@
         """Return the youngest loads of members that answer requests, for a digest."""
         now = self.clock.now_ms()
         loaded = [
-            (fact.observed_ms, vm, fact.report.load)
+            (fact.load_ms, vm, fact.report.load)
             for vm, fact in self.fresh_facts().items()
-            if fact.report.assignment is not None and fact.report.assignment.rank == 0
+            if fact.report.load.running and fact.report.assignment is not None
         ]
         loaded.sort(key=lambda item: item[0], reverse=True)
         return [
-            LoadEntry(vm, int(now - at + load.age_ms), load.running, load.queued, int(load.step_ms))
+            LoadEntry(vm, int(now - at), load.running, load.queued, int(load.step_ms))
             for at, vm, load in loaded[:MAX_LOAD_ENTRIES]
         ]
 
@@ -213,15 +217,11 @@
             for name, fact in self.facts.get(entry.vm, {}).items():
                 if name == self.own_name or fact.report is None:
                     continue
-                age = self.clock.now_ms() - fact.observed_ms + fact.report.load.age_ms
-                if entry.age_ms < age:
-                    load = Load(
-                        entry.running,
-                        entry.queued,
-                        float(entry.step_ms),
-                        entry.age_ms - (self.clock.now_ms() - fact.observed_ms),
-                    )
+                load_ms = self.clock.now_ms() - entry.age_ms
+                if load_ms > fact.load_ms:
+                    load = Load(entry.running, entry.queued, float(entry.step_ms))
                     fact.report = msgspec.structs.replace(fact.report, load=load)
+                    fact.load_ms = load_ms
 
     def get(self, vm):
         """Return the youngest fact of `vm` of any age, or None."""
@@ -284,7 +284,9 @@
             return
         observed = self.clock.now_ms() - entry.age_ms
         silent = entry.kind is FactKind.SILENT
-        fact = Fact(entry.report, observed, state_hash(entry.report), silent)
+        load_ms = observed - (entry.report.load.age_ms if entry.report else 0.0)
+        state = state_hash(entry.report)
+        fact = Fact(entry.report, observed, state, silent, False, load_ms)
         self.facts.setdefault(entry.vm, {})[name] = fact
 
     def _drop_reporter(self, name):
--- a/libraries/membership/src/corianderhaven/membership/_heartbeat.py
+++ b/libraries/membership/src/corianderhaven/membership/_heartbeat.py
@@ -14,6 +14,7 @@
 PERIOD_MS = 1_000.0
 PEERS_PER_PERIOD = 1
 UNKNOWN_PER_PERIOD = 2
+SUMMARY_EVERY_ROUNDS = 2
 PULL_PAUSE_MS = 500.0
 CROSS_ZONE_SENDERS = 2
 HEARTBEAT_PATH = "/peer/heartbeat"
@@ -158,7 +159,8 @@
         if record.info.zone != self.peers.own.zone:
             return [summary for summary in [self.summary_source()] if summary]
         known = self.adoption.summaries()
-        return [self.random.choice(known)] if known else []
+        due = known and self.rounds % SUMMARY_EVERY_ROUNDS == 0
+        return [self.random.choice(known)] if due else []
 
     def _take_vouch(self, heard):
         """Make a peer's facts younger, or ask it for those that are missing here."""
--- a/libraries/routing/src/corianderhaven/routing/_replicas.py
+++ b/libraries/routing/src/corianderhaven/routing/_replicas.py
@@ -118,7 +118,7 @@
             tuple(assignment.members),
             vm.zone if vm else "",
             fact.report.load,
-            self.clock.now_ms() - fact.observed_ms + fact.report.load.age_ms,
+            self.clock.now_ms() - fact.load_ms,
         )
 
     def _confirms(self, fact, member, assignment, rank):
