--- a/libraries/routing/src/corianderhaven/routing/_choice.py
+++ b/libraries/routing/src/corianderhaven/routing/_choice.py
@@ -90,8 +90,9 @@
         """Return the better of two random replicas, or the one with affinity if not overloaded."""
         sample = self.generator.sample(replicas, min(SAMPLE_SIZE, len(replicas)))
         favourite = self._favourite(replicas, blocks)
-        if favourite is not None and favourite not in sample:
-            sample.append(favourite)
+        if favourite is not None:
+            # First, so that it wins a tie: equal prefixes then meet from the first request on.
+            sample = [favourite, *(replica for replica in sample if replica is not favourite)]
         scores = {replica.key: self._wait_ms(replica, replicas, blocks) for replica in sample}
         best = min(sample, key=lambda replica: scores[replica.key])
         reason = "affinity" if best is favourite else "least_wait"
--- /dev/null
+++ b/libraries/routing/src/corianderhaven/routing/tests/test_choice.py
@@ -0,0 +1,72 @@
+"""Tests of the choice of replicas."""
+
+import random
+
+from corianderhaven.common import ManualClock
+from corianderhaven.membership import Load, MemberReference, PeerInfo, PeerTable
+from corianderhaven.routing import LeastWaitChooser, LoadBook, Replica
+from corianderhaven.routing._prefix_affinity import prompt_blocks
+
+OWN = PeerInfo("own", "z", "own-1", "127.0.0.1:1", 1)
+
+
+def replica(name, running=0, step_ms=20.0, age_ms=0.0):
+    members = (MemberReference(name, "i", "127.0.0.1:9"),)
+    load = Load(running, 0, step_ms)
+    return Replica(name, 1, "d", "m", "v", (), members, "z", load, age_ms)
+
+
+def chooser(affinity=True):
+    clock = ManualClock()
+    book = LoadBook(clock, PeerTable(clock, OWN))
+    return clock, book, LeastWaitChooser(book, random.Random(3), affinity)
+
+
+def counts(choose, replicas, times=200, blocks=()):
+    chosen = [choose.choose(replicas, list(blocks)).replica.replica_id for _ in range(times)]
+    return {r.replica_id: chosen.count(r.replica_id) for r in replicas}
+
+
+def test_loaded_replica_is_avoided():
+    _, _, choose = chooser()
+    assert counts(choose, [replica("a", 9), replica("b"), replica("c")])["a"] == 0
+
+
+def test_own_starts_correct_a_lagging_report():
+    clock, book, choose = chooser()
+    stale = [replica("a", age_ms=2000.0), replica("b", age_ms=2000.0)]
+    for _ in range(5):
+        book.begin("a~1")
+    clock.advance_ms(500)
+    assert book.estimate(stale[0]) == 5
+    assert counts(choose, stale)["a"] == 0
+
+
+def test_straggler_is_avoided_and_tried_again_later():
+    clock, book, choose = chooser()
+    replicas = [replica(name) for name in "abcd"]
+    for name in "abcd":
+        for _ in range(10):
+            book.note_gap(f"{name}~1", 80.0 if name == "a" else 20.0)
+    assert counts(choose, replicas)["a"] == 0
+    clock.advance_ms(60_000)
+    assert counts(choose, replicas)["a"] > 20
+
+
+def test_prefix_stays_with_its_replica_unless_that_is_overloaded():
+    _, book, choose = chooser()
+    replicas = [replica(name) for name in "abcdefgh"]
+    blocks = prompt_blocks("street history " * 200)
+    first = choose.choose(replicas, blocks).replica
+    choose.note_sent(first, blocks)
+    assert counts(choose, replicas, blocks=blocks)[first.replica_id] == 200
+    for _ in range(20):
+        book.begin(first.key)
+    assert counts(choose, replicas, blocks=blocks)[first.replica_id] == 0
+
+
+def test_equal_prefixes_give_equal_blocks():
+    shared = "x" * 600
+    assert prompt_blocks(shared + "a" * 300)[:2] == prompt_blocks(shared + "b" * 300)[:2]
+    assert prompt_blocks(shared + "a" * 300)[-1] != prompt_blocks(shared + "b" * 300)[-1]
+    assert prompt_blocks("short") == []
--- /dev/null
+++ b/libraries/routing/src/corianderhaven/routing/tests/test_outcomes_and_retry.py
@@ -0,0 +1,87 @@
+"""Tests of what is known of an attempt, of retries and of resume tokens."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from corianderhaven.common import CorianderhavenError
+from corianderhaven.routing import (
+    AttemptEvidence,
+    AttemptStage,
+    Backoff,
+    ResumeTokens,
+    RetryBudget,
+    Verdict,
+    judge,
+)
+from corianderhaven.routing._outcomes import may_retry
+
+REFUSES = (503,)
+
+
+@pytest.mark.parametrize(
+    ("stage", "status", "verdict"),
+    [
+        (AttemptStage.NOT_CONNECTED, None, Verdict.NOT_RUN),
+        (AttemptStage.SENT, None, Verdict.UNKNOWN),
+        (AttemptStage.ANSWERED, 200, Verdict.ANSWERED),
+        (AttemptStage.ANSWERED, 404, Verdict.ANSWERED),
+        (AttemptStage.ANSWERED, 503, Verdict.NOT_RUN),
+        (AttemptStage.ANSWERED, 500, Verdict.UNKNOWN),
+        (AttemptStage.ANSWERED, 429, Verdict.ANSWERED),
+    ],
+)
+def test_verdicts(stage, status, verdict):
+    assert judge(AttemptEvidence(stage, status), REFUSES) is verdict
+
+
+def test_only_proof_or_idempotence_allows_a_retry():
+    allowed = {(v, i) for v in Verdict for i in (True, False) if may_retry(v, i)}
+    assert allowed == {
+        (Verdict.NOT_RUN, True),
+        (Verdict.NOT_RUN, False),
+        (Verdict.UNKNOWN, True),
+    }
+
+
+def test_budget_bounds_retries_to_a_share_of_first_attempts():
+    budget = RetryBudget(0.2, reserve=2)
+    assert [budget.spend() for _ in range(3)] == [True, True, False]
+    spent = 0
+    for _ in range(100):
+        budget.earn()
+        spent += budget.spend()
+    assert 19 <= spent <= 20
+
+
+def test_backoff_never_undercuts_retry_after():
+    backoff = Backoff(generator=random.Random(1))
+    assert all(backoff.pause_ms(n) <= 1000 for n in range(1, 12))
+    assert backoff.pause_ms(1, 5000) == 5000
+
+
+TOKENS = ResumeTokens("a-secret-for-tests-only")
+EVENT_ID = TOKENS.signer("z~r~3~ab", "acc", "digest").event_id(7).decode()
+
+
+def test_token_round_trip():
+    point = TOKENS.check(EVENT_ID, "acc", "digest")
+    assert (point.zone, point.replica_id, point.generation, point.offset) == ("z", "r", 3, 7)
+
+
+@pytest.mark.parametrize(("account", "digest"), [("other", "digest"), ("acc", "other")])
+def test_token_of_another_account_or_body(account, digest):
+    with pytest.raises(CorianderhavenError):
+        TOKENS.check(EVENT_ID, account, digest)
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(st.text(max_size=60) | st.integers(0, len(EVENT_ID) - 1))
+def test_no_changed_token_is_accepted(change):
+    if isinstance(change, int):
+        flipped = "0" if EVENT_ID[change] != "0" else "1"
+        change = EVENT_ID[:change] + flipped + EVENT_ID[change + 1 :]
+    with pytest.raises(CorianderhavenError):
+        TOKENS.check(change, "acc", "digest")
