Split the large files of routing and placement

Change: targets and chunk reading out of the relay; orders, reconciliation and the plan out of the planner; one table printer for replicas and VMs. No change of behaviour.

--- a/libraries/cli/src/corianderhaven/cli/_load_command.py
+++ b/libraries/cli/src/corianderhaven/cli/_load_command.py
@@ -114,6 +114,8 @@
 
 
 def _parse_keys(keys):
+    if not keys:
+        raise SettingsError("keys: give --keys or CORIANDERHAVEN_KEYS")
     parsed = {}
     for entry in keys:
         key, _, share = entry.partition("=")
@@ -166,19 +168,22 @@
         raise SettingsError("callers: give --callers or CORIANDERHAVEN_CALLERS")
     for address in [*callers, *control]:
         check_address("callers and control", address)
-    planned = _plan(
-        trace,
-        keys,
-        seed,
-        rate,
-        duration,
-        tokens,
-        operation_share,
-        repeat_share,
-        prefixes,
-        model,
-        len(callers),
-    )
+    if trace:
+        planned = read_trace(trace)
+    else:
+        mix = Mix(
+            seed=seed,
+            rate_per_s=rate,
+            duration_s=duration,
+            keys=_parse_keys(keys),
+            daemons=len(callers),
+            tokens=tokens,
+            operation_share=operation_share,
+            repeat_share=repeat_share,
+            prefixes=prefixes,
+            model=model,
+        )
+        planned = generate_trace(mix, Expectation())
     if write:
         write_trace(write, planned)
     experiment = Experiment(list(callers), list(control), planned)
@@ -191,38 +196,6 @@
     return EXIT_FAILURE if result.misses else EXIT_OK
 
 
-def _plan(
-    trace,
-    keys,
-    seed,
-    rate,
-    duration,
-    tokens,
-    operation_share,
-    repeat_share,
-    prefixes,
-    model,
-    daemons,
-):
-    if trace:
-        return read_trace(trace)
-    if not keys:
-        raise SettingsError("keys: give --keys or CORIANDERHAVEN_KEYS")
-    mix = Mix(
-        seed=seed,
-        rate_per_s=rate,
-        duration_s=duration,
-        keys=_parse_keys(keys),
-        daemons=daemons,
-        tokens=tokens,
-        operation_share=operation_share,
-        repeat_share=repeat_share,
-        prefixes=prefixes,
-        model=model,
-    )
-    return generate_trace(mix, Expectation())
-
-
 def _print(result, json):
     if json:
         print_json(result)
--- a/libraries/cli/src/corianderhaven/cli/_site_commands.py
+++ b/libraries/cli/src/corianderhaven/cli/_site_commands.py
@@ -26,6 +26,16 @@
     return EXIT_OK
 
 
+def _show_table(operators, key, json, name, columns):
+    """Print the rows that a daemon gives under ``/operators/NAME``."""
+    answer = OperatorClient(list(operators), key).start().json("GET", f"/operators/{name}")
+    if json:
+        print_json(answer)
+    else:
+        print_table(answer[name], columns)
+    return EXIT_OK
+
+
 def replicas(*, operators: list[str] = (), key: str = "", json: bool = False):
     """Show replicas: whole or not, and the state of each member.
 
@@ -33,13 +43,8 @@
     :param key: operator key
     :param json: print JSON
     """
-    answer = OperatorClient(list(operators), key).start().json("GET", "/operators/replicas")
-    if json:
-        print_json(answer)
-    else:
-        columns = ["replica", "zone", "version", "generation", "whole", "drain", "members"]
-        print_table(answer["replicas"], columns)
-    return EXIT_OK
+    columns = ["replica", "zone", "version", "generation", "whole", "drain", "members"]
+    return _show_table(operators, key, json, "replicas", columns)
 
 
 def vms(*, operators: list[str] = (), key: str = "", json: bool = False):
@@ -49,13 +54,8 @@
     :param key: operator key
     :param json: print JSON
     """
-    answer = OperatorClient(list(operators), key).start().json("GET", "/operators/vms")
-    if json:
-        print_json(answer)
-    else:
-        columns = ["vm", "zone", "fabric_domain", "listed", "status", "replica", "age_ms"]
-        print_table(answer["vms"], columns)
-    return EXIT_OK
+    columns = ["vm", "zone", "fabric_domain", "listed", "status", "replica", "age_ms"]
+    return _show_table(operators, key, json, "vms", columns)
 
 
 def why(subject: str, *, operators: list[str] = (), key: str = "", json: bool = False):
--- a/libraries/daemon/src/corianderhaven/daemon/_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_daemon.py
@@ -41,6 +41,7 @@
     RemoteZones,
     ReplicaView,
     ResumeTokens,
+    TargetFinder,
     make_chooser,
 )
 
@@ -263,14 +264,15 @@
         self.load_book = LoadBook(self.clock, self.peers)
         self.remote_zones = RemoteZones(self.adoption, self.peers)
         self.admission = AdmissionController(self.clock, self.load_book, settings.fairness)
+        chooser = make_chooser(settings.chooser, self.load_book, settings.seed or None)
+        self.targets = TargetFinder(
+            self.view, chooser, self.load_book, self.remote_zones, self.holder
+        )
         self.drafts = DraftRouter(
             self.clock,
-            self.view,
-            make_chooser(settings.chooser, self.load_book, settings.seed or None),
+            self.targets,
             self.load_book,
             self.admission,
-            self.remote_zones,
-            self.holder,
             self.decisions,
             settings.secret,
             settings.resume,
--- a/libraries/daemon/src/corianderhaven/daemon/tests/fault_steps.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/fault_steps.py
@@ -59,7 +59,7 @@
     elif step == "admit":
         hook.before(daemon.admission, "admit")
     elif step == "choose":
-        hook.before(daemon.drafts, "local_target")
+        hook.before(daemon.targets, "local_target")
     elif step == "connect":
         hook.before(_upstream, "open_connection")
     elif step == "send":
--- a/libraries/placement/src/corianderhaven/placement/_controller.py
+++ b/libraries/placement/src/corianderhaven/placement/_controller.py
@@ -6,8 +6,10 @@
 from ._intent import IntentStore
 from ._lease import LeaseState, ZoneLease
 from ._measures import Measures
+from ._order_planner import OrderPlanner
 from ._orders import OrderSender
 from ._planner import Planner
+from ._reconcile import Reconciler
 
 TICK_MS = 400.0
 RENEW_PERIOD_MS = 2_000.0
@@ -41,6 +43,8 @@
         self.lease = ZoneLease(store, clock, zone, peers.own)
         self.intents = IntentStore(store, zone)
         self.planner = Planner(zone, facts, directory, clock, policy)
+        self.reconciler = Reconciler(zone, facts, directory)
+        self.order_planner = OrderPlanner(zone, facts, directory)
         self.orders = OrderSender(decisions)
         self.measures = Measures(clock, zone, self.planner)
         self.last_renewed_ms = float("-inf")
@@ -72,7 +76,7 @@
         if self.intents.intent is None:
             return
         self.measures.update(document, self.intents.intent)
-        orders = self.planner.orders(document, self.intents.intent)
+        orders = self.order_planner.orders(document, self.intents.intent)
         if orders and not self.orders.send_all(orders, self.lease):
             self._lose("an engine has refused the fencing token")
 
@@ -119,7 +123,7 @@
 
     def _plan(self, document):
         if not self.reconciled:
-            plan = self.planner.reconcile(document, self.intents.intent)
+            plan = self.reconciler.reconcile(self.intents.intent)
             if plan.changes and not self._put_in_force(plan):
                 return
             self.intents.intent = plan.intent
--- /dev/null
+++ b/libraries/placement/src/corianderhaven/placement/_order_planner.py
@@ -0,0 +1,86 @@
+"""Turns intent and facts into orders."""
+
+from corianderhaven.platform import VmKind
+
+from ._intent import DrainReason
+from ._member_state import MemberState, assess
+from ._orders import Order, OrderKind
+
+
+class OrderPlanner:
+    """Finds the orders that bring the members of a zone to the intent.
+
+    Parameters
+    ----------
+    zone : str
+    facts : FactBoard
+    directory : VmDirectory
+    """
+
+    def __init__(self, zone, facts, directory):
+        self.zone = zone
+        self.facts = facts
+        self.directory = directory
+
+    def orders(self, document, intent):
+        """Return the orders that bring the members to the intent.
+
+        A VM is ordered into a replica only when its own report shows it free, or in an
+        earlier formation of the same replica.
+        """
+        checks = {d.name: d.engine.checks_fencing_token for d in document.deployments}
+        orders = []
+        for replica in intent.replicas:
+            state = assess(replica, self.facts, self.directory)
+            check = checks.get(replica.deployment, False)
+            for rank, member in enumerate(replica.members):
+                orders += self._member_orders(replica, rank, member, state.members[rank], check)
+        orders += self._orphan_orders(intent, checks)
+        return orders
+
+    def _member_orders(self, replica, rank, member, state, check):
+        if state is MemberState.READY and replica.drain is not DrainReason.NONE:
+            return [_order(OrderKind.DRAIN, member, replica, rank, check)]
+        if state is not MemberState.MISPLACED:
+            return []
+        own = self.facts.fresh_report(member.vm).assignment
+        if own is None or own.replica_id == replica.replica_id:
+            return [_order(OrderKind.FORM, member, replica, rank, check)]
+        return [
+            Order(
+                OrderKind.RELEASE,
+                member.vm,
+                member.address,
+                own.replica_id,
+                own.generation,
+                check,
+            )
+        ]
+
+    def _orphan_orders(self, intent, checks):
+        """Release VMs that hold a replica's state which no intent gives them."""
+        used = intent.used_vms()
+        orders = []
+        for vm in self.directory.endpoints({self.zone}):
+            report = self.facts.fresh_report(vm.id)
+            own = report.assignment if report else None
+            if vm.kind is not VmKind.ENGINE or own is None or vm.id in used:
+                continue
+            check = checks.get(own.deployment, False)
+            orders.append(
+                Order(OrderKind.RELEASE, vm.id, vm.address, own.replica_id, own.generation, check)
+            )
+        return orders
+
+
+def _order(kind, member, replica, rank, check):
+    return Order(
+        kind,
+        member.vm,
+        member.address,
+        replica.replica_id,
+        replica.generation,
+        check,
+        replica,
+        rank,
+    )
--- a/libraries/placement/src/corianderhaven/placement/_planner.py
+++ b/libraries/placement/src/corianderhaven/placement/_planner.py
@@ -1,14 +1,13 @@
 """Decides which replicas there should be, and which orders follow."""
 
 from collections import Counter
-from dataclasses import dataclass, field
 
 from corianderhaven.membership import MemberReference
 from corianderhaven.platform import VmKind
 
 from ._intent import DrainReason, IntentReplica
 from ._member_state import MemberState, assess
-from ._orders import Order, OrderKind
+from ._plan import Plan
 from ._repair import RepairCase, RepairWay
 from ._stability import StabilityTracker
 
@@ -22,20 +21,6 @@
 )
 
 
-@dataclass
-class Plan:
-    """A changed copy of the intent.
-
-    Attributes
-    ----------
-    changes : list of dict
-        Decision log fields of each change; empty when the intent stays as it is.
-    """
-
-    intent: object
-    changes: list = field(default_factory=list)
-
-
 class Planner:
     """Plans one availability zone.
 
@@ -85,44 +70,6 @@
         self._preempt(plan, deployments)
         return plan
 
-    def reconcile(self, document, intent):
-        """Return a `Plan` that takes in whole replicas which the intent doesn't know.
-
-        Used after a holder has repaired without the platform, or the store was restored.
-        """
-        plan = Plan(intent.copy())
-        for assignment in self._whole_assignments():
-            known = plan.intent.find(assignment.replica_id)
-            if known is not None and known.generation >= assignment.generation:
-                continue
-            others = {vm for r in plan.intent.replicas if r is not known for vm in r.vms}
-            if others & {member.vm for member in assignment.members}:
-                continue
-            if known is not None:
-                plan.intent.replicas.remove(known)
-            vm = self.directory.vms.get(assignment.members[0].vm)
-            plan.intent.replicas.append(_replica_of(assignment, vm.fabric_domain if vm else ""))
-            self._note(plan, "replica_reconciled", assignment.replica_id)
-        highest = max((a.generation for a in self._assignments()), default=0)
-        plan.intent.next_generation = max(plan.intent.next_generation, highest + 1)
-        return plan
-
-    def orders(self, document, intent):
-        """Return the orders that bring the members to the intent.
-
-        A VM is ordered into a replica only when its own report shows it free, or in an
-        earlier formation of the same replica.
-        """
-        checks = {d.name: d.engine.checks_fencing_token for d in document.deployments}
-        orders = []
-        for replica in intent.replicas:
-            state = assess(replica, self.facts, self.directory)
-            check = checks.get(replica.deployment, False)
-            for rank, member in enumerate(replica.members):
-                orders += self._member_orders(replica, rank, member, state.members[rank], check)
-        orders += self._orphan_orders(intent, checks)
-        return orders
-
     def states(self, intent):
         """Return the `ReplicaState` of each intended replica by id."""
         return {r.replica_id: assess(r, self.facts, self.directory) for r in intent.replicas}
@@ -149,7 +96,7 @@
             self.stability.update(vm.id, self.facts.fresh_report(vm.id) is not None)
 
     def _note(self, plan, event, replica_id, **details):
-        plan.changes.append({"event": event, "replica": replica_id, "zone": self.zone, **details})
+        plan.note(event, replica_id, self.zone, **details)
 
     def _retire(self, plan, document, may_change):
         """Drain replicas whose deployment is gone or no longer wants them."""
@@ -432,71 +379,6 @@
         )
         return any(count >= deployment.members_per_replica for count in unused.values())
 
-    def _assignments(self):
-        engines = {vm.id for vm in self.engines()}
-        fresh = self.facts.fresh_facts()
-        return [
-            fact.report.assignment
-            for vm, fact in fresh.items()
-            if vm in engines and fact.report.assignment is not None
-        ]
-
-    def _whole_assignments(self):
-        """Return the first member's assignment of each replica that its members agree on."""
-        keys = Counter((a.replica_id, a.generation) for a in self._assignments())
-        return [
-            a
-            for a in self._assignments()
-            if a.rank == 0 and keys[(a.replica_id, a.generation)] == len(a.members)
-        ]
-
-    def _member_orders(self, replica, rank, member, state, check):
-        if state is MemberState.READY and replica.drain is not DrainReason.NONE:
-            return [_order(OrderKind.DRAIN, member, replica, rank, check)]
-        if state is not MemberState.MISPLACED:
-            return []
-        own = self.facts.fresh_report(member.vm).assignment
-        if own is None or own.replica_id == replica.replica_id:
-            return [_order(OrderKind.FORM, member, replica, rank, check)]
-        return [
-            Order(
-                OrderKind.RELEASE,
-                member.vm,
-                member.address,
-                own.replica_id,
-                own.generation,
-                check,
-            )
-        ]
-
-    def _orphan_orders(self, intent, checks):
-        """Release VMs that hold a replica's state which no intent gives them."""
-        used = intent.used_vms()
-        orders = []
-        for vm in self.engines():
-            report = self.facts.fresh_report(vm.id)
-            own = report.assignment if report else None
-            if own is None or vm.id in used:
-                continue
-            check = checks.get(own.deployment, False)
-            orders.append(
-                Order(OrderKind.RELEASE, vm.id, vm.address, own.replica_id, own.generation, check)
-            )
-        return orders
-
-
-def _order(kind, member, replica, rank, check):
-    return Order(
-        kind,
-        member.vm,
-        member.address,
-        replica.replica_id,
-        replica.generation,
-        check,
-        replica,
-        rank,
-    )
-
 
 def _is_current(replica, deployment):
     return (replica.model, replica.version, replica.adapters) == (
@@ -504,16 +386,3 @@
         deployment.version,
         deployment.adapters,
     )
-
-
-def _replica_of(assignment, fabric_domain):
-    return IntentReplica(
-        replica_id=assignment.replica_id,
-        generation=assignment.generation,
-        deployment=assignment.deployment,
-        model=assignment.model,
-        version=assignment.version,
-        adapters=list(assignment.adapters),
-        fabric_domain=fabric_domain,
-        members=list(assignment.members),
-    )
--- a/libraries/routing/src/corianderhaven/routing/__init__.py
+++ b/libraries/routing/src/corianderhaven/routing/__init__.py
@@ -8,14 +8,9 @@
     RandomChooser,
     make_chooser,
 )
+from ._chunks import chunk_finish_reason, chunk_text
 from ._claims import Claim, ClaimBook, ClaimState
-from ._drafts import (
-    DraftRelay,
-    DraftRequest,
-    DraftRouter,
-    chunk_finish_reason,
-    chunk_text,
-)
+from ._drafts import DraftRelay, DraftRequest, DraftRouter
 from ._group_commit import GroupCommitter
 from ._load_book import LoadBook
 from ._operations import OperationRequest, OperationRouter
@@ -24,6 +19,7 @@
 from ._resume_token import ResumePoint, ResumeTokens
 from ._retry import Backoff, RetryBudget
 from ._spill import RemoteZones
+from ._targets import TargetFinder
 
 __all__ = [
     "AdmissionController",
@@ -48,6 +44,7 @@
     "ResumePoint",
     "ResumeTokens",
     "RetryBudget",
+    "TargetFinder",
     "Ticket",
     "Verdict",
     "GroupCommitter",
--- a/libraries/routing/src/corianderhaven/routing/_drafts.py
+++ b/libraries/routing/src/corianderhaven/routing/_drafts.py
@@ -1,8 +1,5 @@
 """Drafts: admission, choice, attempts and resumption at the exact offset."""
 
-import itertools
-import math
-import random
 import secrets
 import threading
 from dataclasses import dataclass, field
@@ -19,10 +16,12 @@
 from corianderhaven.membership import peer_signature
 
 from . import _metrics as metrics
+from ._chunks import chunk_text
 from ._outcomes import AttemptEvidence, AttemptStage, Verdict, judge
 from ._prefix_affinity import prompt_blocks
 from ._resume_token import STREAM_SEPARATOR, ResumePoint
 from ._retry import Backoff, RetryBudget, parse_retry_after_ms
+from ._targets import Target
 from ._upstream import AttemptLostError, DraftAttempt
 
 MAX_ATTEMPTS = 8
@@ -70,21 +69,6 @@
     hops: int = 0
 
 
-@dataclass(frozen=True)
-class Target:
-    """Where one attempt goes: a replica, or a daemon of another zone."""
-
-    address: str
-    deployment: object
-    replica: object = None
-    zone: str = ""
-
-    @property
-    def key(self):
-        """Return the replica's key, or the peer's address."""
-        return self.replica.key if self.replica else self.address
-
-
 @dataclass
 class RelayState:
     """What a relay has done so far."""
@@ -102,13 +86,9 @@
     Parameters
     ----------
     clock : Clock
-    view : ReplicaView
-    chooser : BaseReplicaChooser
+    targets : TargetFinder
     load_book : LoadBook
     admission : AdmissionController
-    remote_zones : RemoteZones
-    holder : ConfigHolder
-        Gives the weights of client accounts.
     decisions : DecisionLog
     secret : str
         Of peer messages.
@@ -117,31 +97,17 @@
     """
 
     def __init__(
-        self,
-        clock,
-        view,
-        chooser,
-        load_book,
-        admission,
-        remote_zones,
-        holder,
-        decisions,
-        secret,
-        resume_enabled=True,
+        self, clock, targets, load_book, admission, decisions, secret, resume_enabled=True
     ):
         self.clock = clock
-        self.view = view
-        self.chooser = chooser
+        self.targets = targets
         self.load_book = load_book
         self.admission = admission
-        self.remote_zones = remote_zones
-        self.holder = holder
         self.decisions = decisions
         self.secret = secret
         self.resume_enabled = resume_enabled
         self.backoff = Backoff()
         self.budgets = {}
-        self.random = random.Random()
 
     def relay(self, request):
         """Return a `DraftRelay` for a `DraftRequest`."""
@@ -154,65 +120,6 @@
             budget = self.budgets[deployment.name] = RetryBudget(deployment.limits.retry_budget)
         return budget
 
-    def slots(self, deployment, hops):
-        """Return how many drafts of a deployment this daemon may run now.
-
-        What peers leave free may be used whole; of what they use this daemon may claim its
-        fair share, so that whoever came first doesn't keep all slots of a replica.
-        """
-        bound = deployment.limits.in_flight_per_replica
-        share = self.slot_share()
-        own = self.load_book.replicas
-        running = free = 0
-        for replica in self.view.for_deployment(deployment):
-            running += own.get(replica.key, 0)
-            allowed = self._replica_slots(replica.key, bound, share)
-            free += max(0, allowed - own.get(replica.key, 0))
-        for zone in () if hops else self.remote_zones.for_deployment(deployment.name):
-            running += sum(own.get(address, 0) for address in zone.addresses)
-            free += self._remote_slots(zone, share)
-        return running + free
-
-    def _remote_slots(self, zone, share):
-        """Return the part of a zone's free slots that is left since its summary was made."""
-        sent = sum(self.load_book.started_since(a, zone.made_ms) for a in zone.addresses)
-        return max(0, math.ceil(zone.free_slots * share) - sent)
-
-    def slot_share(self):
-        """Return this daemon's fair part of the zone's slots."""
-        document = self.holder.document
-        weights = {account.name: account.weight for account in document.accounts}
-        return self.load_book.slot_share(weights)
-
-    def _replica_slots(self, key, bound, share):
-        own = self.load_book.replicas.get(key, 0)
-        left_by_peers = bound - (self.load_book.in_flight(key) - own)
-        return max(left_by_peers, math.ceil(bound * share))
-
-    def local_target(self, deployment, blocks, excluded):
-        """Choose a replica of this zone with a free slot; returns a `Target` or None."""
-        bound = deployment.limits.in_flight_per_replica
-        share = self.slot_share()
-        free = [
-            replica
-            for replica in self.view.for_deployment(deployment)
-            if replica.key not in excluded
-            and self.load_book.replicas.get(replica.key, 0)
-            < self._replica_slots(replica.key, bound, share)
-        ]
-        if not free:
-            return None, None
-        choice = self.chooser.choose(free, blocks)
-        return Target(choice.replica.address, deployment, choice.replica), choice
-
-    def remote_target(self, deployment, excluded):
-        """Choose a daemon of the nearest other zone with capacity; returns a `Target` or None."""
-        for zone in self.remote_zones.for_deployment(deployment.name):
-            addresses = [a for a in zone.addresses if a not in excluded]
-            if addresses:
-                return Target(self.random.choice(addresses), deployment, zone=zone.zone)
-        return None
-
 
 class DraftRelay:
     """Relays one draft, over as many attempts as it takes, each token once.
@@ -270,7 +177,7 @@
     def _choose_deployment(self):
         """Prefer a deployment with free slots, in the order of their priority."""
         router, hops = self.router, self.request.hops
-        free = (d for d in self.request.deployments if router.slots(d, hops) > 0)
+        free = (d for d in self.request.deployments if router.targets.slots(d, hops) > 0)
         return next(free, self.request.deployments[0])
 
     def _admit(self):
@@ -278,7 +185,7 @@
             self.deployment,
             self.request.account,
             self.request.max_tokens,
-            lambda: self.router.slots(self.deployment, self.request.hops),
+            lambda: self.router.targets.slots(self.deployment, self.request.hops),
             lambda: self.caller_left,
         )
 
@@ -397,7 +304,7 @@
             if target is not None:
                 self._log_choice(target, choice)
                 if target.replica is not None:
-                    self.router.chooser.note_sent(target.replica, self.blocks)
+                    self.router.targets.chooser.note_sent(target.replica, self.blocks)
                 return target
             if not waited and self.state.excluded:
                 self.state.excluded.clear()
@@ -407,9 +314,9 @@
 
     def _choose_once(self):
         excluded = self.state.excluded
-        target, choice = self.router.local_target(self.deployment, self.blocks, excluded)
+        target, choice = self.router.targets.local_target(self.deployment, self.blocks, excluded)
         if target is None and self.request.hops == 0:
-            target = self.router.remote_target(self.deployment, excluded)
+            target = self.router.targets.remote_target(self.deployment, excluded)
         return target, choice
 
     def _check_patience(self):
@@ -424,11 +331,13 @@
 
     def _locate(self, resume_at):
         """Return the target that keeps the stream of a resume point."""
-        address = self.router.view.leader_address(resume_at.replica_id, resume_at.generation)
+        address = self.router.targets.view.leader_address(
+            resume_at.replica_id, resume_at.generation
+        )
         if address is not None:
-            replica = self.router.view.find(resume_at.replica_id, resume_at.generation)
+            replica = self.router.targets.view.find(resume_at.replica_id, resume_at.generation)
             return Target(address, self.deployment, replica)
-        addresses = self.router.remote_zones.addresses(resume_at.zone)
+        addresses = self.router.targets.remote_zones.addresses(resume_at.zone)
         if addresses and self.request.hops == 0:
             return Target(addresses[0], self.deployment, zone=resume_at.zone)
         raise self._stream_lost()
@@ -555,38 +464,6 @@
         )
 
 
-class _ChunkDelta(msgspec.Struct):
-    content: str | None = None
-
-
-class _ChunkChoice(msgspec.Struct):
-    text: str | None = None
-    delta: _ChunkDelta | None = None
-    finish_reason: str | None = None
-
-
-class _Chunk(msgspec.Struct):
-    choices: list[_ChunkChoice] = []
-
-
-_CHUNK_DECODER = msgspec.json.Decoder(_Chunk)
-
-
-def chunk_text(data):
-    """Return the text of one chunk of the published format."""
-    choices = _CHUNK_DECODER.decode(data).choices
-    if not choices:
-        return ""
-    choice = choices[0]
-    return choice.text or (choice.delta.content if choice.delta else None) or ""
-
-
-def chunk_finish_reason(data):
-    """Return the finish reason of one chunk, or None."""
-    choices = _CHUNK_DECODER.decode(data).choices
-    return next(itertools.chain((c.finish_reason for c in choices), [None]))
-
-
 def _send_cancel(address, stream_id, after_ms):
     client = JsonClient(address, CANCEL_TIMEOUT_MS)
     try:
