Follow cache events as hints; fall back on silent endpoints for idempotent operations

Cause: the prefix index never learned of evictions, and a daemon whose own probes all fail sent nothing although the fault may have been its own (panic bound).

Conclusion: hints cost one small call a second for each replica in use.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,9 @@
 	$(BIN)/python benchmarks/capacity.py
 
 bench: setup
-	$(BIN)/python benchmarks/run_all.py
+	$(BIN)/python benchmarks/requests_bench.py
+	$(BIN)/python benchmarks/placement_bench.py
+	$(BIN)/python docs/make_measurements.py
 
 clean:
 	rm -rf $(VENV)
--- a/libraries/daemon/src/corianderhaven/daemon/_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_daemon.py
@@ -32,12 +32,14 @@
 from corianderhaven.platform import EtcdGatewayStore, HttpVmList
 from corianderhaven.routing import (
     AdmissionController,
+    CacheEventFollower,
     CallerWatch,
     ClaimBook,
     DraftRouter,
     GroupCommitter,
     LoadBook,
     OperationRouter,
+    PrefixIndex,
     RemoteZones,
     ReplicaView,
     ResumeTokens,
@@ -87,6 +89,7 @@
         self.committer.start()
         self.claims.start()
         self.caller_watch.start()
+        self.cache_events.start()
         self.directory.update()
         self.watcher.start()
         self.heartbeater.start()
@@ -109,6 +112,7 @@
         self.claims.close()
         self.committer.close()
         self.caller_watch.close()
+        self.cache_events.close()
         self.transport.close()
         self.store.close()
         self.vm_list.close()
@@ -277,6 +281,8 @@
             settings.secret,
             settings.resume,
         )
+        index = getattr(chooser, "index", PrefixIndex())
+        self.cache_events = CacheEventFollower(self.clock, self.view, self.load_book, index)
         self.committer = GroupCommitter(self.store)
         self.claims = ClaimBook(
             self.store, self.committer, self.clock, self.own, self.transport, self.decisions
--- a/libraries/routing/src/corianderhaven/routing/__init__.py
+++ b/libraries/routing/src/corianderhaven/routing/__init__.py
@@ -1,6 +1,7 @@
 """Admission, replica choice, attempts, streams and at-most-once operations."""
 
 from ._admission import AdmissionController, Ticket
+from ._cache_events import CacheEventFollower
 from ._caller_watch import CallerWatch
 from ._choice import (
     BaseReplicaChooser,
@@ -15,6 +16,7 @@
 from ._load_book import LoadBook
 from ._operations import OperationRequest, OperationRouter
 from ._outcomes import AttemptEvidence, AttemptStage, Verdict, judge
+from ._prefix_affinity import PrefixIndex
 from ._replicas import Replica, ReplicaView
 from ._resume_token import ResumePoint, ResumeTokens
 from ._retry import Backoff, RetryBudget
@@ -27,6 +29,7 @@
     "AttemptStage",
     "Backoff",
     "BaseReplicaChooser",
+    "CacheEventFollower",
     "CallerWatch",
     "Claim",
     "ClaimBook",
@@ -38,6 +41,7 @@
     "LoadBook",
     "OperationRequest",
     "OperationRouter",
+    "PrefixIndex",
     "RandomChooser",
     "Replica",
     "ReplicaView",
--- /dev/null
+++ b/libraries/routing/src/corianderhaven/routing/_cache_events.py
@@ -0,0 +1,91 @@
+"""Follows the cache events of replicas that this daemon sends drafts to, as hints."""
+
+import http.client
+
+import msgspec
+
+from corianderhaven.common import JsonClient, PeriodicThread, TransportError
+
+PERIOD_MS = 1_000.0
+TIMEOUT_MS = 300.0
+RECENT_MS = 10_000.0
+
+
+class CacheEvent(msgspec.Struct):
+    """One published event; events come late, and some never come."""
+
+    sequence: int
+    kind: str
+    block: str
+
+
+class CacheEvents(msgspec.Struct):
+    """Answer of ``GET /cache-events``."""
+
+    events: list[CacheEvent]
+
+
+class CacheEventFollower:
+    """Feeds published events into the prefix index.
+
+    Only replicas with own requests in the last seconds are asked, so that the cost follows
+    the daemon's own work and not the size of the zone.
+
+    Parameters
+    ----------
+    clock : Clock
+    view : ReplicaView
+    load_book : LoadBook
+    index : PrefixIndex
+    """
+
+    def __init__(self, clock, view, load_book, index):
+        self.clock = clock
+        self.view = view
+        self.load_book = load_book
+        self.index = index
+        self.sequences = {}
+        self.periodic = None
+
+    def start(self):
+        """Start following."""
+        self.periodic = PeriodicThread("cache-events", self.update, PERIOD_MS).start()
+        return self
+
+    def close(self):
+        """Stop following."""
+        self.periodic.close()
+
+    def update(self):
+        """Ask each recently used replica once."""
+        replicas = self.view.whole()
+        keys = {replica.key for replica in replicas}
+        self.load_book.forget_old()
+        self.sequences = {key: n for key, n in self.sequences.items() if key in keys}
+        since_ms = self.clock.now_ms() - RECENT_MS
+        for replica in replicas:
+            if self.load_book.started_since(replica.key, since_ms):
+                self._follow(replica)
+
+    def _follow(self, replica):
+        client = JsonClient(replica.address, TIMEOUT_MS)
+        since = self.sequences.get(replica.key, 0)
+        try:
+            exchange = client.call("GET", f"/cache-events?since={since}")
+            if exchange.status != http.client.OK:
+                return
+            events = msgspec.json.decode(exchange.body, type=CacheEvents).events
+        except (TransportError, msgspec.DecodeError):
+            return
+        finally:
+            client.close()
+        for event in events:
+            self._apply(replica.key, event)
+
+    def _apply(self, key, event):
+        """Take one event; those that were lost between two leave the index merely imprecise."""
+        self.sequences[key] = max(event.sequence, self.sequences.get(key, 0))
+        if event.kind == "stored":
+            self.index.note(key, [event.block])
+        elif event.kind == "evicted":
+            self.index.note_evicted(key, event.block)
--- a/libraries/routing/src/corianderhaven/routing/_load_book.py
+++ b/libraries/routing/src/corianderhaven/routing/_load_book.py
@@ -6,6 +6,7 @@
 
 PEER_REPORT_BOUND_MS = 20_000.0
 START_HISTORY = 256
+FORGET_AFTER_MS = 120_000.0
 GAP_SMOOTHING = 0.1
 RECOVERY_PER_S = 0.05
 MIN_GAP_MS = 0.1
@@ -150,12 +151,13 @@
             return pace.gap_ms
         return max(replica.load.step_ms, MIN_GAP_MS)
 
-    def forget_absent(self, keys):
-        """Drop the paces of replicas that are gone."""
+    def forget_old(self):
+        """Drop what is known of replicas and addresses that had no request for long."""
+        limit = self.clock.now_ms() - FORGET_AFTER_MS
         with self.lock:
-            for key in [k for k in self.paces if k not in keys]:
+            for key in [k for k, pace in self.paces.items() if pace.updated_ms < limit]:
                 del self.paces[key]
-            for key in [k for k in self.starts if k not in keys and k not in self.replicas]:
+            for key in [k for k, starts in self.starts.items() if starts and starts[-1] < limit]:
                 del self.starts[key]
 
     def _recent_peers(self):
--- a/libraries/routing/src/corianderhaven/routing/_operations.py
+++ b/libraries/routing/src/corianderhaven/routing/_operations.py
@@ -139,6 +139,17 @@
 
     def endpoints(self, service):
         """Return the targets of this zone that may take new work."""
+        return [t for t in self._listed(service) if self._serves(self.facts.fresh_report(t.vm))]
+
+    def silent_endpoints(self, service):
+        """Return targets that served when last heard of, whose silence may be our own fault.
+
+        Used for idempotent operations when no endpoint is known to be alive.
+        """
+        last = ((t, self.facts.get(t.vm)) for t in self._listed(service))
+        return [t for t, fact in last if fact is not None and self._serves(fact.report)]
+
+    def _listed(self, service):
         selector = service.vms
         return [
             ServiceTarget(vm.address, vm.id)
@@ -147,11 +158,9 @@
             and vm.label == selector.label
             and (not selector.zones or vm.zone in selector.zones)
             and not self.directory.is_leaving(vm.id)
-            and self._is_serving(vm.id)
         ]
 
-    def _is_serving(self, vm_id):
-        report = self.facts.fresh_report(vm_id)
+    def _serves(self, report):
         return report is not None and report.status == "serving" and not report.leaving
 
     def _run_keyed(self, request):
@@ -261,6 +270,8 @@
     def _choose(self, request, tried):
         """Power of two choices on own requests in flight; another zone when there is none here."""
         free = [t for t in self.endpoints(request.service) if t.address not in tried]
+        if not free and request.operation.idempotent:
+            free = [t for t in self.silent_endpoints(request.service) if t.address not in tried]
         if free:
             sample = self.random.sample(free, min(SAMPLE_SIZE, len(free)))
             return min(sample, key=lambda target: self.in_flight[target.address])
--- a/libraries/routing/src/corianderhaven/routing/tests/test_choice.py
+++ b/libraries/routing/src/corianderhaven/routing/tests/test_choice.py
@@ -5,7 +5,8 @@
 from corianderhaven.common import ManualClock
 from corianderhaven.membership import Load, MemberReference, PeerInfo, PeerTable
 from corianderhaven.routing import LeastWaitChooser, LoadBook, Replica
-from corianderhaven.routing._prefix_affinity import prompt_blocks
+from corianderhaven.routing._cache_events import CacheEvent, CacheEventFollower
+from corianderhaven.routing._prefix_affinity import PrefixIndex, prompt_blocks
 
 OWN = PeerInfo("own", "z", "own-1", "127.0.0.1:1", 1)
 
@@ -70,3 +71,15 @@
     assert prompt_blocks(shared + "a" * 300)[:2] == prompt_blocks(shared + "b" * 300)[:2]
     assert prompt_blocks(shared + "a" * 300)[-1] != prompt_blocks(shared + "b" * 300)[-1]
     assert prompt_blocks("short") == []
+
+
+def test_cache_events_are_hints():
+    index = PrefixIndex()
+    blocks = prompt_blocks("a street " * 200)
+    follower = CacheEventFollower(ManualClock(), None, None, index)
+    for number, block in enumerate(blocks[:3], 1):
+        follower._apply("r", CacheEvent(number, "stored", block))
+    assert index.covered("r", blocks) == 3
+    follower._apply("r", CacheEvent(9, "evicted", blocks[1]))
+    assert index.covered("r", blocks) == 1
+    assert follower.sequences == {"r": 9}
