Prove adoption of zones, starts without the platform, and bad input

The stand-in service answered 500 to a body that is no object (found by hypothesis).

Conclusion: a zone's loss is bridged by its neighbour and handed back.

--- /dev/null
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_zone_adoption.py
@@ -0,0 +1,75 @@
+"""A zone that loses its only daemon is served by the nearest zone, and handed back."""
+
+from corianderhaven.standins import expected_text
+
+BODY = {"model": "report-drafter", "prompt": "Adopted", "max_tokens": 20}
+
+
+def complete(site, daemon):
+    answer = site.caller(daemon, "POST", "/v1/completions", BODY)
+    assert answer.status == 200, answer.body
+    return answer.json()["choices"][0]["text"]
+
+
+def test_zone_is_adopted_and_handed_back(make_site, layout_functions):
+    engine, service = layout_functions
+    vms = [engine("plateau", n) for n in range(1, 5)] + [service("plateau")]
+    site = make_site({"plateau": 1, "pikine": 1, "rufisque": 1}, vms)
+    plateau, pikine, rufisque = site.daemons
+    site.wait_whole(2)
+    site.wait_for(lambda: pikine.adoption.records, "summaries of other zones")
+    assert complete(site, rufisque) == expected_text("Adopted", 20)
+    plateau.close()
+    site.site.vm_list.set_state(plateau.own.name, "gone")
+    site.wait_for(lambda: "plateau" in pikine.adoption.served_zones(), "adoption", 40)
+    assert rufisque.adoption.served_zones() == {"rufisque"}
+    site.wait_for(lambda: len(pikine.view.whole()) == 2, "its replicas", 20)
+    site.wait_for(
+        lambda: pikine.placement.placers["plateau"].lease.current_state() == "held", "its lease"
+    )
+    assert complete(site, pikine) == expected_text("Adopted", 20)
+    site.wait_for(
+        lambda: rufisque.targets.remote_zones.for_deployment("drafts"), "the new summary", 20
+    )
+    assert complete(site, rufisque) == expected_text("Adopted", 20)
+    assert site.operate(pikine, "adopted", key="adopted").status == 200
+    back = site.start_daemon("plateau", 1)
+    site.wait_for(lambda: pikine.adoption.served_zones() == {"pikine"}, "handing back", 20)
+    site.wait_for(lambda: len(back.view.whole()) == 2, "the own zone's replicas", 20)
+    site.wait_for(
+        lambda: back.placement.placers["plateau"].lease.current_state() == "held", "the lease back"
+    )
+    assert complete(site, back) == expected_text("Adopted", 20)
+
+
+def test_leaving_endpoint_gets_no_new_work(make_site, layout_functions):
+    engine, service = layout_functions
+    site = make_site({"plateau": 1}, [service("plateau", 1), service("plateau", 2)])
+    daemon = site.daemons[0]
+    document = daemon.holder.document
+    site.wait_for(lambda: len(daemon.operations.endpoints(document.services[0])) == 2, "endpoints")
+    site.site.vm_list.set_state("tablet-plateau-1", "leaving")
+    site.site.set_fault("tablet-plateau-2", "leaving", True)
+    site.wait_for(lambda: not daemon.operations.endpoints(document.services[0]), "both leaving")
+    answer = site.operate(daemon, "late", key="late")
+    assert (answer.status, answer.json()["error"]["outcome"]) == (503, "not_run")
+    assert site.executions("late") == 0
+
+
+def test_daemon_with_no_source_of_configuration_is_not_ready(make_site, layout_functions):
+    site = make_site({"plateau": 1}, [], apply=False)
+    daemon = site.daemons[0]
+    assert site.caller(daemon, "GET", "/readyz").status == 503
+    assert site.caller(daemon, "GET", "/healthz").status == 200
+    answer = site.caller(daemon, "GET", "/v1/models")
+    assert answer.json()["error"]["code"] == "not_ready"
+
+
+def test_daemon_that_starts_while_the_platform_is_away_asks_its_seeds(make_site):
+    site = make_site({"plateau": 1}, [])
+    first = site.daemons[0]
+    site.site.kv_gateway.faults.down = True
+    site.settings["seeds"] = [first.own.address]
+    late = site.start_daemon("plateau", 2)
+    site.wait_for(lambda: late.holder.revision == first.holder.revision, "the configuration")
+    assert site.caller(late, "GET", "/readyz").status == 200
--- a/libraries/standins/src/corianderhaven/standins/_service.py
+++ b/libraries/standins/src/corianderhaven/standins/_service.py
@@ -117,7 +117,8 @@
             self.in_flight -= 1
 
     def _execute(self, request, body):
-        operation_id = str(body.get("operation_id", request.request_id))
+        named = body.get("operation_id") if isinstance(body, dict) else None
+        operation_id = str(named or request.request_id)
         count = self.ledger.record(operation_id)
         if self.slow_ms:
             self.clock.sleep_ms(self.slow_ms)
