--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -2,12 +2,17 @@
 
 import argparse
 import json
+import socket
 import subprocess
 import sys
+import threading
 from pathlib import Path
 
 import numpy
 
+from corianderhaven.common import HttpServer, Router, json_response
+from corianderhaven.membership import PeerTransport
+
 ROOT = Path(__file__).parent.parent
 RESULTS = ROOT / "benchmarks" / "results"
 DAEMONS, WORKERS, ZONES, MEMBERS = 360, 600, 11, 8
@@ -43,6 +48,42 @@
     return int(answer.stdout) / 1024
 
 
+def header_bytes():
+    """Return the bytes of headers of one exchange between daemons, both ways."""
+    request_bytes = []
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        thread = threading.Thread(target=_record_request, args=(listener, request_bytes))
+        thread.start()
+        PeerTransport("a-secret-of-the-site").call(address, "POST", "/peer/heartbeat", {})
+        thread.join()
+    return request_bytes[0] + _answer_header_bytes()
+
+
+def _record_request(listener, sizes):
+    connection, _ = listener.accept()
+    with connection:
+        received = b""
+        while b"\r\n\r\n" not in received:
+            received += connection.recv(65_536)
+        sizes.append(received.index(b"\r\n\r\n") + 4)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+
+
+def _answer_header_bytes():
+    router = Router()
+    router.add("GET", "/", lambda request: json_response({}))
+    server = HttpServer("127.0.0.1:0", router, 2).start()
+    host, _, port = server.address.rpartition(":")
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        received = b""
+        while b"\r\n\r\n" not in received:
+            received += connection.recv(65_536)
+    server.close()
+    return received.index(b"\r\n\r\n") + 4
+
+
 def rows():
     """Return the control measurements as (daemons a zone, endpoints a zone, figures)."""
     found = []
@@ -139,7 +180,9 @@
     operations = load("requests_operations")
     core_per_token = through["daemon_cores"] / through["tokens_per_s"]
     writes_per_operation = operations["store_calls"]["write"] / operations["operations"]
-    control_bytes = target["probe_bytes"] + target["peer_bytes"]
+    overhead = header_bytes()
+    headers = overhead * (target["probes"] + found["messages"])
+    control_bytes = target["probe_bytes"] + target["peer_bytes"] + headers
     baseline_mb = library_baseline_mb()
     control_mb = max(0.0, target["memory"] - baseline_mb)
     template = (ROOT / "docs" / "CAPACITY.template.md").read_text()
@@ -153,6 +196,9 @@
         "peer_bytes": f"{target['peer_bytes']:.0f}",
         "peer_base": f"{found['peer'][0]:.0f}",
         "peer_slope": f"{found['peer'][1]:.0f}",
+        "header_size": f"{overhead}",
+        "header_bytes": f"{headers:.0f}",
+        "messages": f"{found['messages']:.1f}",
         "control_bytes": f"{control_bytes:.0f}",
         "bytes_verdict": verdict(control_bytes, BUDGET_BYTES),
         "cpu": f"{target['cpu'] * 100:.2f}",
