Keep the total deadline, and stop streams nobody wants at the engine

Cause: found on reading the relay: the total deadline was looked at only after a loss, so that a stream that goes on was never ended; an attempt given up before its first event was not cancelled at the engine, since its stream id was learned from events; a batch without tokens could divide by zero; a deployment counted as having free slots as soon as it had requests in flight.

Change: the deadline is checked with each batch; the chosen stream id is kept from the start; guards.

Conclusion: an engine's slots are freed when a caller leaves or an attempt is given up.

--- a/libraries/routing/src/corianderhaven/routing/_drafts.py
+++ b/libraries/routing/src/corianderhaven/routing/_drafts.py
@@ -136,6 +136,7 @@
         self.state = RelayState(request.delivered)
         self.attempt = None
         self.stream_id = None
+        self.open_stream_id = None
         self.caller_left = False
         self.clock = router.clock
         self.accepted_ms = router.clock.now_ms()
@@ -177,7 +178,7 @@
     def _choose_deployment(self):
         """Prefer a deployment with free slots, in the order of their priority."""
         router, hops = self.router, self.request.hops
-        free = (d for d in self.request.deployments if router.targets.slots(d, hops) > 0)
+        free = (d for d in self.request.deployments if router.targets.has_free(d, hops))
         return next(free, self.request.deployments[0])
 
     def _admit(self):
@@ -211,21 +212,17 @@
             attempt.aborted = True
         try:
             attempt.start()
-            yield from self._relay_events(attempt, key)
+            yield from self._relay_events(attempt, target)
         except GeneratorExit:
             self._cancel(target, DETACHED_KEEP_MS)
             raise
-        except AttemptLostError as lost:
-            if lost.reason in ("timeout", "reset"):
-                attempt.close()
-            raise
         finally:
             self.attempt = None
             self.router.load_book.end(key)
             attempt.close()
 
-    def _relay_events(self, attempt, key):
-        state = self.state
+    def _relay_events(self, attempt, target):
+        state, key = self.state, target.key
         clock, load_book = self.clock, self.router.load_book
         gap_started, gap_tokens = None, 0
         for number, batch in enumerate(attempt.batches()):
@@ -237,9 +234,12 @@
                 gap_started = now
             else:
                 gap_tokens += len(batch)
-                if number % GAP_BATCHES == 0:
+                if gap_tokens and number % GAP_BATCHES == 0:
                     load_book.note_gap(key, (now - gap_started) / gap_tokens)
                     gap_started, gap_tokens = now, 0
+            if now > self.accepted_ms + self.deployment.limits.total_deadline_ms:
+                self._cancel(target, 0)
+                raise self._failure(ErrorCode.DEADLINE_EXCEEDED, "total deadline passed")
             if not events:
                 continue
             self.stream_id = attempt.stream_id or self.stream_id
@@ -256,6 +256,7 @@
         request = self.request
         headers = {"X-Request-Id": request.request_id, "Content-Type": "application/json"}
         if resume_at is not None:
+            self.open_stream_id = resume_at.stream_id
             path = f"/v1/streams/{resume_at.stream_id}"
             query = f"?offset={resume_at.offset}"
             method, body = "GET", None
@@ -270,7 +271,8 @@
                 self.router.secret, method, path, body or b""
             )
         elif target.replica is not None and resume_at is None:
-            headers["X-Stream-Id"] = self._new_stream_id(target.replica)
+            self.open_stream_id = self._new_stream_id(target.replica)
+            headers["X-Stream-Id"] = self.open_stream_id
         first_ms = RESUME_WAIT_MS if resume_at else limits.first_token_deadline_ms
         first_ms = max(1.0, min(first_ms, self._remaining_ms()))
         return DraftAttempt(
@@ -355,7 +357,7 @@
             status=lost.status,
             delivered=state.delivered,
         )
-        self._check_continuable(lost)
+        self._check_continuable(target)
         if lost.status is not None and lost.status < 500 and lost.reason == "refused":
             self._check_refusal(lost)
         if self.request.resume is not None:
@@ -389,8 +391,9 @@
                 raise self._failure(ErrorCode.ENDPOINT_REFUSED, "refused until past the deadline")
             self.clock.sleep_ms(pause)
 
-    def _check_continuable(self, lost):
+    def _check_continuable(self, target):
         if self.caller_left:
+            self._cancel(target, 0)
             raise self._failure(ErrorCode.ENDPOINT_LOST, "the caller has left")
         if self._remaining_ms() <= 0:
             raise self._failure(ErrorCode.DEADLINE_EXCEEDED, "total deadline passed")
@@ -398,7 +401,7 @@
         if begun and not self.router.resume_enabled:
             raise self._failure(ErrorCode.INCOMPLETE_STREAM, "resumption is switched off")
         if self.state.attempts >= MAX_ATTEMPTS:
-            message = f"{self.state.attempts} attempts broke, the last by {lost.reason}"
+            message = f"{self.state.attempts} attempts broke"
             raise self._failure(ErrorCode.ENDPOINT_LOST, message)
 
     def _check_refusal(self, lost):
@@ -429,7 +432,7 @@
 
     def _cancel(self, target, after_ms):
         """Tell the engine in the background that nobody reads the stream any more."""
-        stream_id = self.stream_id
+        stream_id = self.open_stream_id
         if stream_id is None or target.replica is None:
             return
         threading.Thread(
--- a/libraries/routing/src/corianderhaven/routing/_targets.py
+++ b/libraries/routing/src/corianderhaven/routing/_targets.py
@@ -47,6 +47,15 @@
         What peers leave free may be used whole; of what they use this daemon may claim its
         fair share, so that whoever came first doesn't keep all slots of a replica.
         """
+        running, free = self._count(deployment, hops)
+        return running + free
+
+    def has_free(self, deployment, hops):
+        """Return whether a draft of a deployment would find a slot at once."""
+        return self._count(deployment, hops)[1] > 0
+
+    def _count(self, deployment, hops):
+        """Return own drafts in flight and free slots."""
         bound = deployment.limits.in_flight_per_replica
         share = self.slot_share()
         own = self.load_book.replicas
@@ -58,7 +67,7 @@
         for zone in () if hops else self.remote_zones.for_deployment(deployment.name):
             running += sum(own.get(address, 0) for address in zone.addresses)
             free += self._remote_slots(zone, share)
-        return running + free
+        return running, free
 
     def _remote_slots(self, zone, share):
         """Return the part of a zone's free slots that is left since its summary was made."""
