Show a wrong number as it was typed; refuse forms without an origin of their own

Cause: looking at the screenshots of the console: a field of type number hides a value that is no number, beside its error; a list of three lines showed two.

Spares are ordered to load weights before they are needed (its measurement follows).

Conclusion: a test driven in a real browser is still missing.

--- a/libraries/daemon/src/corianderhaven/daemon/_console.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_console.py
@@ -90,12 +90,8 @@
     def _check_origin(self, request):
         """Refuse a form that another site has sent."""
         origin = request.header("origin")
-        if origin not in (
-            None,
-            "null",
-            f"http://{request.header('host')}",
-            f"https://{request.header('host')}",
-        ):
+        host = request.header("host")
+        if origin not in (None, f"http://{host}", f"https://{host}"):
             raise CorianderhavenError(ErrorCode.FORBIDDEN, "cross-site form")
 
     def _live(self, request, operator, session):
--- a/libraries/daemon/src/corianderhaven/daemon/_console_forms.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_console_forms.py
@@ -32,7 +32,6 @@
     errors: list = field(default_factory=list)
     choices: list = field(default_factory=list)
     children: list = field(default_factory=list)
-    step: str = "1"
 
 
 def document_form(raw, errors=()):
@@ -145,7 +144,6 @@
         made.kind = "checkbox"
     elif isinstance(kind, msgspec.inspect.IntType | msgspec.inspect.FloatType):
         made.kind = "number"
-        made.step = "1" if isinstance(kind, msgspec.inspect.IntType) else "any"
     elif isinstance(kind, msgspec.inspect.LiteralType):
         made.kind, made.choices = "choice", list(kind.values)
     return made
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_console.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_console.py
@@ -89,6 +89,7 @@
     values = form_values(browser.send("GET", "/console/config")[1])
     origin = {"Origin": "http://elsewhere.example"}
     assert browser.send("POST", "/console/config", values, **origin)[0] == 403
+    assert browser.send("POST", "/console/login", {"key": OPERATOR_KEY}, Origin="null")[0] == 403
     values["form_token"] = "0" * 64
     assert browser.send("POST", "/console/config", values)[0] == 403
 
--- a/libraries/placement/src/corianderhaven/placement/_controller.py
+++ b/libraries/placement/src/corianderhaven/placement/_controller.py
@@ -3,6 +3,7 @@
 from corianderhaven.common import PeriodicThread
 from corianderhaven.platform import KeyValueError
 
+from ._hot_spares import HotSpares
 from ._intent import IntentStore
 from ._lease import LeaseState, ZoneLease
 from ._measures import Measures
@@ -45,6 +46,8 @@
         self.planner = Planner(zone, facts, directory, clock, policy)
         self.reconciler = Reconciler(zone, facts, directory)
         self.order_planner = OrderPlanner(zone, facts, directory)
+        self.hot_spares = HotSpares(zone, facts, directory, clock)
+        self.planner.spare_loads = self.hot_spares.loading
         self.orders = OrderSender(decisions)
         self.measures = Measures(clock, zone, self.planner)
         self.last_renewed_ms = float("-inf")
@@ -77,6 +80,8 @@
             return
         self.measures.update(document, self.intents.intent)
         orders = self.order_planner.orders(document, self.intents.intent)
+        loading = self.planner.loading(self.intents.intent)
+        orders += self.hot_spares.orders(document, self.intents.intent, loading)
         if orders and not self.orders.send_all(orders, self.lease):
             self._lose("an engine has refused the fencing token")
 
--- a/libraries/placement/src/corianderhaven/placement/_orders.py
+++ b/libraries/placement/src/corianderhaven/placement/_orders.py
@@ -20,6 +20,7 @@
     FORM = "form"
     DRAIN = "drain"
     RELEASE = "release"
+    LOAD = "load"
 
 
 @dataclass(frozen=True)
@@ -34,6 +35,7 @@
     checks_fencing_token: bool
     replica: object = None
     rank: int = 0
+    weights: object = None
 
 
 class OrderSender:
@@ -109,6 +111,8 @@
             "replica_id": order.replica_id,
             "generation": order.generation,
         }
+        if order.kind is OrderKind.LOAD:
+            message.update(model=order.weights.model, version=order.weights.version)
         if order.kind is OrderKind.FORM:
             replica = order.replica
             message.update(
--- a/libraries/placement/src/corianderhaven/placement/_planner.py
+++ b/libraries/placement/src/corianderhaven/placement/_planner.py
@@ -41,6 +41,7 @@
         self.policy = policy
         self.stability = StabilityTracker(clock)
         self.drain_started = {}
+        self.spare_loads = lambda: 0
 
     def plan(self, document, intent, may_change):
         """Return a `Plan`.
@@ -231,12 +232,16 @@
         needed = sum(1 for vm in vms if not self._holds_weights(vm.id, deployment))
         if not needed:
             return True
-        loading = sum(
+        loading = self.loading(plan.intent) + self.spare_loads()
+        return loading == 0 or loading + needed <= document.weight_store_loads
+
+    def loading(self, intent):
+        """Return how many members load weights, or are about to."""
+        return sum(
             state in (MemberState.LOADING, MemberState.MISPLACED)
-            for replica in plan.intent.replicas
+            for replica in intent.replicas
             for state in assess(replica, self.facts, self.directory).members
         )
-        return loading == 0 or loading + needed <= document.weight_store_loads
 
     def _replace_members(self, plan, replica, state, spares):
         kept = [
--- a/libraries/placement/src/corianderhaven/placement/tests/test_placement.py
+++ b/libraries/placement/src/corianderhaven/placement/tests/test_placement.py
@@ -26,6 +26,15 @@
     assert victim not in set().union(*model.whole().values())
 
 
+def test_spare_holds_the_weights_before_it_is_needed():
+    model = ZoneModel(vms=5, members=2)
+    model.run(10)
+    whole = set().union(*model.whole().values())
+    spare = next(e for e in model.engines.values() if e.vm.id not in whole)
+    assert [w.model for w in spare.loaded] == ["report-drafter"]
+    assert spare.assignment is None
+
+
 def test_short_pause_is_waited_out_and_long_one_repaired():
     model = ZoneModel(vms=3, members=2)
     model.run(8)
--- a/libraries/placement/src/corianderhaven/placement/tests/zone_model.py
+++ b/libraries/placement/src/corianderhaven/placement/tests/zone_model.py
@@ -85,6 +85,9 @@
             )
             self.draining = False
             self.loaded = [Weights(replica.model, replica.version)]
+        elif order.kind == "load":
+            if own is None:
+                self.loaded = [order.weights]
         elif own and (own.replica_id, own.generation) == (order.replica_id, order.generation):
             if order.kind == "drain":
                 self.draining = True
--- a/libraries/standins/src/corianderhaven/standins/_engine.py
+++ b/libraries/standins/src/corianderhaven/standins/_engine.py
@@ -151,6 +151,9 @@
                     ErrorCode.ORDER_REFUSED, f"token {token} is older than {self.highest_token}"
                 )
             self.highest_token = max(self.highest_token, token)
+            if order["kind"] == "load":
+                self._preload((order["model"], order["version"]))
+                return
             if order["kind"] == "form":
                 self._form(order)
                 return
@@ -180,6 +183,21 @@
         self.loaded = [weights]
         threading.Timer(load_ms / 1000, self.weight_store.end).start()
 
+    def _preload(self, weights):
+        """Load weights into a free VM in the background."""
+        if self.assignment is not None or weights in self.loaded:
+            return
+        instance = self.instance
+        load_ms = self.layout.load_ms * self.weight_store.begin()
+
+        def finish():
+            self.weight_store.end()
+            with self.lock:
+                if self.instance == instance and self.assignment is None:
+                    self.loaded = [weights]
+
+        threading.Timer(load_ms / 1000, finish).start()
+
     def whole(self):
         """Return whether every member is alive, loaded and in the same replica."""
         assignment = self.assignment
