--- a/libraries/standins/src/corianderhaven/standins/_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_site.py
@@ -37,7 +37,7 @@
     target : str
         A VM id, a fabric domain as ``domain:NAME``, a zone as ``zone:NAME``, or ``platform``.
     fault : str
-        See the stand-ins' page.
+        See docs/standins.md.
     value : object
         Number, bool or list that the fault takes.
     """
