Let a zone without replicas queue at its neighbours, within one deadline

It came through the zone without replicas: under overload the other zones' summaries show no free slot, so that its daemon forwarded nothing. Ruled out: the order in the queue (the request stood alone in it).

Change: such a daemon may have 8 drafts waiting at a neighbour, whose queue is fair to them; the time waited there counts against one queue deadline, since two queues made waits of up to 7.3 s.

--- a/docs/make_measurements.py
+++ b/docs/make_measurements.py
@@ -110,6 +110,11 @@
             "placement_policies",
             "policy, weights",
         ),
+        *plain_section(
+            "From the loss of a member to no new draft there, and to whole again (spare at hand)",
+            "loss_times",
+            "fault",
+        ),
         "`weighted_cost` is the document's weight of group downtime times `downtime_ms` plus that",
         "of stranded accelerators times `stranded_vm_ms`. `idle_vm_ms` counts live VMs that could",
         "serve together and don't, whatever replica they belong to.",
--- a/libraries/daemon/src/corianderhaven/daemon/_draft_front.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_draft_front.py
@@ -54,6 +54,8 @@
         """Answer a draft that another zone's daemon forwards."""
         body, draft = self._parse(request, account, path)
         draft.hops = 1
+        waited = request.header("x-corianderhaven-waited-ms", "0")
+        draft.waited_ms = float(waited) if waited.isdigit() else 0.0
         if body.continue_from is not None:
             draft.delivered = body.continue_from.tokens
             draft.prefix_text = body.continue_from.text
--- a/libraries/routing/src/corianderhaven/routing/_admission.py
+++ b/libraries/routing/src/corianderhaven/routing/_admission.py
@@ -67,7 +67,7 @@
         self.numbers = itertools.count()
         self.lock = threading.Lock()
 
-    def admit(self, deployment, account, cost, slots, cancelled=lambda: False):
+    def admit(self, deployment, account, cost, slots, cancelled=lambda: False, waited_ms=0.0):
         """Wait for a slot.
 
         Parameters
@@ -80,6 +80,8 @@
             Returns how many requests this daemon may run now.
         cancelled : callable
             Returns whether the caller has left.
+        waited_ms : float
+            Time that the request has waited elsewhere; counted against the queue deadline.
 
         Returns
         -------
@@ -98,7 +100,7 @@
             account.weight,
             min(account.priority, deployment.priority),
             max(1.0, cost),
-            self.clock.now_ms(),
+            self.clock.now_ms() - waited_ms,
             next(self.numbers),
         )
         self.load_book.change_account(account.name, 1)
--- a/libraries/routing/src/corianderhaven/routing/_drafts.py
+++ b/libraries/routing/src/corianderhaven/routing/_drafts.py
@@ -33,6 +33,7 @@
 GAP_BATCHES = 4
 HOPS_HEADER = "X-Corianderhaven-Hops"
 ACCOUNT_HEADER = "X-Corianderhaven-Account"
+WAITED_HEADER = "X-Corianderhaven-Waited-Ms"
 SIGNATURE_HEADER = "X-Corianderhaven-Signature"
 
 
@@ -54,6 +55,8 @@
         Where to go on after a caller has reconnected.
     hops : int
         1 when another zone's daemon has forwarded it.
+    waited_ms : float
+        Time that it has waited there for its first token.
     """
 
     request_id: str
@@ -67,6 +70,7 @@
     prefix_text: str = ""
     resume: ResumePoint | None = None
     hops: int = 0
+    waited_ms: float = 0.0
 
 
 @dataclass
@@ -188,6 +192,7 @@
             self.request.max_tokens,
             lambda: self.router.targets.slots(self.deployment, self.request.hops),
             lambda: self.caller_left,
+            self.request.waited_ms,
         )
 
     def _run(self):
@@ -267,6 +272,7 @@
             path = "/peer" + path
             headers[HOPS_HEADER] = "1"
             headers[ACCOUNT_HEADER] = request.account.name
+            headers[WAITED_HEADER] = str(self._waited_ms())
             headers[SIGNATURE_HEADER] = peer_signature(
                 self.router.secret, method, path, body or b""
             )
@@ -279,6 +285,11 @@
             target.address, method, path + query, body, headers, first_ms, limits.gap_deadline_ms
         )
 
+    def _waited_ms(self):
+        """Return how long the caller has waited for its first token, 0 once it has it."""
+        begun = self.state.delivered > 0
+        return 0 if begun else int(self.clock.now_ms() - self.accepted_ms)
+
     def _body(self):
         request = self.request
         body = {
--- a/libraries/routing/src/corianderhaven/routing/_targets.py
+++ b/libraries/routing/src/corianderhaven/routing/_targets.py
@@ -4,6 +4,8 @@
 import random
 from dataclasses import dataclass
 
+LEAST_FORWARDED = 8
+
 
 @dataclass(frozen=True)
 class Target:
@@ -60,13 +62,17 @@
         share = self.slot_share()
         own = self.load_book.replicas
         running = free = 0
-        for replica in self.view.for_deployment(deployment):
+        replicas = self.view.for_deployment(deployment)
+        for replica in replicas:
             running += own.get(replica.key, 0)
             allowed = self._replica_slots(replica.key, bound, share)
             free += max(0, allowed - own.get(replica.key, 0))
         for zone in () if hops else self.remote_zones.for_deployment(deployment.name):
-            running += sum(own.get(address, 0) for address in zone.addresses)
-            free += self._remote_slots(zone, share)
+            sent = sum(own.get(address, 0) for address in zone.addresses)
+            running += sent
+            # A zone without replicas of its own queues at its neighbours, which are fair to it.
+            least = 0 if replicas else LEAST_FORWARDED - sent
+            free += max(0, least, self._remote_slots(zone, share))
         return running, free
 
     def _remote_slots(self, zone, share):
--- a/libraries/routing/src/corianderhaven/routing/tests/test_admission.py
+++ b/libraries/routing/src/corianderhaven/routing/tests/test_admission.py
@@ -177,3 +177,10 @@
     book.change_account("large", 10)
     assert book.slot_share({"large": 1.0, "small": 1.0}) == (0.25 + 1.0) / 2
     assert book.account_share("large", 40) == 40 * 11 / 41
+
+
+def test_wait_elsewhere_counts_against_the_queue_deadline():
+    gate = Gate(queue_deadline_ms=60_000)
+    with pytest.raises(CorianderhavenError) as caught:
+        gate.controller.admit(gate.deployment, account("a"), 1.0, lambda: 0, waited_ms=60_000.0)
+    assert caught.value.code.text == "queue_timeout"
--- a/libraries/routing/src/corianderhaven/routing/tests/test_choice.py
+++ b/libraries/routing/src/corianderhaven/routing/tests/test_choice.py
@@ -1,12 +1,15 @@
 """Tests of the choice of replicas."""
 
 import random
+from types import SimpleNamespace
 
 from corianderhaven.common import ManualClock
 from corianderhaven.membership import Load, MemberReference, PeerInfo, PeerTable
-from corianderhaven.routing import LeastWaitChooser, LoadBook, Replica
+from corianderhaven.routing import LeastWaitChooser, LoadBook, Replica, TargetFinder
 from corianderhaven.routing._cache_events import CacheEvent, CacheEventFollower
 from corianderhaven.routing._prefix_affinity import PrefixIndex, prompt_blocks
+from corianderhaven.routing._spill import RemoteZone
+from corianderhaven.routing._targets import LEAST_FORWARDED
 
 OWN = PeerInfo("own", "z", "own-1", "127.0.0.1:1", 1)
 
@@ -83,3 +86,31 @@
     follower._apply("r", CacheEvent(9, "evicted", blocks[1]))
     assert index.covered("r", blocks) == 1
     assert follower.sequences == {"r": 9}
+
+
+class FullNeighbour:
+    """Another zone whose summary shows no free slot."""
+
+    def for_deployment(self, name):
+        return [RemoteZone("far", ("127.0.0.1:7",), 0, 0.0)]
+
+
+class NoReplicas:
+    """A zone without replicas."""
+
+    def for_deployment(self, deployment):
+        return []
+
+
+def test_zone_without_replicas_queues_at_full_neighbours():
+    _, book, choose = chooser()
+    holder = SimpleNamespace(document=SimpleNamespace(accounts=[]))
+    finder = TargetFinder(NoReplicas(), choose, book, FullNeighbour(), holder)
+    limits = SimpleNamespace(in_flight_per_replica=4)
+    deployment = SimpleNamespace(name="d", limits=limits)
+    assert finder.slots(deployment, 0) == LEAST_FORWARDED
+    for _ in range(LEAST_FORWARDED):
+        book.begin("127.0.0.1:7")
+    assert finder.slots(deployment, 0) == LEAST_FORWARDED
+    assert not finder.has_free(deployment, 0)
+    assert finder.slots(deployment, 1) == 0
