Answer at once when an endpoint's Retry-After lies past the queue deadline

Change: a draft that has not begun waits within its queue deadline only, the time at another zone included; the refusal and its Retry-After are passed on at once as not_run.

Conclusion: the caller is told when to come back instead of being kept.

--- a/libraries/routing/src/corianderhaven/routing/_drafts.py
+++ b/libraries/routing/src/corianderhaven/routing/_drafts.py
@@ -31,6 +31,7 @@
 DETACHED_KEEP_MS = 10_000
 REFUSED_BEFORE_RUN = (409, 429, 503)
 GAP_BATCHES = 4
+DEFAULT_RETRY_AFTER_MS = 1_000
 HOPS_HEADER = "X-Corianderhaven-Hops"
 ACCOUNT_HEADER = "X-Corianderhaven-Account"
 WAITED_HEADER = "X-Corianderhaven-Waited-Ms"
@@ -398,8 +399,9 @@
                 raise self._failure(ErrorCode.ENDPOINT_LOST, "retry budget spent")
             retry_after = parse_retry_after_ms(lost.retry_after)
             pause = self.router.backoff.pause_ms(self.state.attempts, retry_after)
-            if pause > self._remaining_ms():
-                raise self._failure(ErrorCode.ENDPOINT_REFUSED, "refused until past the deadline")
+            if pause > self._patience_ms():
+                message = "refused until past the deadline"
+                raise self._failure(ErrorCode.ENDPOINT_REFUSED, message, retry_after)
             self.clock.sleep_ms(pause)
 
     def _check_continuable(self, target):
@@ -425,13 +427,20 @@
                 Outcome.NOT_RUN,
             )
 
-    def _failure(self, code, message):
+    def _patience_ms(self):
+        """Return how long a draft that has not begun may still wait."""
+        spent = self.clock.now_ms() - self.accepted_ms + self.request.waited_ms
+        limits = self.deployment.limits
+        return min(limits.queue_deadline_ms, limits.total_deadline_ms) - spent
+
+    def _failure(self, code, message, retry_after_ms=None):
         """Return the error to tell; drafts are idempotent, so only tokens make a difference."""
         begun = self.state.delivered > self.request.delivered
         if begun:
             return CorianderhavenError(ErrorCode.INCOMPLETE_STREAM, message, Outcome.FAILED)
         outcome = Outcome.UNKNOWN if self.state.may_have_run else Outcome.NOT_RUN
-        return CorianderhavenError(code, message, outcome, retry_after_ms=1000)
+        retry_after = int(retry_after_ms or DEFAULT_RETRY_AFTER_MS)
+        return CorianderhavenError(code, message, outcome, retry_after_ms=retry_after)
 
     def _stream_lost(self):
         message = "the stream is no longer kept; ask anew without Last-Event-ID"
