Keep a refusing replica out of the choice until facts can have changed

Cause: once in 5 runs of make run a draft ended as failed after a member was killed: the replica refused, its members' facts were up to 1 s old, and the exclusion was dropped at the first empty choice, so that 8 attempts went to the same replica within 0.4 s (decision log of that run).

Change: exclusions are dropped after 1.5 s without another target.

--- a/libraries/routing/src/corianderhaven/routing/_drafts.py
+++ b/libraries/routing/src/corianderhaven/routing/_drafts.py
@@ -26,6 +26,7 @@
 
 MAX_ATTEMPTS = 8
 REPLICA_POLL_MS = 50.0
+EXCLUSION_MS = 1_500.0
 RESUME_WAIT_MS = 1_000.0
 CANCEL_TIMEOUT_MS = 300.0
 DETACHED_KEEP_MS = 10_000
@@ -312,7 +313,7 @@
 
     def _next_target(self):
         """Choose where to go next, waiting for a replica if there is none."""
-        waited = False
+        started = self.clock.now_ms()
         while True:
             target, choice = self._choose_once()
             if target is not None:
@@ -320,9 +321,8 @@
                 if target.replica is not None:
                     self.router.targets.chooser.note_sent(target.replica, self.blocks)
                 return target
-            if not waited and self.state.excluded:
+            if self.clock.now_ms() - started >= EXCLUSION_MS:
                 self.state.excluded.clear()
-                waited = True
             self._check_patience()
             self.clock.sleep_ms(REPLICA_POLL_MS)
 
