--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # Everything runs inside .venv under the checkout; no other step is needed.
 PYTHON ?= python3.11
-LIBRARIES := common config platform membership placement routing daemon cli standins
+LIBRARIES := common config platform membership placement routing fleet gateway daemon cli standins
+# Most of the time of a test goes into waiting, so there are more workers than half the cores.
+TEST_WORKERS ?= 6
 VENV := .venv
 STAMP := $(VENV)/.installed
 BIN := $(VENV)/bin
@@ -9,11 +11,11 @@
 
 setup: $(STAMP)
 
-$(STAMP): requirements.lock $(wildcard libraries/*/pyproject.toml)
+$(STAMP): requirements.lock $(wildcard libraries/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q --disable-pip-version-check -r requirements.lock
 	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation \
-		$(foreach library,$(LIBRARIES),-e libraries/$(library))
+		$(foreach library,$(LIBRARIES),-e libraries/$(library)) -e platform
 	touch $(STAMP)
 
 run: setup
@@ -23,7 +25,7 @@
 	$(BIN)/python examples/demonstration.py --stay
 
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_WORKERS)
 
 lint: setup
 	$(BIN)/ruff check .
--- a/libraries/common/src/corianderhaven/common/__init__.py
+++ b/libraries/common/src/corianderhaven/common/__init__.py
@@ -1,5 +1,16 @@
 """Clock, exceptions with codes, logging, identifiers and HTTP helpers."""
 
+from ._async_http import (
+    AsyncHttpClient,
+    AsyncHttpServer,
+    CallerLostError,
+    CallerRequest,
+    ClientConnection,
+    ConnectionLostError,
+    ResponseHead,
+    ServerConnection,
+    ServerLimits,
+)
 from ._background import PeriodicThread
 from ._clock import MS_PER_S, Clock, ManualClock
 from ._http_client import (
@@ -20,12 +31,19 @@
     set_kernel_timeout,
 )
 from ._ids import new_id, rendezvous_order
-from ._logging import DecisionLog, configure_logging
+from ._log_writer import LogWriter
+from ._logging import DecisionLog, configure_line_logging, configure_logging
 from ._settings import check_address, check_positive, run_program
 from .exceptions import CorianderhavenError, ErrorCode, FieldError, Outcome, SettingsError
 
 __all__ = [
+    "AsyncHttpClient",
+    "AsyncHttpServer",
+    "CallerLostError",
+    "CallerRequest",
+    "ClientConnection",
     "Clock",
+    "ConnectionLostError",
     "CorianderhavenError",
     "DecisionLog",
     "ErrorCode",
@@ -33,6 +51,7 @@
     "FieldError",
     "HttpServer",
     "JsonClient",
+    "LogWriter",
     "MS_PER_S",
     "NETWORK_ERRORS",
     "TIMEOUT_ERRORS",
@@ -41,11 +60,15 @@
     "PeriodicThread",
     "Request",
     "Response",
+    "ResponseHead",
     "Router",
+    "ServerConnection",
+    "ServerLimits",
     "SettingsError",
     "TransportError",
     "check_address",
     "check_positive",
+    "configure_line_logging",
     "configure_logging",
     "json_response",
     "new_id",
--- a/libraries/common/src/corianderhaven/common/_logging.py
+++ b/libraries/common/src/corianderhaven/common/_logging.py
@@ -27,6 +27,31 @@
     return "{time:HH:mm:ss.SSS} {level} {message} {extra[_fields]}\n{exception}"
 
 
+def configure_line_logging(writer, level="INFO"):
+    """Send log records as JSON lines to a `LogWriter`.
+
+    Parameters
+    ----------
+    writer : LogWriter
+        Takes over the lines.
+    level : str
+        Least level that is written.
+    """
+
+    def sink(message):
+        record = message.record
+        line = {
+            "time": record["time"].timestamp(),
+            "level": record["level"].name,
+            "event": record["message"],
+            **record["extra"],
+        }
+        writer.write(msgspec.json.encode(line, enc_hook=str) + b"\n")
+
+    logger.remove()
+    logger.add(sink, level=level, format="{message}", catch=True)
+
+
 def configure_logging(log_format="text", level="INFO"):
     """Send log records to standard error.
 
--- /dev/null
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -0,0 +1,220 @@
+"""A daemon on a platform that keeps endpoints and configuration in its store."""
+
+import asyncio
+import contextlib
+import signal
+
+import prometheus_client
+
+from corianderhaven.common import (
+    MS_PER_S,
+    AsyncHttpServer,
+    Clock,
+    DecisionLog,
+    ServerLimits,
+    SettingsError,
+)
+from corianderhaven.fleet import (
+    DIGEST_PATH,
+    ConfigInForce,
+    EndpointDirectory,
+    KeeperLease,
+    PeerExchange,
+    PeerTable,
+    ReplicaKeeper,
+    StoreWatcher,
+)
+from corianderhaven.gateway import Gateway
+from corianderhaven.hosting import (
+    READY_PATH,
+    HostingFormat,
+    PlatformOrders,
+    PlatformStore,
+    PlatformWire,
+    read_node_file,
+)
+
+OWN_PREFIX = "corianderhaven/"
+KEEPER_KEY = OWN_PREFIX + "keeper"
+DAEMONS_PREFIX = OWN_PREFIX + "daemons/"
+NOTICE_MS = 2_600.0  # two checks of readiness a second apart, and the way of the answers
+LAST_MS = 700.0  # before SIGKILL: for what can't be finished to be ended in order
+IDLE_FACTOR = 1.2  # callers may reuse a connection for most of the idle timeout
+PUMP_MS = 20.0
+
+
+class FleetDaemon:
+    """Listeners, knowledge, keeper and gateway of one VM.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+    clock : Clock or None
+    """
+
+    def __init__(self, settings, clock=None):
+        self.settings = settings
+        self.clock = clock or Clock()
+        self.decisions = DecisionLog(self.clock)
+        self.draining = False
+        self.stopped = None
+
+    async def run(self):
+        """Serve until SIGTERM, then drain; returns whether all requests were finished."""
+        self.stopped = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.request_drain)
+        await self.start()
+        await self.stopped.wait()
+        finished = await self.drain()
+        self.close()
+        return finished
+
+    async def start(self):
+        """Start everything; raises `OSError` when an address is taken."""
+        settings = self.settings
+        self._build()
+        self.callers_server = AsyncHttpServer(settings.callers, self.gateway.handle, self.clock)
+        self.ready_server = AsyncHttpServer(settings.readiness, self._answer_ready, self.clock)
+        self.peers_server = AsyncHttpServer(settings.peers, self._answer_peer, self.clock)
+        for server in (self.callers_server, self.ready_server, self.peers_server):
+            await server.start()
+        self.watcher.start()
+        self.lease.start()
+        self.keeper.start()
+        self.gateway.start()
+        self.exchange.start()
+        self.decisions.record("daemon_started", daemon=settings.name, zone=settings.zone)
+
+    def close(self):
+        """Stop everything at once."""
+        self.exchange.close()
+        self.gateway.close()
+        self.keeper.close()
+        self.lease.close()
+        self.watcher.close()
+        for server in (self.callers_server, self.ready_server, self.peers_server):
+            server.close()
+        self.store.close()
+        self.decisions.record("daemon_stopped", in_flight=self.gateway.in_flight)
+
+    def request_drain(self):
+        """Be not ready from now on, and let `run` drain."""
+        self.draining = True
+        self.stopped.set()
+
+    async def drain(self):
+        """Finish the requests in flight within the grace time; returns whether all were."""
+        begun_ms = self.clock.now_ms()
+        self.decisions.record("drain_begun", in_flight=self.gateway.in_flight)
+        self.callers_server.closing = True
+        self.keeper.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(NOTICE_MS / MS_PER_S):
+                await self.lease.resign()
+        end_ms = begun_ms + self.settings.grace_ms - LAST_MS
+        while self.clock.now_ms() < end_ms:
+            noticed = self.clock.now_ms() - begun_ms > NOTICE_MS
+            if noticed and not self.gateway.in_flight:
+                break
+            await asyncio.sleep(PUMP_MS / MS_PER_S)
+        finished = not self.gateway.in_flight
+        self.decisions.record("drain_ended", finished=finished, left=self.gateway.in_flight)
+        return finished
+
+    @property
+    def ready(self):
+        """Whether new connections should come here."""
+        return not self.draining and self.holder.config is not None and self.directory.listed
+
+    def _build(self):
+        settings = self.settings
+        platform_format = HostingFormat()
+        self.store = PlatformStore(settings.store, settings.ip)
+        self.directory = EndpointDirectory(self.clock, self.decisions)
+        self.holder = ConfigInForce(platform_format.decode_config, self.decisions)
+        self.holder.listeners.append(self._use_limits)
+        self.watcher = StoreWatcher(
+            self.store,
+            platform_format,
+            self.directory,
+            self.holder,
+            self.clock,
+            self.decisions,
+        )
+        self.watcher.own_prefix = OWN_PREFIX
+        self.lease = KeeperLease(
+            self.store, self.watcher, KEEPER_KEY, settings.peers.encode(), self.decisions
+        )
+        self.orders = PlatformOrders(self.decisions, settings.ip)
+        self.keeper = ReplicaKeeper(
+            self.lease,
+            self.orders,
+            self.directory,
+            self.holder,
+            settings,
+            self.clock,
+            self.decisions,
+        )
+        self.peers = PeerTable(settings.name, self.clock)
+        self.gateway = Gateway(
+            settings,
+            self.directory,
+            self.holder,
+            PlatformWire(),
+            self.peers,
+            self.clock,
+            self.decisions,
+        )
+        self.exchange = PeerExchange(
+            self.peers,
+            self.store,
+            self.watcher,
+            DAEMONS_PREFIX,
+            settings.peers,
+            self.gateway.make_digest,
+            self.decisions,
+            settings.ip,
+        )
+        self.gateway.on_suspicion = self.keeper.suspect
+        self.gateway.on_request = self._note_traffic
+
+    def _note_traffic(self):
+        self.keeper.traffic_seen = True
+
+    def _use_limits(self, config):
+        limits = config.limits
+        self.callers_server.limits = ServerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms * IDLE_FACTOR,
+        )
+
+    async def _answer_ready(self, request, caller):
+        status = 200 if self.ready and request.target.startswith(READY_PATH) else 503
+        await caller.answer(status, [], b"")
+
+    async def _answer_peer(self, request, caller):
+        if request.target == DIGEST_PATH.encode():
+            try:
+                self.peers.receive(request.body)
+                await caller.answer(204, [], b"")
+            except ValueError as error:
+                self.decisions.record("digest_unreadable", reason=str(error))
+                await caller.answer(400, [], b"")
+        elif request.target == b"/metrics":
+            await caller.answer(200, [], prometheus_client.generate_latest())
+        else:
+            await caller.answer(404, [], b"")
+
+
+def serve_node_file(path):
+    """Run a daemon with the settings of a node file; returns the exit code."""
+    daemon = FleetDaemon(read_node_file(path))
+    try:
+        finished = asyncio.run(daemon.run())
+    except OSError as error:
+        raise SettingsError(f"cannot listen: {error}") from None
+    return 0 if finished else 1
--- a/libraries/daemon/src/corianderhaven/daemon/_main.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_main.py
@@ -4,10 +4,13 @@
 
 from loguru import logger
 
-from corianderhaven.common import SettingsError, configure_logging, run_program
-
-from ._daemon import Daemon
-from ._settings import Settings
+from corianderhaven.common import (
+    LogWriter,
+    SettingsError,
+    configure_line_logging,
+    configure_logging,
+    run_program,
+)
 
 
 def serve(
@@ -29,6 +32,7 @@
     resume: bool = True,
     fairness: bool = True,
     seed: int = 0,
+    node_file: str = "",
     log_format: str = "json",
     log_level: str = "INFO",
 ):
@@ -53,12 +57,20 @@
     :param resume: resume broken drafts
     :param fairness: weighted fairness between client accounts
     :param seed: seed of random choices, 0 for none
+    :param node_file: settings file of a VM whose platform lists endpoints in its store;
+        the daemon then serves there, and takes no other setting but the log's
     :param log_format: json or text
     :param log_level: least level that is logged
     """
     if log_format not in ("json", "text"):
         raise SettingsError(f"log_format must be json or text, not {log_format!r}")
+    if node_file:
+        return _serve_node_file(node_file, log_level)
     configure_logging(log_format, log_level)
+    # Only one of the two ways to run is loaded: together they take twice the memory.
+    from ._daemon import Daemon
+    from ._settings import Settings
+
     daemon = Daemon(
         Settings(
             name,
@@ -93,6 +105,17 @@
     return 0 if finished else 1
 
 
+def _serve_node_file(node_file, log_level):
+    from ._fleet_daemon import serve_node_file
+
+    writer = LogWriter().start()
+    configure_line_logging(writer, log_level)
+    try:
+        return serve_node_file(node_file)
+    finally:
+        writer.close()
+
+
 def main(arguments=None):
     """Run the program and return its exit code."""
     return run_program(serve, "CORIANDERHAVEN_", arguments)
--- /dev/null
+++ b/libraries/fleet/src/corianderhaven/fleet/__init__.py
@@ -0,0 +1,81 @@
+"""What a daemon knows of endpoints, and how daemons keep replicas whole."""
+
+from ._config_in_force import ConfigInForce
+from ._directory import EndpointDirectory
+from ._formation import Dissolve, Form, FormationPlanner, Stage, Standby, Vm, find_lost
+from ._interfaces import (
+    EngineOrders,
+    HistoryGoneError,
+    LeaseEndedError,
+    MetadataStore,
+    OrderResult,
+    PlatformFormat,
+    StoreItem,
+    StoreUnavailableError,
+)
+from ._keeper import ReplicaKeeper
+from ._keeper_lease import KeeperLease
+from ._peers import DIGEST_PATH, Digest, HeadDigest, PeerExchange, PeerTable
+from ._replicas import Replica, group_replicas, model_of, replica_name, serving
+from ._types import (
+    Account,
+    CallerLimits,
+    Endpoint,
+    EngineReport,
+    EngineSpec,
+    FleetConfig,
+    Membership,
+    ModelSpec,
+    NodeSettings,
+    ReplicaState,
+    RequestKind,
+    RouteRule,
+    ServiceSpec,
+)
+from ._watching import StoreWatcher
+
+__all__ = [
+    "Account",
+    "CallerLimits",
+    "ConfigInForce",
+    "DIGEST_PATH",
+    "Digest",
+    "Dissolve",
+    "Endpoint",
+    "EndpointDirectory",
+    "EngineOrders",
+    "EngineReport",
+    "EngineSpec",
+    "FleetConfig",
+    "Form",
+    "FormationPlanner",
+    "HeadDigest",
+    "HistoryGoneError",
+    "KeeperLease",
+    "LeaseEndedError",
+    "Membership",
+    "MetadataStore",
+    "ModelSpec",
+    "NodeSettings",
+    "OrderResult",
+    "PeerExchange",
+    "PeerTable",
+    "PlatformFormat",
+    "Replica",
+    "ReplicaKeeper",
+    "ReplicaState",
+    "RequestKind",
+    "RouteRule",
+    "ServiceSpec",
+    "Stage",
+    "Standby",
+    "StoreItem",
+    "StoreUnavailableError",
+    "StoreWatcher",
+    "Vm",
+    "find_lost",
+    "group_replicas",
+    "model_of",
+    "replica_name",
+    "serving",
+]
--- /dev/null
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
@@ -0,0 +1,142 @@
+"""The right to order engines: one lease in the store."""
+
+import asyncio
+import random
+import time
+
+from corianderhaven.common import MS_PER_S, new_id
+
+from ._interfaces import LeaseEndedError, StoreUnavailableError
+
+LEASE_MS = 2_500.0  # three lost renewals; bounds how long nobody repairs after a kill
+RENEW_MS = 750.0
+MARGIN_MS = 400.0  # an order under way must arrive before a successor's first
+CAMPAIGN_JITTER_MS = 120.0  # lets one daemon's record be seen before the others try
+OUTAGE_TENURE_MS = 15_000.0  # without the store, repair goes on for this long
+
+
+def boot_ms():
+    """Return a steady time in ms that counts suspended time too."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_S
+
+
+class KeeperLease:
+    """Campaigns for the keeper's record and renews it.
+
+    Parameters
+    ----------
+    store : MetadataStore
+    watcher : StoreWatcher
+    key : str
+        Key of the record.
+    description : bytes
+        What the record says of its holder.
+    decisions : DecisionLog
+    """
+
+    def __init__(self, store, watcher, key, description, decisions):
+        self.store = store
+        self.watcher = watcher
+        self.key = key
+        self.instance = new_id("keeper")
+        self.value = self.instance.encode() + b"\n" + description
+        self.decisions = decisions
+        self.lease = None
+        self.tenure = None
+        self.valid_until_ms = 0.0
+        self.resigned = False
+        self.task = None
+
+    def start(self):
+        """Begin to campaign."""
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def close(self):
+        """Stop at once; the lease lapses."""
+        if self.task is not None:
+            self.task.cancel()
+
+    async def resign(self):
+        """Give the right away, so that a successor need not wait for the lease to lapse."""
+        self.resigned = True
+        self.close()
+        lease, self.lease, self.tenure = self.lease, None, None
+        if lease is not None:
+            try:
+                await self.store.end_lease(lease)
+            except StoreUnavailableError as error:
+                self.decisions.record("keeper_resign_unheard", reason=str(error))
+
+    def may_order(self):
+        """Return whether orders may be sent now.
+
+        While the store is out of reach, the last holder goes on for `OUTAGE_TENURE_MS`: an
+        engine refuses generations below the highest it has seen, so a successor's win.
+        """
+        if self.tenure is None:
+            return False
+        left_ms = self.valid_until_ms - boot_ms()
+        if left_ms > MARGIN_MS:
+            return True
+        return not self.watcher.store_reachable and left_ms > -OUTAGE_TENURE_MS
+
+    def superseded(self, generation):
+        """Stand down because an engine has seen a newer holder's generation."""
+        if self.tenure is not None:
+            self.decisions.record("keeper_superseded", tenure=self.tenure, seen=generation)
+        self.tenure = self.lease = None
+
+    async def _run(self):
+        while True:
+            try:
+                if self.tenure is not None:
+                    await self._renew()
+                    await asyncio.sleep(RENEW_MS / MS_PER_S)
+                else:
+                    await self._campaign()
+            except LeaseEndedError:
+                self.decisions.record("keeper_lease_ended", tenure=self.tenure)
+                self.tenure = self.lease = None
+            except StoreUnavailableError as error:
+                self.decisions.record("keeper_store_failed", reason=str(error))
+                await asyncio.sleep(RENEW_MS / MS_PER_S / 3)
+
+    async def _renew(self):
+        sent_ms = boot_ms()
+        await self.store.keep_lease(self.lease)
+        self.valid_until_ms = sent_ms + LEASE_MS
+
+    async def _campaign(self):
+        if not self.watcher.store_reachable or self.key in self.watcher.own_items:
+            self.watcher.own_changed.clear()
+            try:
+                async with asyncio.timeout(RENEW_MS / MS_PER_S):
+                    await self.watcher.own_changed.wait()
+            except TimeoutError:
+                pass  # look again
+            return
+        await asyncio.sleep(random.random() * CAMPAIGN_JITTER_MS / MS_PER_S)
+        if self.key in self.watcher.own_items:
+            return
+        sent_ms = boot_ms()
+        lease = await self.store.grant_lease(LEASE_MS)
+        try:
+            revision = await self.store.put_if(self.key, self.value, 0, lease)
+        except StoreUnavailableError as error:
+            if not error.unknown:
+                raise
+            revision = await self._find_own(lease)
+        if revision is None:
+            await self.store.end_lease(lease)
+            await asyncio.sleep(RENEW_MS / MS_PER_S / 3)
+            return
+        self.lease, self.tenure = lease, revision
+        self.valid_until_ms = sent_ms + LEASE_MS
+        self.decisions.record("keeper_elected", tenure=revision)
+
+    async def _find_own(self, lease):
+        """Return the revision of the record if it is this process's own after all."""
+        item = await self.store.read(self.key)
+        if item is not None and item.value == self.value and item.lease == lease:
+            return item.revision
+        return None
