Free a member only when it has left, and let its own word stand in for its entry

In a zone cut the head still served. Ruled out: late joins (generations refuse them), two keepers (one tenure in the trace). Change: a member is free when it has left and the stall bound is over; a replica of which nobody answers is left alone, as the keeper itself may be cut off; a member without an entry is asked, and counts while it says that it is in place; a replica half told of is judged only after the entries had time to come back.

--- /dev/null
+++ b/libraries/fleet/src/corianderhaven/fleet/_order_sender.py
@@ -0,0 +1,125 @@
+"""Sends orders until they are answered, and asks engines how they are."""
+
+import asyncio
+
+from corianderhaven.common import MS_PER_S
+
+from ._interfaces import OrderResult
+
+GENERATIONS_PER_TENURE = 10_000  # formations of one tenure; more than a day's
+ORDER_TRIES = 4
+ORDER_RETRY_MS = 60.0
+PROBE_TIMEOUT_MS = 300.0  # an engine answers in a few ms; leaves room for a lossy link
+PROBE_STAGGER_MS = 100.0  # between two tries, of which a lost packet takes only one
+PROBE_TRIES = 2
+DEAD_MS = 2_000.0  # until a silent endpoint is asked again
+ACCEPTED = (OrderResult.BEGUN, OrderResult.DONE)
+
+
+class OrderSender:
+    """Orders and probes on behalf of the holder of the keeper's lease.
+
+    Parameters
+    ----------
+    lease : KeeperLease
+    orders : EngineOrders
+    directory : EndpointDirectory
+    clock : Clock
+    decisions : DecisionLog
+    """
+
+    def __init__(self, lease, orders, directory, clock, decisions):
+        self.lease = lease
+        self.orders = orders
+        self.directory = directory
+        self.clock = clock
+        self.decisions = decisions
+        self.dead = {}
+
+    async def send(self, operation, endpoint, subject, call):
+        """Send an order until it is answered; returns the `OrderResult`."""
+        result = OrderResult.UNKNOWN
+        for attempt in range(ORDER_TRIES):
+            if not self.lease.may_order():
+                return OrderResult.REFUSED
+            result = await call()
+            self.decisions.record(
+                "order",
+                operation=operation,
+                endpoint=endpoint.id,
+                subject=subject,
+                result=result.value,
+                attempt=attempt,
+            )
+            if result is OrderResult.OUTDATED:
+                await self._check_superseded(endpoint)
+                return result
+            if result is not OrderResult.UNKNOWN:
+                return result
+            await asyncio.sleep(ORDER_RETRY_MS / MS_PER_S)
+        return result
+
+    async def leave(self, endpoint, key):
+        """Take an endpoint out of replica `key`; returns whether it is sure to be out."""
+        result = await self.send(
+            "leave", endpoint, key[0], lambda: self.orders.leave(endpoint, *key)
+        )
+        if result in ACCEPTED:
+            return True
+        report = await self.orders.report(endpoint, PROBE_TIMEOUT_MS)
+        if report is None:
+            self.mark_dead(endpoint.id)
+            return False
+        self.directory.update_from_report(endpoint.id, report)
+        member = report.membership
+        return member is None or (member.replica, member.generation) != key
+
+    async def probe(self, endpoints):
+        """Ask endpoints for their reports; returns them by id, None for the silent ones."""
+
+        async def ask(endpoint, delay_ms):
+            await asyncio.sleep(delay_ms / MS_PER_S)
+            return await self.orders.report(endpoint, PROBE_TIMEOUT_MS)
+
+        async def judge(endpoint):
+            tries = [ask(endpoint, PROBE_STAGGER_MS * number) for number in range(PROBE_TRIES)]
+            for done in asyncio.as_completed(tries):
+                report = await done
+                if report is not None:
+                    self.directory.update_from_report(endpoint.id, report)
+                    self.dead.pop(endpoint.id, None)
+                    return report
+            self.mark_dead(endpoint.id)
+            return None
+
+        reports = await asyncio.gather(*(judge(e) for e in endpoints))
+        return {e.id: report for e, report in zip(endpoints, reports, strict=True)}
+
+    def mark_dead(self, endpoint_id):
+        """Believe for a while that an endpoint answers nobody."""
+        if endpoint_id not in self.dead:
+            self.decisions.record("endpoint_silent", endpoint=endpoint_id)
+        self.dead[endpoint_id] = self.clock.now_ms() + DEAD_MS
+        self.directory.changed.set()
+
+    def due_probes(self, endpoints):
+        """Return the endpoints to ask again; forgets those that are gone."""
+        now = self.clock.now_ms()
+        by_id = {e.id: e for e in endpoints}
+        due = []
+        for endpoint_id, until in list(self.dead.items()):
+            if self.directory.get(endpoint_id) is None:
+                del self.dead[endpoint_id]
+            elif now >= until and endpoint_id in by_id:
+                self.dead[endpoint_id] = now + DEAD_MS
+                due.append(by_id[endpoint_id])
+        return due
+
+    async def _check_superseded(self, endpoint):
+        """Stand down if an engine has seen a newer holder's generation."""
+        report = await self.orders.report(endpoint, PROBE_TIMEOUT_MS)
+        tenure = self.lease.tenure
+        if report is None or report.membership is None or tenure is None:
+            return
+        if report.membership.generation >= (tenure + 1) * GENERATIONS_PER_TENURE:
+            self.lease.superseded(report.membership.generation)
--- a/libraries/fleet/src/corianderhaven/fleet/_replicas.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_replicas.py
@@ -65,6 +65,12 @@
     return size - len(alive)
 
 
-def serving(replica, size):
-    """Return whether a replica is open with all its members."""
-    return replica.state is ReplicaState.OPEN and missing_members(replica, size) == 0
+def serving(replica):
+    """Return whether a replica takes requests.
+
+    A member without an entry may only be cut off from the store; a replica that really
+    lacks one starts no request, and is found by its silence.
+    """
+    return replica.state is ReplicaState.OPEN and not any(
+        e.leaving for e in replica.members.values()
+    )
--- a/libraries/gateway/src/corianderhaven/gateway/_replica_view.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_replica_view.py
@@ -74,7 +74,7 @@
             return heads
         for replica in group_replicas(self.directory.endpoints(spec.name)).values():
             model = spec.engine.model(replica.model)
-            if model is not None and serving(replica, model.size):
+            if model is not None and serving(replica):
                 heads[model.name].append(replica.head)
         return heads
 
