Order only under a valid lease, ask before joining, end no answer for silence alone

Change: no order after the lease may have ended; members are asked for their state before a join; members are held before they are told to leave; only streams that may go on elsewhere are interrupted, within the budget and when another replica serves.

--- a/libraries/common/src/corianderhaven/common/_clock.py
+++ b/libraries/common/src/corianderhaven/common/_clock.py
@@ -13,6 +13,10 @@
         """Return the monotonic time in ms, comparable within this process only."""
         return time.monotonic() * MS_PER_S
 
+    def boot_ms(self):
+        """Return a steady time in ms that counts the time of a suspended VM too."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_S
+
     def wall_ms(self):
         """Return the wall-clock time in ms since the Unix epoch."""
         return int(time.time() * MS_PER_S)
--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -74,12 +74,14 @@
     async def start(self):
         """Start everything; raises `OSError` when an address is taken."""
         settings = self.settings
+        self.peers_server = AsyncHttpServer(settings.peers, self._answer_peer, self.clock)
+        await self.peers_server.start()
+        settings.peers = self.peers_server.address
         self._build()
         self.callers_server = AsyncHttpServer(settings.callers, self.gateway.handle, self.clock)
         self.ready_server = AsyncHttpServer(settings.readiness, self._answer_ready, self.clock)
-        self.peers_server = AsyncHttpServer(settings.peers, self._answer_peer, self.clock)
-        for server in (self.callers_server, self.ready_server, self.peers_server):
-            await server.start()
+        await self.callers_server.start()
+        await self.ready_server.start()
         self.watcher.start()
         self.lease.start()
         self.keeper.start()
@@ -145,7 +147,12 @@
         )
         self.watcher.own_prefix = OWN_PREFIX
         self.lease = KeeperLease(
-            self.store, self.watcher, KEEPER_KEY, settings.peers.encode(), self.decisions
+            self.store,
+            self.watcher,
+            KEEPER_KEY,
+            settings.peers.encode(),
+            self.clock,
+            self.decisions,
         )
         self.orders = PlatformOrders(self.decisions, settings.ip)
         self.keeper = ReplicaKeeper(
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
@@ -2,22 +2,16 @@
 
 import asyncio
 import random
-import time
 
 from corianderhaven.common import MS_PER_S, new_id
 
 from ._interfaces import LeaseEndedError, StoreUnavailableError
 
 LEASE_MS = 2_500.0  # three lost renewals; bounds how long nobody repairs after a kill
-RENEW_MS = 750.0
+RENEW_MS = 700.0
+RETRY_MS = 100.0
 MARGIN_MS = 400.0  # an order under way must arrive before a successor's first
 CAMPAIGN_JITTER_MS = 120.0  # lets one daemon's record be seen before the others try
-OUTAGE_TENURE_MS = 15_000.0  # without the store, repair goes on for this long
-
-
-def boot_ms():
-    """Return a steady time in ms that counts suspended time too."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_S
 
 
 class KeeperLease:
@@ -31,15 +25,17 @@
         Key of the record.
     description : bytes
         What the record says of its holder.
+    clock : Clock
     decisions : DecisionLog
     """
 
-    def __init__(self, store, watcher, key, description, decisions):
+    def __init__(self, store, watcher, key, description, clock, decisions):
         self.store = store
         self.watcher = watcher
         self.key = key
         self.instance = new_id("keeper")
         self.value = self.instance.encode() + b"\n" + description
+        self.clock = clock
         self.decisions = decisions
         self.lease = None
         self.tenure = None
@@ -70,15 +66,13 @@
     def may_order(self):
         """Return whether orders may be sent now.
 
-        While the store is out of reach, the last holder goes on for `OUTAGE_TENURE_MS`: an
-        engine refuses generations below the highest it has seen, so a successor's win.
+        Never after the lease may have ended, not even while nobody reaches the store: two
+        holders with old views would order the same engines, and an engine accepts a join
+        from either.
         """
         if self.tenure is None:
             return False
-        left_ms = self.valid_until_ms - boot_ms()
-        if left_ms > MARGIN_MS:
-            return True
-        return not self.watcher.store_reachable and left_ms > -OUTAGE_TENURE_MS
+        return self.valid_until_ms - self.clock.boot_ms() > MARGIN_MS
 
     def superseded(self, generation):
         """Stand down because an engine has seen a newer holder's generation."""
@@ -99,10 +93,10 @@
                 self.tenure = self.lease = None
             except StoreUnavailableError as error:
                 self.decisions.record("keeper_store_failed", reason=str(error))
-                await asyncio.sleep(RENEW_MS / MS_PER_S / 3)
+                await asyncio.sleep(RETRY_MS / MS_PER_S)
 
     async def _renew(self):
-        sent_ms = boot_ms()
+        sent_ms = self.clock.boot_ms()
         await self.store.keep_lease(self.lease)
         self.valid_until_ms = sent_ms + LEASE_MS
 
@@ -118,7 +112,7 @@
         await asyncio.sleep(random.random() * CAMPAIGN_JITTER_MS / MS_PER_S)
         if self.key in self.watcher.own_items:
             return
-        sent_ms = boot_ms()
+        sent_ms = self.clock.boot_ms()
         lease = await self.store.grant_lease(LEASE_MS)
         try:
             revision = await self.store.put_if(self.key, self.value, 0, lease)
--- a/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
@@ -171,8 +171,18 @@
         load_ms = (model.load_s if action.loads else model.warm_s) * MS_PER_S
         return load_ms * max(1.0, self.memory.loads / engine.loads_at_once) + READY_SLACK_MS
 
+    async def _still_free(self, endpoints):
+        """Ask endpoints whether they are in no replica that may serve; entries may be old."""
+        reports = await self.sender.probe(endpoints)
+        members = [report and report.membership for report in reports.values()]
+        return all(reports.values()) and all(
+            m is None or (m.replica, m.generation) in self.memory.released for m in members
+        )
+
     async def _join_all(self, action, key):
         ids = [e.id for e in action.members]
+        if not await self._still_free(action.members):
+            return False
 
         async def join(endpoint):
             return await self.sender.send(
@@ -219,6 +229,8 @@
     async def _warm(self, action, key):
         endpoint = action.endpoint
         try:
+            if not await self._still_free([endpoint]):
+                return
             await self.sender.send(
                 "standby",
                 endpoint,
@@ -293,8 +305,12 @@
         members = [
             e for rank, e in replica.members.items() if rank != 0 and e.id not in self.sender.dead
         ]
-        left = await asyncio.gather(*(self.sender.leave(e, key) for e in members))
+        # Held before it is told to leave: its own word that it has left may come first.
+        self._hold(members)
+        await asyncio.gather(*(self.sender.leave(e, key) for e in members))
+        self._hold(members)
+
+    def _hold(self, endpoints):
         until = self.clock.now_ms() + self.settings.stall_ms + STALL_SLACK_MS
-        for endpoint, out in zip(members, left, strict=True):
-            if out:
-                self.memory.held[endpoint.id] = until
+        for endpoint in endpoints:
+            self.memory.held[endpoint.id] = until
--- /dev/null
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_formation.py
@@ -0,0 +1,145 @@
+"""Plans for a fleet, without input or output."""
+
+from collections import Counter
+from dataclasses import replace
+
+from corianderhaven.fleet import Form, FormationPlanner, ReplicaState, Stage, Standby, Vm, find_lost
+from corianderhaven.fleet.tests.fleets import endpoint, engine_spec, member
+
+
+def fleet(domains=6, per_domain=10, **fields):
+    zones = "abc"
+    return [
+        Vm(endpoint(100 * d + n, f"d{d}", zones[d % 3], **fields), True)
+        for d in range(domains)
+        for n in range(per_domain)
+    ]
+
+
+def play_loads(planner, vms, slots=7):
+    """Carry out plans until nothing is left to do; returns the formations in order."""
+    formed = []
+    for _ in range(200):
+        actions = planner.plan(vms, slots)
+        work = [a for a in actions if not isinstance(a, Standby)]
+        if not work:
+            return formed
+        formed += [a for a in work if isinstance(a, Form)]
+        for vm in vms:
+            loaded = vm.staging or (not vm.free and vm.last_model)
+            if loaded:
+                vm.endpoint = replace(vm.endpoint, staged=(loaded,))
+                vm.staging = None
+    raise AssertionError("the plan never ends")
+
+
+def test_each_model_gets_its_share_of_domains_in_each_zone():
+    formed = play_loads(FormationPlanner(engine_spec()), fleet())
+    replicas = Counter(action.model for action in formed)
+    assert replicas == {"large": 6, "small": 15}
+    zones = {(a.model, a.members[0].zone) for a in formed}
+    assert zones == {(m, z) for m in ("large", "small") for z in "abc"}
+
+
+def test_replicas_stay_in_one_domain():
+    for action in play_loads(FormationPlanner(engine_spec()), fleet()):
+        assert len({e.domain for e in action.members}) == 1
+
+
+def test_loads_never_exceed_their_slots():
+    planner = FormationPlanner(engine_spec())
+    for slots in range(8):
+        actions = planner.plan(fleet(), slots)
+        loads = sum(a.loads if isinstance(a, Form) else 1 for a in actions)
+        assert loads <= slots
+
+
+def test_both_models_are_formed_first():
+    actions = FormationPlanner(engine_spec()).plan(fleet(), 7, settled=False)
+    assert {a.model for a in actions} == {"large", "small"}
+
+
+def test_nothing_is_staged_before_the_fleet_is_known():
+    vms = fleet(domains=1, per_domain=3)
+    planner = FormationPlanner(engine_spec(models=engine_spec().models[:1]))
+    assert planner.plan(vms, 7, settled=False) == []
+    assert all(isinstance(a, Stage) for a in planner.plan(vms, 7, settled=True))
+
+
+def test_survivors_of_two_broken_replicas_are_formed_without_a_load():
+    vms = [Vm(endpoint(n, staged=("large",)), True, None, "large") for n in range(6)]
+    actions = FormationPlanner(engine_spec()).plan(vms, 7)
+    forms = [a for a in actions if isinstance(a, Form)]
+    assert [a.loads for a in forms] == [0]
+    assert len(forms[0].members) == 4
+
+
+def test_spare_that_is_ready_in_memory_goes_first():
+    vms = [Vm(endpoint(n, staged=("small",)), True) for n in range(3)]
+    vms[2].last_model = "small"
+    (form,) = (a for a in FormationPlanner(engine_spec()).plan(vms, 0) if isinstance(a, Form))
+    assert form.members[0].id == "e2"
+
+
+def test_pairs_dying_every_three_seconds_leave_as_many_large_replicas_as_fit():
+    """Replays the loss pattern of a calm day: two members lost, again and again.
+
+    With both models in every domain, each had one large replica and one spare, and four
+    losses in different domains left none whole.
+    """
+    planner = FormationPlanner(engine_spec())
+    vms = fleet()
+    play_loads(planner, vms)
+    large = [vm for vm in vms if vm.last_model == "large"]
+    for number in range(8):
+        vms.remove(large[number * 3])
+    for vm in vms:
+        vm.free = True
+    formed = play_loads(planner, vms)
+    held = Counter(vm.endpoint.domain for vm in vms if "large" in vm.endpoint.staged)
+    possible = sum(count // 4 for count in held.values())
+    assert sum(a.model == "large" for a in formed) >= min(possible, 4)
+
+
+def test_stray_of_another_model_completes_a_replica_at_home():
+    vms = [Vm(endpoint(n, staged=("large",)), True, None, "large") for n in range(3)]
+    vms.append(Vm(endpoint(3, staged=("small",)), True, None, "small"))
+    stages = [a for a in FormationPlanner(engine_spec()).plan(vms, 7) if isinstance(a, Stage)]
+    assert [(a.model, a.endpoint.id) for a in stages] == [("large", "e3")]
+
+
+def test_spares_are_made_ready_in_memory():
+    vms = [Vm(endpoint(0, staged=("large",)), True)]
+    assert FormationPlanner(engine_spec()).plan(vms, 0) == [Standby("large", vms[0].endpoint)]
+    vms[0].last_model = "large"
+    assert FormationPlanner(engine_spec()).plan(vms, 0) == []
+
+
+def replica(name="small.7.1", state=ReplicaState.OPEN, size=2):
+    first = [member(endpoint(0), name, 0, state)]
+    return first + [member(endpoint(n), name, n, ReplicaState.READY) for n in range(1, size)]
+
+
+def reasons(endpoints, **fields):
+    return [a.reason for a in find_lost(endpoints, engine_spec(), **fields)]
+
+
+def test_whole_replica_is_left_alone():
+    assert reasons(replica()) == []
+
+
+def test_what_is_lost_is_named():
+    assert reasons(replica()[:1]) == ["member lost"]
+    assert reasons(replica()[1:]) == ["member lost"]
+    assert reasons(replica(state=ReplicaState.BROKEN)) == ["broken"]
+    assert reasons(replica(state=ReplicaState.READY)) == ["left unfinished"]
+    assert reasons(replica(), dead={"e1"}) == ["member silent"]
+    assert reasons(replica(name="other.7.1")) == ["unknown model"]
+    assert reasons(replica()[:1], skipped={("small.7.1", 1)}) == []
+
+
+def test_leaving_member_dissolves_its_replica_gracefully():
+    endpoints = replica()
+    endpoints[1] = replace(endpoints[1], leaving=True)
+    (action,) = find_lost(endpoints, engine_spec())
+    assert action.graceful
--- /dev/null
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_keeper_model.py
@@ -0,0 +1,171 @@
+"""The real ordering code against engines that check TWO and PARTIAL, under seeded faults."""
+
+import asyncio
+
+import pytest
+
+from corianderhaven.fleet.tests.fleets import MemoryFleet
+from corianderhaven.standins import run_virtual
+
+SEEDS = range(60)
+FAULTY_S = 45
+CALM_S = 40
+
+
+def start_open(fleet):
+    """Stage all engines, so that replicas form at once."""
+    for number, engine in enumerate(fleet.hosted.engines.values()):
+        engine.staged = ["large" if engine.domain == "d0" else "small"]
+        engine.born_ms = number + 1
+
+
+async def play_faults(fleet, seconds):
+    """Let random faults overlap for a while, then heal them all."""
+    rng = fleet.random
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    next_number = 100
+    while loop.time() < end:
+        await asyncio.sleep(rng.uniform(0.2, 2.0))
+        engines = [e for e in fleet.hosted.engines.values() if e.alive]
+        names = list(fleet.keepers)
+        fault = rng.choice(
+            ["kill", "unreachable", "reborn", "lapse", "store", "cut", "keeper_cut", "late", "add"]
+        )
+        duration = rng.uniform(0.5, 9.0)
+        if fault == "kill" and len(engines) > 8:
+            fleet.hosted.kill(rng.choice(engines).id)
+        elif fault == "unreachable":
+            engine = rng.choice(engines)
+            engine.unreachable = True
+            loop.call_later(duration, setattr, engine, "unreachable", False)
+        elif fault == "reborn":
+            fleet.hosted.reborn(rng.choice(engines).id)
+        elif fault == "lapse":
+            engine = rng.choice(engines)
+            engine.lapsed = True
+            loop.call_later(duration, setattr, engine, "lapsed", False)
+        elif fault == "store":
+            fleet.store_away = True
+            loop.call_later(duration, setattr, fleet, "store_away", False)
+        elif fault == "cut":
+            name = rng.choice(names)
+            fleet.cut_from_store.add(name)
+            loop.call_later(duration, fleet.cut_from_store.discard, name)
+        elif fault == "keeper_cut":
+            name = rng.choice(names)
+            fleet.cut_keepers.add(name)
+            loop.call_later(duration, fleet.cut_keepers.discard, name)
+        elif fault == "late":
+            fleet.lost_orders = rng.choice([0.0, 0.3, 0.6])
+        elif fault == "add":
+            next_number += 1
+            fleet.add_engine(next_number, rng.choice(["d0", "d1"]))
+    fleet.lost_orders = 0.0
+    fleet.store_away = False
+    fleet.cut_from_store.clear()
+    fleet.cut_keepers.clear()
+    for engine in fleet.hosted.engines.values():
+        engine.unreachable = engine.lapsed = False
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_partial_replica_and_no_engine_in_two(seed):
+    async def play(clock):
+        fleet = MemoryFleet(clock, seed)
+        start_open(fleet)
+        await asyncio.sleep(8)
+        assert fleet.open_replicas() >= 4
+        await play_faults(fleet, FAULTY_S)
+        await asyncio.sleep(CALM_S)
+        return fleet.hosted.violations, fleet.open_replicas(), fleet.served
+
+    violations, open_replicas, served = run_virtual(play)
+    assert violations == []
+    assert open_replicas >= 1
+    assert served > 0
+
+
+def test_empty_fleet_is_formed_within_its_loads():
+    async def play(clock):
+        fleet = MemoryFleet(clock, domains=4, per_domain=10, traffic=False)
+        for model in fleet.hosted.models.values():
+            object.__setattr__(model, "load_ms", model.load_ms / 10)
+        await asyncio.sleep(16)
+        return fleet.open_replicas("large"), fleet.open_replicas("small")
+
+    assert run_virtual(play) == (4, 10)
+
+
+def test_lost_member_is_replaced_by_a_spare_within_two_seconds():
+    async def play(clock):
+        fleet = MemoryFleet(clock, domains=1, per_domain=9)
+        for engine in fleet.hosted.engines.values():
+            engine.staged = ["large"]
+        await asyncio.sleep(8)
+        assert fleet.open_replicas("large") == 2
+        head = next(e for e in fleet.hosted.engines.values() if fleet.hosted.may_run(e))
+        fleet.hosted.kill(head.group.members[2])
+        keeper = fleet.holder()
+        keeper.suspect(head.id, "test")
+        await asyncio.sleep(2.0)
+        return fleet.open_replicas("large"), fleet.hosted.violations
+
+    assert run_virtual(play) == (2, [])
+
+
+def test_head_cut_off_from_the_keeper_keeps_its_members_until_they_have_left():
+    """A head that still serves keeps members that don't answer the keeper (zone cut)."""
+
+    async def play(clock):
+        fleet = MemoryFleet(clock, domains=1, per_domain=8)
+        for engine in fleet.hosted.engines.values():
+            engine.staged = ["small"]
+        await asyncio.sleep(8)
+        engines = list(fleet.hosted.engines.values())
+        for engine in engines[:6]:
+            engine.unreachable = True
+        for engine in engines[:6]:
+            fleet.holder().suspect(engine.id, "test")
+        await asyncio.sleep(12)
+        for engine in engines:
+            engine.unreachable = False
+        await asyncio.sleep(8)
+        return fleet.hosted.violations, fleet.open_replicas("small")
+
+    violations, open_replicas = run_virtual(play)
+    assert violations == []
+    assert open_replicas == 4
+
+
+def test_member_cut_off_from_the_store_alone_stays_in_its_replica():
+    async def play(clock):
+        fleet = MemoryFleet(clock, domains=1, per_domain=8)
+        for engine in fleet.hosted.engines.values():
+            engine.staged = ["large"]
+        await asyncio.sleep(8)
+        heads = [e for e in fleet.hosted.engines.values() if fleet.hosted.may_run(e)]
+        names = [h.group.name for h in heads]
+        fleet.hosted.engines[heads[0].group.members[1]].lapsed = True
+        await asyncio.sleep(9)
+        return names, [h.group.name for h in heads], fleet.open_replicas("large")
+
+    before, after, open_replicas = run_virtual(play)
+    assert before == after
+    assert open_replicas == 2
+
+
+def test_successor_takes_over_what_the_killed_holder_began():
+    async def play(clock):
+        fleet = MemoryFleet(clock, domains=1, per_domain=8)
+        for engine in fleet.hosted.engines.values():
+            engine.staged = ["small"]
+        await asyncio.sleep(1.2)
+        first = fleet.holder()
+        first.close()
+        first.lease.close()
+        fleet.keepers = {n: k for n, k in fleet.keepers.items() if k is not first}
+        await asyncio.sleep(12)
+        return fleet.open_replicas("small"), fleet.hosted.violations
+
+    assert run_virtual(play) == (4, [])
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from corianderhaven.common import MS_PER_S, CallerLostError
-from corianderhaven.fleet import Digest, HeadDigest
+from corianderhaven.fleet import Digest, HeadDigest, model_of
 
 from . import _metrics
 from ._admission import Refusal, Waiter, WaitingLine, pump_lines
@@ -194,7 +194,7 @@
 
     def _patience_ms(self, job):
         """Return how long one endpoint may take, or None without another to ask."""
-        may_repeat = job.route.repeatable and job.may_have_run + 1 < job.route.max_endpoints
+        may_repeat = job.may_move()
         others = [e for e in self._plain_endpoints(job) if e.id not in job.excluded]
         if not may_repeat or len(others) < 2 or self.budget.left(job.service.name) < 1.0:
             return None
@@ -342,9 +342,13 @@
         """Move the streams of a silent head, as far as others can take them."""
         pulse = self.silence.heads.get(head_id)
         head = self.directory.get(head_id)
-        movable = [s for s in pulse.streams if s.repeatable and not s.silent]
-        if head is not None:
-            self._suspect(head, "streams silent")
-        for stream in movable:
+        if head is None or head.membership is None:
+            return
+        self._suspect(head, "streams silent")
+        model = model_of(head.membership.replica)
+        allowed = int(self.budget.left(head.service))
+        others = self.view.heads(head.service, model)
+        movable = [s for s in pulse.streams if s.movable and not s.silent]
+        for stream in movable[: max(0, allowed) if others else 0]:
             stream.silent = True
             stream.interrupt()
--- a/libraries/gateway/src/corianderhaven/gateway/_job.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_job.py
@@ -62,6 +62,13 @@
             return self.account.priority
         return self.route.priority
 
+    def may_move(self):
+        """Return whether the request may go on elsewhere while one more endpoint runs it.
+
+        Without that right an answer is never ended for an endpoint's silence.
+        """
+        return self.route.repeatable and self.may_have_run + 1 < self.route.max_endpoints
+
     def may_repeat(self, result):
         """Return whether another endpoint may get the request after `result`."""
         if result in (SendResult.NOT_SENT, SendResult.NOT_RUN):
--- a/libraries/gateway/src/corianderhaven/gateway/_metrics.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_metrics.py
@@ -2,17 +2,24 @@
 
 from prometheus_client import Counter, Gauge, Histogram
 
+PREFIX = "corianderhaven_gateway_"
 LATENCY_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0)
 
-REQUESTS = Counter("corianderhaven_requests", "Requests by route and outcome", ["route", "outcome"])
-SENDS = Counter("corianderhaven_sends", "Sends to endpoints by result", ["service", "result"])
+REQUESTS = Counter(PREFIX + "requests", "Requests by route and outcome", ["route", "outcome"])
+SENDS = Counter(PREFIX + "sends", "Sends to endpoints by result", ["service", "result"])
 FIRST_EVENT = Histogram(
-    "corianderhaven_first_event_seconds",
+    PREFIX + "first_event_seconds",
     "Time to a stream's first event, or to a whole answer",
     ["route"],
     buckets=LATENCY_BUCKETS_S,
 )
-WAITING = Gauge("corianderhaven_waiting", "Requests that wait for a replica", ["model"])
-IN_FLIGHT = Gauge("corianderhaven_in_flight", "Requests being answered")
-SERVING_REPLICAS = Gauge("corianderhaven_serving_replicas", "Whole open replicas", ["model"])
-STRANDED = Gauge("corianderhaven_stranded_vms", "Live engine VMs that serve nothing", ["service"])
+PAUSES = Histogram(
+    PREFIX + "longest_pause_seconds",
+    "Longest pause between two events of a stream",
+    ["route"],
+    buckets=LATENCY_BUCKETS_S,
+)
+WAITING = Gauge(PREFIX + "waiting", "Requests that wait for a replica", ["model"])
+IN_FLIGHT = Gauge(PREFIX + "in_flight", "Requests being answered")
+SERVING_REPLICAS = Gauge(PREFIX + "serving_replicas", "Whole open replicas", ["model"])
+STRANDED = Gauge(PREFIX + "stranded_vms", "Live engine VMs that serve nothing", ["service"])
--- a/libraries/gateway/src/corianderhaven/gateway/_sending.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sending.py
@@ -76,7 +76,7 @@
             self.clock.now_ms(),
             pace.wait_ms(running) + pace.first_event_ms(job.facts.prompt_tokens, running),
             pace.longest_event_ms(running),
-            job.route.repeatable,
+            job.may_move(),
             connection.close,
         )
         self.silence.begin(stream)
--- a/libraries/gateway/src/corianderhaven/gateway/_silence.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_silence.py
@@ -20,7 +20,7 @@
 
     Parameters
     ----------
-    repeatable : bool
+    movable : bool
         Whether it may go on at another replica.
     interrupt : callable
         Breaks the send off, so that its task looks for another replica.
@@ -30,7 +30,7 @@
     sent_ms: float
     expected_first_ms: float
     longest_event_ms: float
-    repeatable: bool
+    movable: bool
     interrupt: object
     last_event_ms: float | None = None
     silent: bool = False
--- /dev/null
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_engine.py
@@ -0,0 +1,288 @@
+"""Engines of a hosting platform: groups, loads and stalls, with the rules checked.
+
+Times follow the platform's pages, divided by `speed`, so that tests are quick.
+"""
+
+from dataclasses import dataclass, field
+
+OPERATIONS = ("join", "open", "close", "leave", "phase")
+REJOIN_MS = 200.0
+
+
+@dataclass(frozen=True)
+class HostedModel:
+    """A model as the engines know it; times in ms."""
+
+    name: str
+    size: int
+    load_ms: float = 16_000.0
+    warm_ms: float = 1_600.0
+    share: float = 0.5
+    pace: float = 1.0
+
+
+@dataclass
+class HostedGroup:
+    """One engine's place in a group."""
+
+    name: str
+    epoch: int
+    model: str
+    members: tuple
+    ready_ms: float
+    open_ms: float | None = None
+    closed: bool = False
+    broken: bool = False
+    still_since_ms: float | None = None
+
+    @property
+    def key(self):
+        """Name, epoch and members, which make a group what it is."""
+        return (self.name, self.epoch, self.members)
+
+
+@dataclass
+class HostedEngine:
+    """One engine VM."""
+
+    id: str
+    zone: str
+    domain: str
+    address: str = ""
+    alive: bool = True
+    leaving: bool = False
+    born_ms: int = 1
+    epoch_seen: int = 0
+    orders: int = 0
+    entries: int = 0
+    staged: list = field(default_factory=list)
+    group: HostedGroup | None = None
+    last_model: str | None = None
+    loading: tuple | None = None
+    cut_from: set = field(default_factory=set)
+
+
+class HostedEngines:
+    """All engines of one service.
+
+    Parameters
+    ----------
+    clock : Clock
+    models : list of HostedModel
+    stall_ms, form_ms : float
+    speed : float
+        Factor by which all times are shorter.
+    """
+
+    def __init__(self, clock, models, stall_ms=4_000.0, form_ms=300.0, speed=1.0):
+        self.clock = clock
+        self.models = {model.name: model for model in models}
+        self.stall_ms = stall_ms / speed
+        self.form_ms = form_ms / speed
+        self.speed = speed
+        self.engines = {}
+        self.been_ready = set()
+        self.violations = []
+        self.loads = []
+
+    def add(self, engine):
+        """Add an engine VM."""
+        self.engines[engine.id] = engine
+        return engine
+
+    def kill(self, engine_id):
+        """Let an engine fall silent for good."""
+        self.engines[engine_id].alive = False
+
+    def reborn(self, engine_id):
+        """Start an engine again under its id; it knows nothing of before."""
+        engine = self.engines[engine_id]
+        engine.alive, engine.leaving = True, False
+        engine.born_ms += 1
+        engine.epoch_seen = engine.orders = 0
+        engine.group = engine.last_model = engine.loading = None
+
+    def state(self, engine):
+        """Return the state of an engine's group as it would report it, or None."""
+        group = engine.group
+        if group is None:
+            return None
+        now = self.clock.now_ms()
+        self._follow_stall(engine, now)
+        if group.broken:
+            return "broken"
+        if now < group.ready_ms:
+            return "joining"
+        self.been_ready.add((engine.id, group.key))
+        if group.open_ms is None:
+            return "ready"
+        if group.closed:
+            return "closing"
+        return "open" if now >= group.open_ms else "ready"
+
+    def may_run(self, engine):
+        """Return whether a request would begin to run here now, and check that it may."""
+        if not engine.alive or self.state(engine) != "open":
+            return False
+        if engine.group.still_since_ms is not None:
+            return False
+        self._check_whole(engine)
+        return True
+
+    def order(self, engine, body):
+        """Carry out an order; returns the HTTP status."""
+        operation = body.get("operation")
+        if operation not in OPERATIONS:
+            return 400
+        if operation == "phase":
+            return self._load(engine, body["model"])
+        if operation == "join":
+            return self._join(engine, body)
+        group = engine.group
+        state = self.state(engine)
+        if group is None or (group.name, group.epoch) != (body["group"], body["epoch"]):
+            return 200 if operation == "leave" else 409
+        engine.orders += 1
+        if operation == "leave":
+            engine.group = None
+        elif operation == "open":
+            if state == "open" or group.open_ms is not None:
+                return 200
+            if state != "ready" or group.members[0] != engine.id:
+                return 409
+            group.open_ms = self.clock.now_ms() + self.form_ms
+        elif operation == "close":
+            group.open_ms, group.closed = None, False
+        return 202
+
+    def _join(self, engine, body):
+        epoch, members = body["epoch"], tuple(body["members"])
+        old = engine.group
+        if epoch < engine.epoch_seen:
+            return 412
+        if old is not None and (old.name, old.epoch) == (body["group"], epoch):
+            return 200 if old.members == members else 412
+        self._check_head_out(engine, body["group"])
+        model = self.models[body["model"]]
+        engine.epoch_seen = epoch
+        engine.orders += 1
+        now = self.clock.now_ms()
+        if engine.last_model == model.name:
+            ready_ms = now + REJOIN_MS / self.speed
+        elif model.name in engine.staged:
+            ready_ms = now + model.warm_ms / self.speed
+        else:
+            self._load(engine, model.name)
+            ready_ms = engine.loading[1]
+        engine.group = HostedGroup(body["group"], epoch, model.name, members, ready_ms)
+        engine.last_model = model.name
+        return 202
+
+    def _load(self, engine, name):
+        now = self.clock.now_ms()
+        if name in engine.staged:
+            return 200
+        if engine.loading is None or engine.loading[0] != name:
+            self.loads.append(now)
+            engine.loading = (name, now + self.models[name].load_ms / self.speed)
+            engine.orders += 1
+        return 202
+
+    def staged(self, engine):
+        """Return what an engine's host holds now."""
+        if engine.loading is not None and self.clock.now_ms() >= engine.loading[1]:
+            engine.staged = [engine.loading[0]]
+            engine.loading = None
+        return engine.staged
+
+    def _head(self, group):
+        """Return the engine that heads `group` still, or None."""
+        head = self.engines.get(group.members[0])
+        if head is None or not head.alive or head.group is None:
+            return None
+        return head if head.group.key == group.key else None
+
+    def _check_head_out(self, engine, new_name):
+        old = engine.group
+        if old is None or old.name == new_name:
+            return
+        head = self._head(old)
+        if head is not None and self.state(head) in ("open", "closing"):
+            self.violations.append(f"TWO: {engine.id} joined {new_name} while {old.name} is open")
+
+    def _check_whole(self, head):
+        group = head.group
+        if len(group.members) != self.models[group.model].size:
+            self.violations.append(f"PARTIAL: {group.name} has {len(group.members)} members")
+        for member in group.members:
+            if (member, group.key) not in self.been_ready:
+                self.violations.append(f"PARTIAL: {member} was never ready in {group.name}")
+
+    def _follow_stall(self, engine, now):
+        """Note since when a head misses a member, and break it after the stall bound."""
+        group = engine.group
+        if group.members[0] != engine.id or group.open_ms is None or group.broken:
+            return
+        missing = [m for m in group.members[1:] if not self._in_place(m, group, engine)]
+        if not missing:
+            group.still_since_ms = None
+        elif group.still_since_ms is None:
+            group.still_since_ms = now
+        elif now - group.still_since_ms >= self.stall_ms:
+            group.broken = True
+
+    def _in_place(self, member_id, group, head):
+        member = self.engines.get(member_id)
+        if member is None or not member.alive or member_id in head.cut_from:
+            return False
+        return member.group is not None and member.group.key == group.key
+
+    def entry(self, engine, service):
+        """Return what an engine writes into the store."""
+        engine.entries += 1
+        return {
+            "service": service,
+            "address": engine.address,
+            "zone": engine.zone,
+            "version": "v1",
+            "slots": 9,
+            "state": "draining" if engine.leaving else "ready",
+            "cold_remaining_ms": 0,
+            "sequence": engine.entries,
+            "born": engine.born_ms,
+            **self._common(engine),
+        }
+
+    def report(self, engine):
+        """Return what an engine answers when asked."""
+        return {
+            "sequence": engine.orders,
+            "born": engine.born_ms,
+            "busy": engine.loading is not None,
+            "queued": 0,
+            "active": 0,
+            "kv_used": 0,
+            "kv_total": 1,
+            "kv_handles": 0,
+            "pace": 1.0,
+            **self._common(engine),
+        }
+
+    def _common(self, engine):
+        state = self.state(engine)
+        common = {
+            "phase": "both",
+            "models": [],
+            "domain": engine.domain,
+            "staged": list(self.staged(engine)),
+        }
+        if state is not None:
+            group = engine.group
+            common["models"] = [{"name": group.model, "version": 1, "adapters": []}]
+            common["group"] = {
+                "name": group.name,
+                "epoch": group.epoch,
+                "rank": group.members.index(engine.id),
+                "state": state,
+            }
+        return common
--- /dev/null
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -0,0 +1,469 @@
+"""A small hosting platform on loopback: store, engines and plain services over HTTP."""
+
+import asyncio
+import itertools
+from collections import Counter
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from corianderhaven.common import MS_PER_S, AsyncHttpServer, Clock, new_id
+
+from ._hosting_engine import HostedEngine, HostedEngines, HostedModel
+from ._hosting_store import HostedStore
+
+PAGE_ITEMS = 50
+HEARTBEAT_MS = 150.0
+STATE_CHECK_MS = 10.0
+ENGINE_SERVICE = "draft-pool"
+PLAIN_SERVICE = "ledger"
+
+
+@dataclass
+class WorkerFaults:
+    """What a worker does wrong with the requests that it gets.
+
+    Parameters
+    ----------
+    shed : bool
+        Refuse with 503 and say that nothing ran.
+    lose_answer : bool
+        Run, then reset the connection.
+    cut_after : int or None
+        Events after which a stream is reset, in the middle of the next one.
+    garble : bool
+        Answer bytes that are no HTTP.
+    other_id : bool
+        Answer under another request's id.
+    extra : bool
+        Send a second answer after the first.
+    unframed : bool
+        Send a body that ends with the connection.
+    fail : bool
+        Run and answer 500.
+    slow_ms : float
+        Additional time of each answer.
+    """
+
+    shed: bool = False
+    lose_answer: bool = False
+    cut_after: int | None = None
+    garble: bool = False
+    other_id: bool = False
+    extra: bool = False
+    unframed: bool = False
+    fail: bool = False
+    slow_ms: float = 0.0
+
+
+@dataclass
+class Run:
+    """One run of a request at a worker."""
+
+    request_id: str
+    worker: str
+    target: str
+    headers: dict
+    body: bytes
+    after: str | None = None
+
+
+@dataclass
+class HostedWorker:
+    """A worker's listener."""
+
+    id: str
+    service: str
+    zone: str
+    server: object = None
+    engine: object = None
+    entries: int = 0
+    listed: bool = True
+    leaving: bool = False
+    faults: WorkerFaults = field(default_factory=WorkerFaults)
+    active: int = 0
+
+
+class HostingSite:
+    """The whole platform in this process, for tests and the demonstration.
+
+    Parameters
+    ----------
+    zones : list of str
+    domain_size : int
+        Engines of one fabric domain; each zone has one domain.
+    models : list of HostedModel
+    plain_workers : int
+    token_ms : float
+        Time of one event of a stream.
+    speed : float
+        Factor by which loads, stalls and joins are shorter than the platform's.
+    """
+
+    def __init__(
+        self, zones, domain_size, models, plain_workers=2, token_ms=5.0, speed=10.0, events=8
+    ):
+        self.clock = Clock()
+        self.zones = zones
+        self.domain_size = domain_size
+        self.models = models
+        self.plain_workers = plain_workers
+        self.token_ms = token_ms
+        self.events = events
+        self.store = HostedStore(self.clock)
+        self.engines = HostedEngines(self.clock, models, speed=speed)
+        self.workers = {}
+        self.runs = []
+        self.servers = []
+        self.tasks = []
+        self.config_version = 0
+        self.keys = {"team-a": ["key-a"], "team-b": ["key-b"]}
+        self.routes = default_routes()
+
+    async def start(self):
+        """Start the store, the workers and their heartbeats."""
+        self.store_server = AsyncHttpServer("127.0.0.1:0", self._answer_store, self.clock)
+        await self.store_server.start()
+        self.servers.append(self.store_server)
+        for zone, number in itertools.product(self.zones, range(self.domain_size)):
+            await self.add_engine(zone, f"{zone}-{number}")
+        for number in range(self.plain_workers):
+            await self._add_worker(f"s-{number}", PLAIN_SERVICE, self.zones[0])
+        self.publish_config()
+        loop = asyncio.get_running_loop()
+        self.tasks.append(loop.create_task(self._beat()))
+        return self
+
+    def close(self):
+        """Stop everything."""
+        for task in self.tasks:
+            task.cancel()
+        for server in self.servers:
+            server.close()
+
+    async def add_engine(self, zone, name):
+        """Add an empty engine VM."""
+        worker = await self._add_worker(f"e-{name}", ENGINE_SERVICE, zone)
+        worker.engine = self.engines.add(
+            HostedEngine(worker.id, zone, f"domain-{zone}", worker.server.address)
+        )
+        return worker
+
+    def kill(self, worker_id):
+        """Let a worker fall silent; its entry lapses."""
+        worker = self.workers[worker_id]
+        worker.server.close()
+        if worker.engine is not None:
+            self.engines.kill(worker_id)
+        worker.listed = False
+        loop = asyncio.get_running_loop()
+        loop.call_later(3 * HEARTBEAT_MS / MS_PER_S, self.store.delete, f"servers/{worker_id}")
+
+    def publish_config(self):
+        """Write the next version of the configuration."""
+        self.config_version += 3
+        config = {
+            "version": self.config_version,
+            "routes": self.routes,
+            "services": [self._engine_service(), {"name": PLAIN_SERVICE, "protocol": "h1"}],
+            "limits": {
+                "max_header_bytes": 16384,
+                "max_body_bytes": 1 << 20,
+                "header_timeout_ms": 3000,
+                "idle_timeout_ms": 15000,
+            },
+            "tenants": [
+                {"name": name, "api_keys": keys, "priority": 1} for name, keys in self.keys.items()
+            ],
+        }
+        self.store.put("op/config", msgspec.json.encode(config))
+        return self.config_version
+
+    def run_counts(self):
+        """Return how often each request ran."""
+        return Counter(run.request_id for run in self.runs)
+
+    def _engine_service(self):
+        speed = self.engines.speed
+        return {
+            "name": ENGINE_SERVICE,
+            "engine": {
+                "slots": 9,
+                "kv_capacity": 900_000,
+                "stride": 5,
+                "models": [
+                    {
+                        "name": m.name,
+                        "size": m.size,
+                        "share": m.share,
+                        "pace": m.pace,
+                        "load_s": m.load_ms / speed / MS_PER_S,
+                        "warm_s": m.warm_ms / speed / MS_PER_S,
+                    }
+                    for m in self.models
+                ],
+                "step_ms": 2.0,
+                "per_seq_ms": 0.1,
+                "context_per_k": 0.0,
+                "read_per_s": 100_000.0,
+                "chunk": 2048,
+                "loads_per_s": 5.0,
+                "loads_at_once": 7,
+                "form_ms": self.engines.form_ms,
+                "usual": {"prompt": 100, "answer": 40},
+            },
+        }
+
+    async def _add_worker(self, worker_id, service, zone):
+        worker = HostedWorker(worker_id, service, zone)
+
+        async def answer(request, caller):
+            await self._answer_worker(worker, request, caller)
+
+        worker.server = AsyncHttpServer("127.0.0.1:0", answer, self.clock)
+        await worker.server.start()
+        self.servers.append(worker.server)
+        self.workers[worker_id] = worker
+        return worker
+
+    async def _beat(self):
+        told = {}
+        beaten_ms = 0.0
+        while True:
+            now = self.clock.now_ms()
+            due = now - beaten_ms >= HEARTBEAT_MS
+            if due:
+                beaten_ms = now
+            for worker in self.workers.values():
+                state = self._told_state(worker)
+                if worker.listed and (due or told.get(worker.id) != state):
+                    told[worker.id] = state
+                    entry = msgspec.json.encode(self._entry(worker))
+                    self.store.put(f"servers/{worker.id}", entry)
+            await asyncio.sleep(STATE_CHECK_MS / MS_PER_S)
+
+    def _told_state(self, worker):
+        engine = worker.engine
+        if engine is None:
+            return worker.leaving
+        group = engine.group
+        staged = tuple(self.engines.staged(engine))
+        return (worker.leaving, group and group.key, self.engines.state(engine), staged)
+
+    def _entry(self, worker):
+        if worker.engine is not None:
+            worker.engine.leaving = worker.leaving
+            return self.engines.entry(worker.engine, ENGINE_SERVICE)
+        worker.entries += 1
+        return {
+            "service": worker.service,
+            "address": worker.server.address,
+            "zone": worker.zone,
+            "version": "v1",
+            "slots": 6,
+            "state": "draining" if worker.leaving else "ready",
+            "cold_remaining_ms": 0,
+            "sequence": worker.entries,
+            "born": 1,
+        }
+
+    async def _answer_store(self, request, caller):
+        faults = self.store.faults
+        peer = caller.transport.get_extra_info("peername")[0]
+        if faults.answer_ms:
+            await asyncio.sleep(faults.answer_ms / MS_PER_S)
+        if faults.away or peer in faults.away_for:
+            await caller.answer(503, [], b"")
+            return
+        status, body = await self._call_store(request)
+        if faults.lose_answers and request.method != b"GET":
+            caller.break_off()
+            return
+        content = [(b"content-type", b"application/json")]
+        await caller.answer(status, content, msgspec.json.encode(body))
+
+    async def _call_store(self, request):
+        url = urlsplit(request.target.decode())
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        store = self.store
+        store.expire_leases()
+        name = url.path.removeprefix("/api/")
+        if name == "kv-key":
+            key = query["key"]
+            found = key in store.items
+            return (200, {**store.row(key), "at": store.revision}) if found else (404, {})
+        if name == "kv-range":
+            return 200, self._page(query)
+        if name == "kv-watch":
+            after = int(query["after"])
+            wait_ms = float(query["wait_ms"])
+            events = await store.wait(query.get("path_prefix", ""), after, wait_ms)
+            if events is None:
+                return 410, {}
+            return 200, {"events": events, "at": store.revision}
+        if name == "kv-txn":
+            body = msgspec.json.decode(request.body)
+            status, revision = store.transact(body["expected"], body["writes"], body["remove"])
+            return status, {"revision": revision} if revision else {"items": []}
+        if name == "kv-lease":
+            ttl_ms = msgspec.json.decode(request.body)["ttl_ms"]
+            return 200, {"lease_id": store.grant(ttl_ms), "ttl_ms": ttl_ms}
+        operation, _, lease = name.partition("/")
+        if operation == "kv-keep":
+            return (200, {"ttl_ms": 0}) if store.keep(int(lease)) else (404, {})
+        if operation == "kv-lease-end":
+            return (200, {}) if store.end_lease(int(lease)) else (404, {})
+        return 404, {}
+
+    def _page(self, query):
+        prefix, after = query.get("path_prefix", ""), query.get("after", "")
+        keys = sorted(k for k in self.store.items if k.startswith(prefix) and k > after)
+        page = keys[:PAGE_ITEMS]
+        return {
+            "items": [self.store.row(key) for key in page],
+            "has_more": len(keys) > PAGE_ITEMS,
+            "at": self.store.revision,
+        }
+
+    async def _answer_worker(self, worker, request, caller):
+        engine = worker.engine
+        if engine is not None and not engine.alive:
+            await asyncio.sleep(3600.0)
+        if request.target == b"/api/report" and engine is not None:
+            await caller.answer(200, [], msgspec.json.encode(self.engines.report(engine)))
+        elif request.target == b"/api/order" and engine is not None:
+            status = self.engines.order(engine, msgspec.json.decode(request.body))
+            await caller.answer(status, [], b"")
+        elif request.header("corianderhaven-expect-instance") not in (None, worker.id):
+            await caller.answer(421, [(b"corianderhaven-instance-id", worker.id.encode())], b"")
+        else:
+            worker.active += 1
+            try:
+                await self._run(worker, request, caller)
+            finally:
+                worker.active -= 1
+
+    def _headers(self, worker, request):
+        request_id = request.header("corianderhaven-attempt-id") or ""
+        if worker.faults.other_id:
+            request_id = "another"
+        stamp = f"{worker.id}.{new_id('stamp')}"
+        load = f"{worker.active},0,9"
+        return [
+            (b"corianderhaven-attempt-id", request_id.encode()),
+            (b"corianderhaven-server-stamp", stamp.encode()),
+            (b"corianderhaven-instance-load", load.encode()),
+        ]
+
+    async def _run(self, worker, request, caller):
+        faults, engine = worker.faults, worker.engine
+        not_run = [(b"corianderhaven-not-executed", b"1")]
+        if faults.shed:
+            await caller.answer(503, not_run, b"")
+            return
+        if engine is not None:
+            if self.engines.state(engine) != "open":
+                await caller.answer(421, not_run, b"")
+                return
+            while not self.engines.may_run(engine):
+                if self.engines.state(engine) == "broken":
+                    await caller.answer(503, not_run, b"")
+                    return
+                await asyncio.sleep(STATE_CHECK_MS / MS_PER_S)
+        self._note_run(worker, request)
+        await asyncio.sleep((self.token_ms + faults.slow_ms) / MS_PER_S)
+        if faults.lose_answer:
+            caller.close()
+        elif faults.garble:
+            await caller.write(b"\x00\x17 nonsense\r\n\r\n")
+            caller.break_off()
+        elif faults.fail:
+            await caller.answer(500, self._headers(worker, request), b"failed")
+        elif engine is not None:
+            await self._stream(worker, request, caller)
+        else:
+            await self._answer_plain(worker, request, caller)
+
+    def _note_run(self, worker, request):
+        headers = {k.decode(): v.decode("latin-1") for k, v in request.headers}
+        self.runs.append(
+            Run(
+                headers.get("corianderhaven-attempt-id", ""),
+                worker.id,
+                request.target.decode("latin-1"),
+                headers,
+                request.body,
+                headers.get("last-event-id"),
+            )
+        )
+
+    async def _answer_plain(self, worker, request, caller):
+        body = b"whole answer of " + worker.id.encode()
+        headers = self._headers(worker, request)
+        if worker.faults.unframed:
+            lines = [b"HTTP/1.1 200 OK"] + [k + b": " + v for k, v in headers]
+            await caller.write(b"\r\n".join([*lines, b"connection: close", b"", body]))
+            caller.break_off()
+            return
+        await caller.answer(200, headers, body)
+        if worker.faults.extra:
+            await caller.write(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra")
+
+    async def _stream(self, worker, request, caller):
+        first = int(request.header("last-event-id") or 0) + 1
+        headers = [*self._headers(worker, request), (b"content-type", b"text/event-stream")]
+        await caller.begin(200, headers)
+        for number in range(first, self.events + 1):
+            event = b"id: %d\ndata: token-%d\n\n" % (number, number)
+            if worker.faults.cut_after is not None and number > worker.faults.cut_after:
+                await caller.send_part(event[:6])
+                caller.close()
+                return
+            while not self.engines.may_run(worker.engine):
+                if self.engines.state(worker.engine) in (None, "broken"):
+                    caller.close()
+                    return
+                await asyncio.sleep(STATE_CHECK_MS / MS_PER_S)
+            await caller.send_part(event)
+            await asyncio.sleep(self.token_ms / MS_PER_S)
+        await caller.end()
+
+
+def default_routes():
+    """Return one route of each kind."""
+    common = {"host": "site.example", "timeout_ms": 4000, "priority": 1, "anonymous": False}
+    draft = {
+        "route_kind": "streaming",
+        "goal_ms": 400,
+        "service": ENGINE_SERVICE,
+        "max_attempts": 2,
+        "sticky": True,
+        "resumable": True,
+        "gap_goal_ms": 300,
+    }
+    plain = {"goal_ms": 200, "service": PLAIN_SERVICE}
+    return [
+        {"name": "draft", "path_prefix": "/draft/", **draft, **common},
+        {
+            "name": "issue",
+            "path_prefix": "/issue/",
+            "route_kind": "non_idempotent",
+            "max_attempts": 1,
+            **plain,
+            **common,
+        },
+        {
+            "name": "status",
+            "path_prefix": "/status/",
+            "route_kind": "idempotent",
+            "max_attempts": 2,
+            **plain,
+            **common,
+        },
+    ]
+
+
+def small_models():
+    """Return a model of two VMs and one of one."""
+    return [HostedModel("large", 2, 400.0, 100.0), HostedModel("small", 1, 300.0, 80.0)]
