--- a/libraries/gateway/src/corianderhaven/gateway/_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_admission.py
@@ -10,9 +10,11 @@
 from corianderhaven.common import MS_PER_S
 
 WAIT_WITHOUT_REPLICA_MS = 350.0  # a replica of staged VMs is formed in about this time
-GRANT_WINDOW_MS = 2_000.0  # over which the line's speed is measured
-OVERFILL = 1  # requests beyond the slots, so that a freed slot isn't idle for a round trip
+RATE_WINDOW_MS = 3_000.0  # over which arrivals and grants are counted: some ten of each
+OVERLOAD = 1.15  # arrivals above grants by more than chance of ten in a window
+LEAST_LEFTOVER = 0.05  # part of the line's speed that late requests get below overload
 LEAST_RETRY_AFTER_MS = 300.0
+OVERLOAD_RETRY_AFTER_MS = 1_200.0  # most of a usual answer: slots are freed by then
 NO_REPLICA_RETRY_AFTER_MS = 1_000.0
 LINE_CHECK_MS = 50.0
 
@@ -57,6 +59,51 @@
     return (not waiter.resumed, waiter.priority, late, due_ms)
 
 
+class LineRates:
+    """How many requests come, and how many are sent on, lately.
+
+    Parameters
+    ----------
+    clock : Clock
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.begun_ms = clock.now_ms()
+        self.arrivals = deque()
+        self.grants = deque()
+
+    def note_arrival(self):
+        """Count a request that came."""
+        self.arrivals.append(self.clock.now_ms())
+
+    def note_grant(self):
+        """Count a request that was sent on."""
+        self.grants.append(self.clock.now_ms())
+
+    def grants_per_ms(self):
+        """Return the line's recent speed."""
+        return max(1, self._count(self.grants)) / self._window_ms()
+
+    def leftover_per_ms(self):
+        """Return the speed that requests in time leave to late ones; 0.0 in overload."""
+        arrivals = self._count(self.arrivals) / self._window_ms()
+        grants = self.grants_per_ms()
+        if arrivals > OVERLOAD * grants:
+            return 0.0
+        return max(grants - arrivals, LEAST_LEFTOVER * grants)
+
+    def _window_ms(self):
+        age_ms = self.clock.now_ms() - self.begun_ms
+        return min(RATE_WINDOW_MS, max(age_ms, RATE_WINDOW_MS / 3))
+
+    def _count(self, times):
+        since = self.clock.now_ms() - RATE_WINDOW_MS
+        while times and times[0] < since:
+            times.popleft()
+        return len(times)
+
+
 class WaitingLine:
     """The requests of one model that wait in this daemon.
 
@@ -74,37 +121,56 @@
         self.pick = pick
         self.has_replica = has_replica
         self.waiting = []
-        self.grants = deque()
+        self.rates = LineRates(clock)
         self.starved_since_ms = None
 
-    def expected_wait_ms(self, position):
-        """Return how long a request at `position` waits, at the line's recent speed."""
-        now = self.clock.now_ms()
-        while self.grants and self.grants[0] < now - GRANT_WINDOW_MS:
-            self.grants.popleft()
-        rate = max(1, len(self.grants)) / GRANT_WINDOW_MS
-        return position / rate
+    def expected_wait_ms(self, waiter):
+        """Return how long a request will wait, or None when it will not be served.
 
-    def refuse_on_arrival(self, waiter):
+        Requests in time go before late ones, so a request that comes to be late gets only
+        what those leave.
+        """
+        now = self.clock.now_ms()
+        key = waiting_order(waiter, now)
+        ahead = sum(
+            other is not waiter and waiting_order(other, now) < key for other in self.waiting
+        )
+        wait_ms = ahead / self.rates.grants_per_ms()
+        if now + wait_ms <= waiter.on_time_ms:
+            return wait_ms
+        leftover = self.rates.leftover_per_ms()
+        late_ahead = sum(
+            other is not waiter and other.arrived_ms <= waiter.arrived_ms
+            for other in self.waiting
+            if now > other.on_time_ms
+        )
+        if not leftover:
+            return None
+        return max(wait_ms, late_ahead / leftover)
+
+    def refuse(self, waiter):
         """Return the `Refusal` of a request that can't be served, or None."""
         now = self.clock.now_ms()
         starved_ms = 0.0 if self.starved_since_ms is None else now - self.starved_since_ms
         if starved_ms > WAIT_WITHOUT_REPLICA_MS and not self.has_replica():
             return Refusal("no replica serves the model", NO_REPLICA_RETRY_AFTER_MS)
-        key = waiting_order(waiter, now)
-        ahead = sum(waiting_order(other, now) <= key for other in self.waiting)
-        wait_ms = self.expected_wait_ms(ahead) if ahead else 0.0
+        if waiter.resumed:
+            return None
+        wait_ms = self.expected_wait_ms(waiter)
+        if wait_ms is None:
+            return Refusal("overloaded", OVERLOAD_RETRY_AFTER_MS)
         if now + wait_ms > waiter.useful_ms:
             return Refusal("can't be served in time", max(LEAST_RETRY_AFTER_MS, wait_ms / 2))
         return None
 
     async def acquire(self, waiter):
         """Return an endpoint for the request, or a `Refusal`."""
+        self.rates.note_arrival()
         endpoint = None if self.waiting else self.pick(waiter)
         if endpoint is not None:
-            self._note_grant()
+            self.rates.note_grant()
             return endpoint
-        refusal = self.refuse_on_arrival(waiter)
+        refusal = self.refuse(waiter)
         if refusal is not None:
             return refusal
         waiter.granted = asyncio.get_running_loop().create_future()
@@ -125,20 +191,20 @@
                 continue
             endpoint = self.pick(waiter)
             if endpoint is not None:
-                self._note_grant()
-                waiter.granted.set_result(endpoint)
-            elif now > waiter.useful_ms:
-                waiter.granted.set_result(Refusal("waited too long", LEAST_RETRY_AFTER_MS))
-            elif self._starved_too_long(waiter, now):
-                waiter.granted.set_result(
-                    Refusal("no replica serves the model", NO_REPLICA_RETRY_AFTER_MS)
-                )
-            else:
-                continue
-            self.waiting.remove(waiter)
+                self.rates.note_grant()
+            refusal = None if endpoint is not None else self._refuse_waiting(waiter, now)
+            if endpoint is not None or refusal is not None:
+                waiter.granted.set_result(endpoint or refusal)
+                self.waiting.remove(waiter)
 
-    def _note_grant(self):
-        self.grants.append(self.clock.now_ms())
+    def _refuse_waiting(self, waiter, now):
+        if now > waiter.useful_ms:
+            return Refusal("waited too long", LEAST_RETRY_AFTER_MS)
+        if self._starved_too_long(waiter, now):
+            return Refusal("no replica serves the model", NO_REPLICA_RETRY_AFTER_MS)
+        if now > waiter.on_time_ms:
+            return self.refuse(waiter)
+        return None
 
     def _note_starvation(self, now):
         if self.has_replica():
