Show losses by cause from logs; reckon a line's speed from replicas and service time

Cause: with a line in front of it, a model's grants over 3 s undercount what its replicas can take (a stall of a second looked like overload), so requests were refused that could be served. Ruled out: a longer window alone. Change: the speed is the larger of recent grants and this daemon's part of slots over observed service time. VMs of a model grow with its replicas' size; a domain may be split. 'corianderhaven losses' counts requests by cause from the daemons' logs.

--- a/libraries/cli/src/corianderhaven/cli/_main.py
+++ b/libraries/cli/src/corianderhaven/cli/_main.py
@@ -15,6 +15,7 @@
 from . import _config_commands as config_commands
 from . import _site_commands as site_commands
 from ._load_command import load
+from ._loss_report import losses
 from ._output import (
     EXIT_CONFLICT,
     EXIT_FAILURE,
@@ -38,6 +39,7 @@
     "why": site_commands.why,
     "drain": site_commands.drain,
     "load": load,
+    "losses": losses,
 }
 INVALID_CODES = (
     ErrorCode.INVALID_DOCUMENT,
--- a/libraries/fleet/src/corianderhaven/fleet/_formation.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_formation.py
@@ -13,6 +13,19 @@
 from ._replicas import group_replicas, missing_members
 from ._types import ReplicaState
 
+# A lost VM takes its whole replica out until a spare joins, so a model's VMs beyond its share
+# grow with the size of its replicas: each member adds this part of the share.
+SPARE_PER_MEMBER = 0.25
+LEAST_PART = 0.05  # of a domain; less is no VM
+ROUNDING = 0.5
+
+
+def target_shares(models):
+    """Return the share of all VMs that each model should hold, by name."""
+    weights = {m.name: m.share * (1.0 + SPARE_PER_MEMBER * m.size) for m in models}
+    total = sum(weights.values()) or 1.0
+    return {name: weight / total for name, weight in weights.items()}
+
 
 @dataclass
 class Vm:
@@ -122,6 +135,8 @@
 class FormationPlanner:
     """Chooses formations and loads for the engines of one service.
 
+    Keeps, for each fabric domain, which part of it is meant for which model.
+
     Parameters
     ----------
     engine : EngineSpec
@@ -129,6 +144,8 @@
 
     def __init__(self, engine):
         self.engine = engine
+        self.parts = {}
+        self.targets = target_shares(engine.models)
 
     def plan(self, vms, load_slots, settled=True):
         """Return the actions to take now, most useful first.
@@ -143,13 +160,13 @@
             Whether all endpoints are known; before, only whole replicas are loaded.
         """
         domains = self._domains(vms)
-        homes = self._homes(domains)
+        self._assign(domains)
         actions = []
         for model in self._neediest_first(vms):
             for domain in self._poorest_first(domains, model):
                 actions += self._form_staged(domains[domain], model)
         while load_slots > 0:
-            action, loads = self._next_load(domains, homes, vms, load_slots, settled)
+            action, loads = self._next_load(domains, vms, load_slots, settled)
             if action is None:
                 break
             load_slots -= loads
@@ -162,28 +179,51 @@
             domains[(vm.endpoint.zone, vm.endpoint.domain)].append(vm)
         return domains
 
-    def _homes(self, domains):
-        """Return the home model of each domain: what most of it holds, or is short of."""
-        homes, unassigned = {}, []
+    def _assign(self, domains):
+        """Decide for new domains which part of them is meant for which model.
+
+        A domain that holds weights already goes on as it is. Empty ones are given to one
+        model as a whole where its share allows, so that spares serve many replicas.
+        """
+        for domain in [d for d in self.parts if d not in domains]:
+            del self.parts[domain]
         for domain in sorted(domains):
-            held = Counter(vm.model for vm in domains[domain] if self.engine.model(vm.model))
-            if held:
-                homes[domain] = max(held, key=lambda name: (held[name], name))
-            else:
-                unassigned.append(domain)
-        for domain in unassigned:
-            homes[domain] = self._model_short_of(homes, len(domains), domain[0])
-        return homes
-
-    def _model_short_of(self, homes, domain_count, zone):
-        """Return the model with the fewest domains for its share, then in this zone."""
-        in_zone = Counter(model for domain, model in homes.items() if domain[0] == zone)
-        total = Counter(homes.values())
-        best = max(
-            self.engine.models,
-            key=lambda m: (m.share * domain_count - total[m.name], -in_zone[m.name], m.size),
-        )
-        return best.name
+            if domain not in self.parts:
+                held = Counter(vm.model for vm in domains[domain] if self._knows(vm.model))
+                if held:
+                    total = held.total()
+                    self.parts[domain] = {name: count / total for name, count in held.items()}
+        for domain in sorted(domains):
+            if domain not in self.parts:
+                self.parts[domain] = self._parts_of_empty(domain[0], len(domains))
+
+    def _knows(self, name):
+        return self.engine.model(name) is not None
+
+    def _parts_of_empty(self, zone, domain_count):
+        """Fill a domain with the models that are furthest below their share."""
+        in_zone, total = Counter(), Counter()
+        for (other_zone, _), parts in self.parts.items():
+            for name, part in parts.items():
+                total[name] += part
+                in_zone[name] += part * (other_zone == zone)
+        short = {m: self.targets[m.name] * domain_count - total[m.name] for m in self.engine.models}
+        parts, room = {}, 1.0
+        order = sorted(short, key=lambda m: (in_zone[m.name], -short[m], -m.size))
+        for model in order:
+            part = min(room, max(0.0, short[model]))
+            if part > 0.0:
+                parts[model.name] = part
+                room -= part
+        if room > LEAST_PART or not parts:
+            best = max(short, key=lambda m: (short[m], m.size))
+            parts[best.name] = parts.get(best.name, 0.0) + room
+        return parts
+
+    def _room(self, domain, vms, model):
+        """Return how many more VMs of a domain are meant for a model."""
+        part = self.parts[domain].get(model.name, 0.0)
+        return part * len(vms) - sum(vm.model == model.name for vm in vms) + ROUNDING
 
     def _neediest_first(self, vms):
         """Order models by how far their VMs are from their share."""
@@ -217,27 +257,29 @@
             vm.last_model = model.name
         return Form(model.name, tuple(vm.endpoint for vm in members), loads)
 
-    def _next_load(self, domains, homes, vms, load_slots, settled):
+    def _next_load(self, domains, vms, load_slots, settled):
         """Return the load that helps most, and how many loads it takes."""
         for model in self._neediest_first(vms):
-            at_home = [d for d in domains if homes[d] == model.name]
-            for domain in self._poorest_first({d: domains[d] for d in at_home}, model):
-                action = self._whole_replica(domains[domain], model, load_slots)
+            for domain in self._poorest_first(domains, model):
+                room = self._room(domain, domains[domain], model)
+                action = self._whole_replica(domains[domain], model, min(load_slots, room))
                 if action is not None:
                     return action, action.loads
         if not settled:
             return None, 0
         for model in self._neediest_first(vms):
             for domain in sorted(domains, key=lambda d: -self._spares(domains[d], model)):
-                action = self._completing_stage(domains[domain], model, homes[domain])
+                at_home = self.parts[domain].get(model.name, 0.0) > 0.5
+                action = self._completing_stage(domains[domain], model, at_home)
                 if action is not None:
                     return action, 1
-        for model in self._neediest_first(vms):
-            at_home = {d: domains[d] for d in domains if homes[d] == model.name}
-            for domain in self._poorest_first(at_home, model):
-                empty = [vm for vm in domains[domain] if vm.empty]
-                if empty:
-                    return self._stage(empty[0], model), 1
+        for domain in sorted(domains, key=lambda d: -len(domains[d])):
+            empty = [vm for vm in domains[domain] if vm.empty]
+            if empty:
+                roomiest = max(
+                    self.engine.models, key=lambda m: self._room(domain, domains[domain], m)
+                )
+                return self._stage(empty[0], roomiest), 1
         return None, 0
 
     def _spares(self, vms, model):
@@ -253,14 +295,14 @@
             return None
         return self._form(ready + empty[:loads], model, loads)
 
-    def _completing_stage(self, vms, model, home):
+    def _completing_stage(self, vms, model, at_home):
         """Stage a VM so that a replica can be formed of those left over."""
         spares = self._spares(vms, model)
         needed = model.size - spares
         if spares == 0 or needed <= 0:
             return None
         candidates = [vm for vm in vms if vm.empty]
-        if home == model.name:
+        if at_home:
             candidates += self._strays(vms, model)
         if len(candidates) < needed:
             return None
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper.py
@@ -5,7 +5,7 @@
 
 from corianderhaven.common import MS_PER_S
 
-from ._formation import Form, FormationPlanner, Stage, Standby, Vm, find_lost
+from ._formation import Form, Stage, Standby, Vm, find_lost
 from ._order_sender import PROBE_TIMEOUT_MS, OrderSender
 from ._replica_tasks import STALL_SLACK_MS, ReplicaTasks
 from ._replicas import group_replicas, model_of
@@ -139,13 +139,15 @@
         for action in find_lost(told, engine, self.sender.dead.keys(), skipped):
             if self._certain(action):
                 self.work.begin_dissolving(action)
-        self._plan(engine, endpoints)
+        self._plan(service, endpoints)
 
-    def _plan(self, engine, endpoints):
+    def _plan(self, service, endpoints):
+        engine = service.engine
         dead = self.sender.dead
         vms = [self._view(e) for e in endpoints if not e.leaving and e.id not in dead]
         settled = self.traffic_seen or self.clock.now_ms() > self.begun_ms + SETTLE_MS
-        for action in FormationPlanner(engine).plan(vms, self._load_slots(engine), settled):
+        planner = self.work.planner(service.name, engine)
+        for action in planner.plan(vms, self._load_slots(engine), settled):
             if isinstance(action, Form):
                 self.work.begin_formation(engine, action)
             elif isinstance(action, Stage):
--- a/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
@@ -5,6 +5,7 @@
 
 from corianderhaven.common import MS_PER_S
 
+from ._formation import FormationPlanner
 from ._interfaces import OrderResult
 from ._order_sender import ACCEPTED, GENERATIONS_PER_TENURE
 from ._replicas import replica_name
@@ -81,6 +82,7 @@
         self.clock = clock
         self.decisions = decisions
         self.memory = KeeperMemory()
+        self.planners = {}
         self.number = 0
         self.tasks = set()
 
@@ -89,6 +91,13 @@
         for task in self.tasks:
             task.cancel()
 
+    def planner(self, service, engine):
+        """Return the planner of a service, a new one when its engines are declared anew."""
+        planner = self.planners.get(service)
+        if planner is None or planner.engine != engine:
+            planner = self.planners[service] = FormationPlanner(engine)
+        return planner
+
     def spawn(self, work):
         """Run `work` as a task of this tenure."""
         task = asyncio.get_running_loop().create_task(work)
@@ -250,6 +259,8 @@
             )
             if result is OrderResult.UNKNOWN:
                 self.sender.mark_dead(endpoint.id)
+            if result is OrderResult.DONE:
+                await self.sender.probe([endpoint])
             if result is not OrderResult.BEGUN:
                 return
             load_ms = engine.model(model).load_s * MS_PER_S
--- a/libraries/gateway/src/corianderhaven/gateway/_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_admission.py
@@ -11,8 +11,8 @@
 
 WAIT_WITHOUT_REPLICA_MS = 350.0  # a replica of staged VMs is formed in about this time
 RATE_WINDOW_MS = 3_000.0  # over which arrivals and grants are counted: some ten of each
-OVERLOAD = 1.15  # arrivals above grants by more than chance of ten in a window
-LEAST_LEFTOVER = 0.05  # part of the line's speed that late requests get below overload
+OVERLOAD = 1.25  # arrivals above the line's speed by more than chance of ten in a window
+LEAST_LEFTOVER = 0.1  # part of the line's speed that late requests get below overload
 LEAST_RETRY_AFTER_MS = 300.0
 OVERLOAD_RETRY_AFTER_MS = 1_200.0  # most of a usual answer: slots are freed by then
 NO_REPLICA_RETRY_AFTER_MS = 1_000.0
@@ -65,10 +65,13 @@
     Parameters
     ----------
     clock : Clock
+    capacity : callable
+        Returns how many requests a ms the replicas can take from this daemon.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, capacity):
         self.clock = clock
+        self.capacity = capacity
         self.begun_ms = clock.now_ms()
         self.arrivals = deque()
         self.grants = deque()
@@ -81,17 +84,18 @@
         """Count a request that was sent on."""
         self.grants.append(self.clock.now_ms())
 
-    def grants_per_ms(self):
-        """Return the line's recent speed."""
-        return max(1, self._count(self.grants)) / self._window_ms()
+    def speed_per_ms(self):
+        """Return how fast the line moves: as lately, or as the replicas allow."""
+        lately = max(1, self._count(self.grants)) / self._window_ms()
+        return max(lately, self.capacity())
 
     def leftover_per_ms(self):
         """Return the speed that requests in time leave to late ones; 0.0 in overload."""
         arrivals = self._count(self.arrivals) / self._window_ms()
-        grants = self.grants_per_ms()
-        if arrivals > OVERLOAD * grants:
+        speed = self.speed_per_ms()
+        if arrivals > OVERLOAD * speed:
             return 0.0
-        return max(grants - arrivals, LEAST_LEFTOVER * grants)
+        return max(speed - arrivals, LEAST_LEFTOVER * speed)
 
     def _window_ms(self):
         age_ms = self.clock.now_ms() - self.begun_ms
@@ -114,14 +118,16 @@
         Takes a `Waiter`, returns a free endpoint or None.
     has_replica : callable
         Returns whether any replica of the model serves.
+    capacity : callable
+        Returns how many requests a ms the replicas can take from this daemon.
     """
 
-    def __init__(self, clock, pick, has_replica):
+    def __init__(self, clock, pick, has_replica, capacity):
         self.clock = clock
         self.pick = pick
         self.has_replica = has_replica
         self.waiting = []
-        self.rates = LineRates(clock)
+        self.rates = LineRates(clock, capacity)
         self.starved_since_ms = None
 
     def expected_wait_ms(self, waiter):
@@ -135,7 +141,7 @@
         ahead = sum(
             other is not waiter and waiting_order(other, now) < key for other in self.waiting
         )
-        wait_ms = ahead / self.rates.grants_per_ms()
+        wait_ms = ahead / self.rates.speed_per_ms()
         if now + wait_ms <= waiter.on_time_ms:
             return wait_ms
         leftover = self.rates.leftover_per_ms()
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -25,6 +25,7 @@
 NOT_RUN_RETRY_AFTER_MS = 400.0
 REPEAT_AT_GOAL_PART = 0.7  # of the goal; leaves time for another endpoint's usual answer
 LEAST_ANSWER_PART = 0.5  # of the usual answer's time; a shorter rest is not worth a send
+SERVICE_TIME_WEIGHT = 0.05  # of one answer in the mean: some twenty answers back
 DEFAULT_GOAL_MS = 500.0
 
 
@@ -57,6 +58,7 @@
         self.silence = SilenceWatch(clock, peers)
         self.sender = Sender(wire, self.load_book, self.silence, clock, settings.ip)
         self.lines = {}
+        self.service_times = {}
         self.table = None
         self.on_suspicion = lambda head_id, reason: None
         self.on_request = lambda: None
@@ -166,13 +168,19 @@
         line = self._line(job.service.name, engine, model)
         self.budget.note_request(job.service.name)
         while True:
+            asked_ms = self.clock.now_ms()
             endpoint = await line.acquire(self._waiter(job, pace, engine))
+            job.waited_ms += self.clock.now_ms() - asked_ms
             if isinstance(endpoint, Refusal):
                 await self._give_up(job, endpoint.reason, endpoint.retry_after_ms)
                 return
             try:
                 late = self.clock.now_ms() > job.started_ms + (job.route.goal_ms or DEFAULT_GOAL_MS)
+                sent_ms = self.clock.now_ms()
                 result = await self.sender.stream(job, endpoint, pace, late)
+                if result is SendResult.COMPLETE:
+                    taken_ms = self.clock.now_ms() - sent_ms
+                    self._note_service_time((job.service.name, model.name), taken_ms)
             finally:
                 self._release(endpoint, line)
             if not await self._go_on(job, endpoint, result):
@@ -286,9 +294,25 @@
                 self.clock,
                 lambda waiter: self._pick_replica(service, engine, model.name, waiter),
                 lambda: bool(self.view.heads(service, model.name)),
+                lambda: self._capacity_per_ms(service, engine, model),
             )
         return line
 
+    def _capacity_per_ms(self, service, engine, model):
+        """Return how many requests a ms the open replicas can take from this daemon."""
+        heads = self.view.heads(service, model.name)
+        own = sum(self.load_book.entry(head.id).own for head in heads)
+        others = sum(self.peers.others_at(head.id) for head in heads)
+        daemons = 1 + len(self.peers.fresh())
+        part = (own + 1) / (own + others + daemons)
+        usual_ms = EnginePace(engine, model).answer_ms(engine.usual_answer, engine.slots)
+        taken_ms = self.service_times.get((service, model.name), usual_ms)
+        return part * len(heads) * engine.slots / taken_ms
+
+    def _note_service_time(self, key, taken_ms):
+        known = self.service_times.get(key, taken_ms)
+        self.service_times[key] = known + SERVICE_TIME_WEIGHT * (taken_ms - known)
+
     def _pick_replica(self, service, engine, model, waiter):
         heads = self.view.heads(service, model)
         heads = [h for h in heads if h.id not in waiter.excluded] or heads
@@ -328,6 +352,10 @@
             outcome=job.outcome,
             endpoints=job.endpoints,
             first_ms=round(first_ms) if first_ms is not None else None,
+            goal_ms=job.route.goal_ms,
+            waited_ms=round(job.waited_ms),
+            pause_ms=round(job.longest_pause_ms),
+            gap_goal_ms=job.route.gap_goal_ms,
             total_ms=round(now - job.started_ms),
             config=self.holder.config.version,
         )
--- a/libraries/gateway/src/corianderhaven/gateway/_job.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_job.py
@@ -31,6 +31,10 @@
         Whether the caller has the answer's status and headers.
     failed_answer : tuple or None
         Status, headers and body of an endpoint's own failure.
+    waited_ms : float
+        Time in the waiting line.
+    longest_pause_ms : float
+        Longest time between two events that were passed on.
     """
 
     request: object
@@ -48,6 +52,9 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     outcome: str = "unfinished"
     first_event_ms: float | None = None
+    waited_ms: float = 0.0
+    longest_pause_ms: float = 0.0
+    last_passed_ms: float | None = None
     endpoints: list = field(default_factory=list)
 
     @property
@@ -62,6 +69,14 @@
             return self.account.priority
         return self.route.priority
 
+    def note_passed(self, now_ms):
+        """Note that an event was passed to the caller."""
+        if self.first_event_ms is None:
+            self.first_event_ms = now_ms - self.started_ms
+        else:
+            self.longest_pause_ms = max(self.longest_pause_ms, now_ms - self.last_passed_ms)
+        self.last_passed_ms = now_ms
+
     def may_move(self):
         """Return whether the request may go on elsewhere while one more endpoint runs it.
 
--- a/libraries/gateway/src/corianderhaven/gateway/_sending.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sending.py
@@ -61,7 +61,7 @@
         if result is SendResult.FAILED:
             job.failed_answer = (head.status, self.wire.caller_headers(head), body)
         elif result is SendResult.COMPLETE:
-            job.first_event_ms = self.clock.now_ms() - job.started_ms
+            job.note_passed(self.clock.now_ms())
             await job.caller.answer(head.status, self.wire.caller_headers(head), body)
         return result
 
@@ -150,8 +150,7 @@
             self.silence.sign(stream)
             events = job.splitter.feed(part)
             if events:
-                if job.first_event_ms is None:
-                    job.first_event_ms = self.clock.now_ms() - job.started_ms
+                job.note_passed(self.clock.now_ms())
                 await job.caller.send_part(events)
         if job.splitter.rest:
             return SendResult.BROKEN
