--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -6,8 +6,14 @@
   python3 -m pip install -q -U --target target/deps -r deploy/requirements.txt
   touch target/deps/.installed
 fi
-rm -rf target/deps/corianderhaven
-for sources in libraries/*/src/corianderhaven platform/src/corianderhaven; do
-  cp -R "$sources" target/deps/
-done
-find target/deps/corianderhaven -name tests -type d -prune -exec rm -rf {} +
+# Copied only when changed: a stale copy would run yesterday's code, and a needless one would
+# take the files from under programs that are starting.
+sum=$(find libraries/*/src platform/src -name '*.py' -o -name '*.html' | sort | xargs cat | cksum)
+if [ "$(cat target/deps/.sources 2>/dev/null || true)" != "$sum" ]; then
+  rm -rf target/deps/corianderhaven
+  for sources in libraries/*/src/corianderhaven platform/src/corianderhaven; do
+    cp -R "$sources" target/deps/
+  done
+  find target/deps/corianderhaven -name tests -type d -prune -exec rm -rf {} +
+  echo "$sum" > target/deps/.sources
+fi
--- a/libraries/fleet/src/corianderhaven/fleet/_directory.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_directory.py
@@ -170,6 +170,8 @@
             endpoint=endpoint.id,
             revision=revision,
             leaving=endpoint.leaving,
+            domain=endpoint.domain,
+            staged=endpoint.staged,
             replica=member.replica if member else None,
             state=str(member.state) if member else None,
             rank=member.rank if member else None,
@@ -182,4 +184,10 @@
 
 def _belief(endpoint):
     """Return the part of an entry whose change is worth a log line."""
-    return (endpoint.leaving, endpoint.membership, endpoint.born_ms, endpoint.address)
+    return (
+        endpoint.leaving,
+        endpoint.membership,
+        endpoint.staged,
+        endpoint.born_ms,
+        endpoint.address,
+    )
--- a/libraries/fleet/src/corianderhaven/fleet/_formation.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_formation.py
@@ -16,7 +16,6 @@
 # A lost VM takes its whole replica out until a spare joins, so a model's VMs beyond its share
 # grow with the size of its replicas: each member adds this part of the share.
 SPARE_PER_MEMBER = 0.25
-LEAST_PART = 0.05  # of a domain; less is no VM
 ROUNDING = 0.5
 
 
@@ -180,45 +179,43 @@
         return domains
 
     def _assign(self, domains):
-        """Decide for new domains which part of them is meant for which model.
+        """Decide which part of each domain is meant for which model.
 
         A domain that holds weights already goes on as it is. Empty ones are given to one
         model as a whole where its share allows, so that spares serve many replicas.
         """
-        for domain in [d for d in self.parts if d not in domains]:
-            del self.parts[domain]
-        for domain in sorted(domains):
-            if domain not in self.parts:
-                held = Counter(vm.model for vm in domains[domain] if self._knows(vm.model))
-                if held:
-                    total = held.total()
-                    self.parts[domain] = {name: count / total for name, count in held.items()}
-        for domain in sorted(domains):
-            if domain not in self.parts:
-                self.parts[domain] = self._parts_of_empty(domain[0], len(domains))
+        committed = {}
+        for domain, vms in domains.items():
+            held = Counter(vm.model for vm in vms if self._knows(vm.model))
+            if held:
+                parts = {name: count / held.total() for name, count in held.items()}
+                committed[domain] = self.parts.get(domain, parts)
+        self.parts = committed
+        for domain in sorted(d for d in domains if d not in committed):
+            parts = self._parts_of_empty(domain[0], len(domains), len(domains[domain]))
+            self.parts[domain] = parts
 
     def _knows(self, name):
         return self.engine.model(name) is not None
 
-    def _parts_of_empty(self, zone, domain_count):
-        """Fill a domain with the models that are furthest below their share."""
+    def _parts_of_empty(self, zone, domain_count, vm_count):
+        """Give a domain to the model that is furthest below its share, or split it."""
         in_zone, total = Counter(), Counter()
         for (other_zone, _), parts in self.parts.items():
             for name, part in parts.items():
                 total[name] += part
                 in_zone[name] += part * (other_zone == zone)
         short = {m: self.targets[m.name] * domain_count - total[m.name] for m in self.engine.models}
-        parts, room = {}, 1.0
-        order = sorted(short, key=lambda m: (in_zone[m.name], -short[m], -m.size))
-        for model in order:
-            part = min(room, max(0.0, short[model]))
-            if part > 0.0:
-                parts[model.name] = part
-                room -= part
-        if room > LEAST_PART or not parts:
-            best = max(short, key=lambda m: (short[m], m.size))
-            parts[best.name] = parts.get(best.name, 0.0) + room
-        return parts
+        first = max(short, key=lambda m: (short[m] >= 1.0, -in_zone[m.name], short[m], m.size))
+        first = first if short[first] > 0.0 else max(short, key=short.get)
+        others = [m for m in short if m is not first and short[m] > 0.0]
+        if short[first] >= 1.0 or not others:
+            return {first.name: 1.0}
+        second = max(others, key=short.get)
+        vms = round(min(short[first], 1.0) * vm_count / first.size) * first.size
+        if not 0 < vms < vm_count or vm_count - vms < second.size:
+            return {max((first, second), key=short.get).name: 1.0}
+        return {first.name: vms / vm_count, second.name: 1.0 - vms / vm_count}
 
     def _room(self, domain, vms, model):
         """Return how many more VMs of a domain are meant for a model."""
