Take no busy replica for a silent one; connect elsewhere sooner; one corrected estimate of pace

Sound heads got no requests for 2.5 s and their streams moved. A connection that isn't made cost 180 ms of a goal of 300. Change: a head is silent after 1.3 longest passes; a connection is given 60 ms, and one that fails accuses only heads without other signs of life; the declared times are corrected by observed first events and answer times, one estimate for admission, silence and speed of the line.

--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -25,7 +25,7 @@
 NOT_RUN_RETRY_AFTER_MS = 400.0
 REPEAT_AT_GOAL_PART = 0.7  # of the goal; leaves time for another endpoint's usual answer
 LEAST_ANSWER_PART = 0.5  # of the usual answer's time; a shorter rest is not worth a send
-SERVICE_TIME_WEIGHT = 0.05  # of one answer in the mean: some twenty answers back
+LIVES_MS = 250.0  # longer than a pass that reads prompts, and than a digest's way
 DEFAULT_GOAL_MS = 500.0
 
 
@@ -58,7 +58,7 @@
         self.silence = SilenceWatch(clock, peers)
         self.sender = Sender(wire, self.load_book, self.silence, clock, settings.ip)
         self.lines = {}
-        self.service_times = {}
+        self.paces = {}
         self.table = None
         self.on_suspicion = lambda head_id, reason: None
         self.on_request = lambda: None
@@ -92,7 +92,10 @@
     def make_digest(self):
         """Return what peers need to know."""
         heads = {
-            head_id: HeadDigest(entry.own, round(self.silence.sign_age_ms(head_id)))
+            head_id: HeadDigest(
+                entry.own,
+                round(self.silence.sign_age_ms(head_id)),
+            )
             for head_id, entry in self.load_book.entries.items()
             if entry.own
         }
@@ -164,7 +167,7 @@
 
     async def _serve_stream(self, job, engine):
         model = engine.model(job.facts.model)
-        pace = EnginePace(engine, model)
+        pace = self._pace(job.service.name, engine, model)
         line = self._line(job.service.name, engine, model)
         self.budget.note_request(job.service.name)
         while True:
@@ -179,8 +182,7 @@
                 sent_ms = self.clock.now_ms()
                 result = await self.sender.stream(job, endpoint, pace, late)
                 if result is SendResult.COMPLETE:
-                    taken_ms = self.clock.now_ms() - sent_ms
-                    self._note_service_time((job.service.name, model.name), taken_ms)
+                    pace.note_taken(self.clock.now_ms() - sent_ms)
             finally:
                 self._release(endpoint, line)
             if not await self._go_on(job, endpoint, result):
@@ -224,7 +226,9 @@
             budget=round(self.budget.left(job.service.name), 1),
         )
         job.excluded.add(endpoint.id)
-        if result in (SendResult.NOT_SENT, SendResult.SILENT):
+        # One connection that isn't made may be a lost packet, if others see the endpoint live.
+        lives = self.silence.lives(endpoint.id, LIVES_MS)
+        if result is SendResult.SILENT or (result is SendResult.NOT_SENT and not lives):
             self._suspect(endpoint, result.value)
         if job.sends < MOST_SENDS and job.may_repeat(result):
             costs_budget = result is not SendResult.NOT_SENT
@@ -305,13 +309,15 @@
         others = sum(self.peers.others_at(head.id) for head in heads)
         daemons = 1 + len(self.peers.fresh())
         part = (own + 1) / (own + others + daemons)
-        usual_ms = EnginePace(engine, model).answer_ms(engine.usual_answer, engine.slots)
-        taken_ms = self.service_times.get((service, model.name), usual_ms)
+        taken_ms = self._pace(service, engine, model).taken_ms()
         return part * len(heads) * engine.slots / taken_ms
 
-    def _note_service_time(self, key, taken_ms):
-        known = self.service_times.get(key, taken_ms)
-        self.service_times[key] = known + SERVICE_TIME_WEIGHT * (taken_ms - known)
+    def _pace(self, service, engine, model):
+        """Return the one estimate of a model's times, a new one when it is declared anew."""
+        pace = self.paces.get((service, model.name))
+        if pace is None or pace.engine != engine:
+            pace = self.paces[(service, model.name)] = EnginePace(engine, model)
+        return pace
 
     def _pick_replica(self, service, engine, model, waiter):
         heads = self.view.heads(service, model)
--- a/libraries/gateway/src/corianderhaven/gateway/_pace.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_pace.py
@@ -1,10 +1,12 @@
 """How long an engine takes, from its declared times."""
 
 SHORTEST_ANSWER_TOKENS = 1
+OBSERVED_WEIGHT = 0.05  # of one answer in the mean: some twenty answers back
+MOST_EXTRA_MS = 400.0  # beyond it is a queue or a fault, not the engine's pace
 
 
 class EnginePace:
-    """Times of one model's replicas when `running` requests share a batch.
+    """Times of one model's replicas, as declared and corrected by what was observed.
 
     Parameters
     ----------
@@ -15,6 +17,27 @@
     def __init__(self, engine, model):
         self.engine = engine
         self.model = model
+        self.observed_extra_ms = 0.0
+        self.observed_taken_ms = None
+
+    def note_first_event(self, predicted_ms, observed_ms):
+        """Learn what a first event takes beyond the declared times."""
+        extra_ms = observed_ms - (predicted_ms - self.observed_extra_ms)
+        # A wait in the engine's own queue is no property of the engine.
+        extra_ms = min(max(extra_ms, 0.0), MOST_EXTRA_MS)
+        self.observed_extra_ms += OBSERVED_WEIGHT * (extra_ms - self.observed_extra_ms)
+
+    def note_taken(self, taken_ms):
+        """Learn how long an answer takes from its send to its end."""
+        if self.observed_taken_ms is None:
+            self.observed_taken_ms = taken_ms
+        self.observed_taken_ms += OBSERVED_WEIGHT * (taken_ms - self.observed_taken_ms)
+
+    def taken_ms(self):
+        """Return how long an answer takes lately, or as declared before any was seen."""
+        if self.observed_taken_ms is not None:
+            return self.observed_taken_ms
+        return self.answer_ms(self.engine.usual_answer, self.engine.slots)
 
     def step_ms(self, running, context_tokens=0.0):
         """Return the time of one token for each of `running` requests."""
@@ -28,14 +51,14 @@
         return self.engine.stride * self.step_ms(running, context_tokens)
 
     def chunk_ms(self):
-        """Return the time that reading one full piece of a prompt adds to a pass."""
+        """Return the time that reading one full piece of a prompt adds to a step."""
         engine = self.engine
         return engine.prefill_chunk * 1_000.0 / engine.prefill_per_s * self.model.pace
 
     def longest_event_ms(self, running):
-        """Return the time between two events when each pass also reads a full piece."""
+        """Return the time between two events when each step also reads a full piece."""
         context = self.engine.usual_prompt + self.engine.usual_answer
-        return self.event_ms(running, context) + self.chunk_ms()
+        return self.event_ms(running, context) + self.engine.stride * self.chunk_ms()
 
     def prefill_ms(self, prompt_tokens):
         """Return the time to read a prompt."""
@@ -46,7 +69,8 @@
 
     def first_event_ms(self, prompt_tokens, running):
         """Return the time from a free slot to the first event."""
-        return self.prefill_ms(prompt_tokens) + 2.0 * self.event_ms(running)
+        declared_ms = self.prefill_ms(prompt_tokens) + self.event_ms(running)
+        return declared_ms + self.observed_extra_ms
 
     def wait_ms(self, ahead):
         """Return the wait for a slot behind `ahead` requests of usual length."""
--- a/libraries/gateway/src/corianderhaven/gateway/_sending.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sending.py
@@ -8,7 +8,9 @@
 from ._silence import ActiveStream
 from ._wire import SendFacts
 
-CONNECT_TIMEOUT_MS = 180.0  # a lost first packet is sent again only after a second
+# Twenty times the way within a region: a lost first packet is sent again only after a second,
+# and another endpoint's first event must still come in time.
+CONNECT_TIMEOUT_MS = 60.0
 DEADLINE_SLACK_MS = 10.0  # the endpoint stops before this daemon does
 RESUMED_PRIORITY = 0
 ON_TIME_PRIORITY = 2
@@ -71,10 +73,11 @@
         if connection is None:
             return SendResult.NOT_SENT
         running = self.load_book.occupancy(endpoint.id)
+        predicted_ms = pace.first_event_ms(job.facts.prompt_tokens, running)
         stream = ActiveStream(
             endpoint.id,
             self.clock.now_ms(),
-            pace.wait_ms(running) + pace.first_event_ms(job.facts.prompt_tokens, running),
+            pace.wait_ms(running) + predicted_ms,
             pace.longest_event_ms(running),
             job.may_move(),
             connection.close,
@@ -89,6 +92,8 @@
                 job.failed_answer = (head.status, self.wire.caller_headers(head), body)
             if result is not SendResult.COMPLETE:
                 return result
+            if running < pace.engine.slots:
+                pace.note_first_event(predicted_ms, self.clock.now_ms() - stream.sent_ms)
             return await self._pass_events(job, head, connection, stream)
         except ConnectionLostError:
             return SendResult.SILENT if stream.silent else SendResult.BROKEN
--- a/libraries/gateway/src/corianderhaven/gateway/_silence.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_silence.py
@@ -1,12 +1,15 @@
 """Tells a replica that stands still from one that is only busy; decisions only.
 
-All streams of a healthy replica move together, an event in each pass of its batch. When
-all of one head's streams rest for longer than the longest pass, a member may be lost.
+All streams of a healthy replica move together, an event in each pass of its batch. A pass
+also reads prompts, up to a full piece in each of its steps. When all of one head's streams
+rest for longer than such a pass, a member may be lost. A stream that moves to another
+replica waits there for a first event, longer than most routes allow a pause, so that haste
+gains less than a false alarm costs.
 """
 
 from dataclasses import dataclass, field
 
-PASSES = 2.2  # longest passes of silence; one may be missed to jitter on the way
+PASS_FACTOR = 1.3  # over the longest pass: requests join the batch meanwhile
 JITTER_MS = 25.0  # delays of links and of this process's own loop
 WAITING_FACTOR = 2.0  # over the expected time of a first event, whose queue is not seen
 WAITING_SLACK_MS = 120.0
@@ -20,6 +23,8 @@
 
     Parameters
     ----------
+    longest_event_ms : float
+        Time of a pass that reads as much as it can.
     movable : bool
         Whether it may go on at another replica.
     interrupt : callable
@@ -89,11 +94,7 @@
         self.checked_ms = now
         if now < self.blind_until_ms:
             return []
-        return [
-            head_id
-            for head_id, pulse in self.heads.items()
-            if self._silent(pulse, now) and self._silent_for_peers(head_id, pulse, now)
-        ]
+        return [head_id for head_id, pulse in self.heads.items() if self._silent(head_id, pulse)]
 
     def sign_age_ms(self, head_id):
         """Return the age of the last own sign of life of a head, or -1.0."""
@@ -102,18 +103,20 @@
             return -1.0
         return self.clock.now_ms() - pulse.last_sign_ms
 
-    def _silent_for_peers(self, head_id, pulse, now):
+    def lives(self, head_id, within_ms):
+        """Return whether anybody has seen a sign of life of a head lately."""
         seen_ms = self.peers.last_sign_ms(head_id)
-        if seen_ms is None:
+        if seen_ms is not None and self.clock.now_ms() - seen_ms <= within_ms:
+            return True
+        return 0.0 <= self.sign_age_ms(head_id) <= within_ms
+
+    def _silent(self, head_id, pulse):
+        now = self.clock.now_ms()
+        longest_ms = max(s.longest_event_ms for s in pulse.streams)
+        if self.lives(head_id, PASS_FACTOR * longest_ms + JITTER_MS):
+            return False
+        if any(s.last_event_ms is not None for s in pulse.streams):
             return True
-        bound_ms = PASSES * max(s.longest_event_ms for s in pulse.streams) + JITTER_MS
-        return now - seen_ms > bound_ms
-
-    def _silent(self, pulse, now):
-        started = [s for s in pulse.streams if s.last_event_ms is not None]
-        if started:
-            bound_ms = PASSES * max(s.longest_event_ms for s in started) + JITTER_MS
-            return now - max(s.last_event_ms for s in started) > bound_ms
         return any(
             now - max(s.sent_ms, pulse.last_sign_ms)
             > WAITING_FACTOR * s.expected_first_ms + WAITING_SLACK_MS
