Let the keeper go on while all peers say that the store is away

Change: digests say whether the store is in reach; past its lease the keeper orders only while all known peers have just denied it; whoever wins the lease soon after an outage waits until that is known; digests carry the heads opened meanwhile, as no entry tells of them.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -180,13 +180,28 @@
             self.watcher,
             DAEMONS_PREFIX,
             settings.peers,
-            self.gateway.make_digest,
+            self._make_digest,
             self.decisions,
             settings.ip,
         )
         self.gateway.on_suspicion = self.keeper.suspect
+        self.lease.outage_confirmed = self.peers.nobody_reaches_store
+        self.peers.on_opened = self._use_opened
         self.gateway.on_request = self._note_traffic
 
+    def _make_digest(self):
+        digest = self.gateway.make_digest()
+        digest.store_reachable = self.watcher.store_reachable
+        if not digest.store_reachable:
+            digest.opened = self.keeper.opened()
+        return digest
+
+    def _use_opened(self, opened):
+        """Believe a keeper's word on replicas while the store tells nothing."""
+        if not self.watcher.store_reachable:
+            for head_id, (replica, generation) in opened.items():
+                self.directory.update_opened(head_id, replica, generation)
+
     def _note_traffic(self):
         self.keeper.traffic_seen = True
 
--- a/libraries/fleet/src/corianderhaven/fleet/_directory.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_directory.py
@@ -5,7 +5,7 @@
 
 from corianderhaven.common import DecisionLog
 
-from ._types import Endpoint, ReplicaState
+from ._types import Endpoint, Membership, ReplicaState
 
 # An entry that lapsed while the store was away is written again within this time of its
 # return by an endpoint that lives and reaches the store (the platform's own bound).
@@ -116,6 +116,17 @@
         )
         self.update(endpoint_id, endpoint, record.revision)
 
+    def update_opened(self, endpoint_id, replica, generation):
+        """Take over a peer's word that an endpoint heads an open replica."""
+        record = self.records.get(endpoint_id)
+        if record is None:
+            return
+        known = record.endpoint.membership
+        if known is not None and known.generation >= generation:
+            return
+        opened = Membership(replica, generation, 0, ReplicaState.OPEN)
+        self.update(endpoint_id, replace(record.endpoint, membership=opened), record.revision)
+
     def _older(self, known, endpoint):
         """Return whether an entry was written before what is known of the endpoint."""
         old = known.endpoint
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper.py
@@ -62,6 +62,18 @@
         if self.work is not None:
             self.work.close()
 
+    def opened(self):
+        """Return the heads opened in this tenure that still head the same replica."""
+        if self.work is None:
+            return {}
+        current = {}
+        for head_id, key in self.work.opened.items():
+            head = self.directory.get(head_id)
+            member = head.membership if head is not None else None
+            if member is not None and (member.replica, member.generation) == key:
+                current[head_id] = key
+        return current
+
     def suspect(self, head_id, reason):
         """Look into a replica whose streams have fallen silent."""
         now = self.clock.now_ms()
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
@@ -10,6 +10,8 @@
 LEASE_MS = 2_500.0  # three lost renewals; bounds how long nobody repairs after a kill
 RENEW_MS = 700.0
 RETRY_MS = 100.0
+QUIET_MS = 1_200.0  # twice the age of a digest, by which a predecessor hears of the store
+OUTAGE_TENURE_MS = 30_000.0  # a longer outage is no longer told from a lost network
 MARGIN_MS = 400.0  # an order under way must arrive before a successor's first
 CAMPAIGN_JITTER_MS = 120.0  # lets one daemon's record be seen before the others try
 
@@ -40,6 +42,8 @@
         self.lease = None
         self.tenure = None
         self.valid_until_ms = 0.0
+        self.quiet_until_ms = 0.0
+        self.outage_confirmed = lambda: False
         self.resigned = False
         self.task = None
 
@@ -66,13 +70,18 @@
     def may_order(self):
         """Return whether orders may be sent now.
 
-        Never after the lease may have ended, not even while nobody reaches the store: two
-        holders with old views would order the same engines, and an engine accepts a join
-        from either.
+        After the lease may have ended only while all peers say that they don't reach the
+        store either, as then none of them can have won it: two holders with old views would
+        order the same engines, and an engine accepts a join from either.
         """
-        if self.tenure is None:
+        if self.tenure is None or self.clock.boot_ms() < self.quiet_until_ms:
             return False
-        return self.valid_until_ms - self.clock.boot_ms() > MARGIN_MS
+        left_ms = self.valid_until_ms - self.clock.boot_ms()
+        if left_ms > MARGIN_MS:
+            return True
+        if self.watcher.store_reachable or left_ms < -OUTAGE_TENURE_MS:
+            return False
+        return self.outage_confirmed()
 
     def superseded(self, generation):
         """Stand down because an engine has seen a newer holder's generation."""
@@ -126,6 +135,9 @@
             return
         self.lease, self.tenure = lease, revision
         self.valid_until_ms = sent_ms + LEASE_MS
+        # Whoever reached the store all the while has told a predecessor so.
+        reached_ms = self.clock.now_ms() - self.watcher.reachable_since_ms
+        self.quiet_until_ms = self.clock.boot_ms() + max(0.0, QUIET_MS - reached_ms)
         self.decisions.record("keeper_elected", tenure=revision)
 
     async def _find_own(self, lease):
--- a/libraries/fleet/src/corianderhaven/fleet/_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peers.py
@@ -37,12 +37,21 @@
 
 
 class Digest(msgspec.Struct):
-    """What one daemon tells its peers."""
+    """What one daemon tells its peers.
+
+    Parameters
+    ----------
+    opened : dict of str to (str, int)
+        Heads, with replica and generation, that the keeper opened while the store was out of
+        reach, so that no entry tells of them.
+    """
 
     daemon: str
     address: str
     heads: dict[str, HeadDigest] = {}
     suspects: list[str] = []
+    store_reachable: bool = True
+    opened: dict[str, tuple[str, int]] = {}
 
 
 @dataclass
@@ -70,6 +79,7 @@
         self.clock = clock
         self.peers = {}
         self.on_suspects = lambda head_ids, daemon: None
+        self.on_opened = lambda opened: None
 
     def list_from(self, records):
         """Take over the daemons that the store lists, as (name, address)."""
@@ -98,6 +108,8 @@
         peer.digest = digest
         if digest.suspects:
             self.on_suspects(digest.suspects, digest.daemon)
+        if digest.opened:
+            self.on_opened(digest.opened)
 
     def targets(self):
         """Return the peers to send digests to, and forget those that are gone."""
@@ -114,6 +126,13 @@
             p for p in self.peers.values() if p.digest is not None and now - p.heard_ms < FRESH_MS
         ]
 
+    def nobody_reaches_store(self):
+        """Return whether all known peers have just said that the store is out of reach."""
+        fresh = self.fresh()
+        if not self.peers or len(fresh) < len(self.peers):
+            return False
+        return not any(p.digest.store_reachable for p in fresh)
+
     def others_at(self, head_id):
         """Return how many requests of fresh peers are at a head."""
         return sum(
--- a/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
@@ -83,6 +83,7 @@
         self.decisions = decisions
         self.memory = KeeperMemory()
         self.planners = {}
+        self.opened = {}
         self.number = 0
         self.tasks = set()
 
@@ -165,6 +166,7 @@
                     memory.loads, loads = memory.loads - loads, 0
                     open_sent = True
                     opened = await self._open(ids, key)
+                    self.opened[ids[0]] = key
         finally:
             memory.loads -= loads
             memory.busy -= set(ids)
--- a/libraries/fleet/src/corianderhaven/fleet/_watching.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_watching.py
@@ -37,6 +37,7 @@
         self.own_changed = asyncio.Event()
         self.failing_since_ms = None
         self.reached_ms = None
+        self.reachable_since_ms = 0.0
         self.after = None
         self.task = None
 
@@ -135,6 +136,7 @@
         if self.failing_since_ms is not None:
             outage_ms = now - self.failing_since_ms
             self.failing_since_ms = None
+            self.reachable_since_ms = now
             self.decisions.record("store_regained", outage_ms=round(outage_ms))
             if outage_ms >= OUTAGE_MS:
                 self.directory.store_returned()
--- a/libraries/fleet/src/corianderhaven/fleet/tests/fleets.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/fleets.py
@@ -177,6 +177,7 @@
         self.fleet = fleet
         self.name = name
         self.own_changed = asyncio.Event()
+        self.reachable_since_ms = 0.0
 
     @property
     def store_reachable(self):
@@ -204,9 +205,11 @@
         self.store_away = False
         self.cut_from_store = set()
         self.cut_keepers = set()
+        self.confirmed_away = False
         self.lost_orders = 0.0
         self.served = 0
         self.keepers = {}
+        self.watchers = {}
         self.directories = {}
         self.traffic = traffic
         for number in range(domains * per_domain):
@@ -234,11 +237,13 @@
         lease = KeeperLease(
             MemoryStore(self, name), watcher, KEEPER_KEY, b"", self.clock, decisions
         )
+        lease.outage_confirmed = lambda: self.confirmed_away
         orders = MemoryOrders(self, name)
         keeper = ReplicaKeeper(lease, orders, directory, holder, settings, self.clock, decisions)
         keeper.traffic_seen = self.traffic
         self.keepers[name] = keeper
         self.directories[name] = directory
+        self.watchers[name] = watcher
         lease.start()
         keeper.start()
 
@@ -284,6 +289,9 @@
             await asyncio.sleep(0.05)
             self.store.revision += 1
             away = self._list_for_returned(away)
+            everybody = self.store_away or self.cut_from_store >= set(self.directories)
+            # A digest is believed for 600 ms.
+            asyncio.get_running_loop().call_later(0.6, self._confirm, everybody)
             for engine in list(self.hosted.engines.values()):
                 now = self.clock.now_ms()
                 if not engine.alive or engine.lapsed:
@@ -307,6 +315,7 @@
         now_away = set(self.directories) if self.store_away else set(self.cut_from_store)
         for name in away - now_away:
             directory = self.directories[name]
+            self.watchers[name].reachable_since_ms = self.clock.now_ms()
             directory.store_returned()
             directory.replace_all(
                 (e.id, self.endpoint_of(e), self.store.revision)
@@ -317,6 +326,9 @@
             directory.drop_lapsed()
         return now_away
 
+    def _confirm(self, everybody):
+        self.confirmed_away = everybody
+
     def open_replicas(self, model=None):
         """Count the heads that would serve now."""
         return sum(
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_keeper_model.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_keeper_model.py
@@ -172,3 +172,23 @@
         return fleet.open_replicas("small"), fleet.hosted.violations
 
     assert run_virtual(play) == (4, [])
+
+
+def test_members_lost_while_nobody_reaches_the_store_are_replaced():
+    """Replays ndvc trouble-3: the store was away for 8 s, and losses stayed unrepaired."""
+
+    async def play(clock):
+        fleet = MemoryFleet(clock, domains=1, per_domain=9)
+        for engine in fleet.hosted.engines.values():
+            engine.staged = ["large"]
+        await asyncio.sleep(9)
+        assert fleet.open_replicas("large") == 2
+        fleet.store_away = True
+        await asyncio.sleep(4)
+        head = next(e for e in fleet.hosted.engines.values() if fleet.hosted.may_run(e))
+        fleet.hosted.kill(head.group.members[2])
+        fleet.holder().suspect(head.id, "test")
+        await asyncio.sleep(4)
+        return fleet.open_replicas("large"), fleet.hosted.violations
+
+    assert run_virtual(play) == (2, [])
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -99,8 +99,7 @@
             for head_id, entry in self.load_book.entries.items()
             if entry.own
         }
-        address = self.settings.peers
-        return Digest(self.settings.name, address, heads, self.view.suspected())
+        return Digest(self.settings.name, self.settings.peers, heads, self.view.suspected())
 
     def _hear_suspects(self, head_ids, daemon):
         for head_id in head_ids:
