Follow the store from before the first read of a listing

The version was never told again. Ruled out: a lost watch (it went on), the keeper's outage tenure (the daemon was no keeper). Change: the revision of the first read is followed. Tests replay a write at each step of a listing (fails before, passes after), outages, lost history, late and unreadable entries.

--- a/libraries/fleet/src/corianderhaven/fleet/_watching.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_watching.py
@@ -87,9 +87,10 @@
             self.after = None  # nobody reports: the watch itself may be deaf
 
     async def _list_all(self):
+        # Followed from before the first read: what changes between the reads is told again.
+        own, at = await self.store.list(self.own_prefix)
         config = await self.store.read(self.format.config_key)
-        own, _ = await self.store.list(self.own_prefix)
-        endpoints, at = await self.store.list(self.format.endpoint_prefix)
+        endpoints, _ = await self.store.list(self.format.endpoint_prefix)
         self._note_success()
         if config is not None:
             self._apply(config)
--- /dev/null
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_watching.py
@@ -0,0 +1,221 @@
+"""What a daemon learns from the store, and what it keeps through outages."""
+
+import asyncio
+
+import pytest
+
+from corianderhaven.common import DecisionLog
+from corianderhaven.fleet import (
+    ConfigInForce,
+    EndpointDirectory,
+    FleetConfig,
+    HistoryGoneError,
+    MetadataStore,
+    PlatformFormat,
+    ReplicaState,
+    StoreItem,
+    StoreUnavailableError,
+    StoreWatcher,
+)
+from corianderhaven.fleet.tests.fleets import endpoint, member
+from corianderhaven.standins import HostedStore, run_virtual
+
+CONFIG = "op/config"
+
+
+class Format(PlatformFormat):
+    endpoint_prefix = "servers/"
+    config_key = CONFIG
+
+    def decode_endpoint(self, endpoint_id, value):
+        return endpoint(int(endpoint_id[1:])) if value == b"ready" else None
+
+    def decode_config(self, value):
+        return FleetConfig(int(value), (), {}, ())
+
+
+class Store(MetadataStore):
+    """Reads a `HostedStore`; a hook runs before each call."""
+
+    def __init__(self, hosted):
+        self.hosted = hosted
+        self.before = lambda call: None
+
+    def _item(self, key):
+        item = self.hosted.items.get(key)
+        return StoreItem(key, item.value, item.revision, item.lease) if item else None
+
+    async def _arrive(self, call):
+        await asyncio.sleep(0.004)
+        self.before(call)
+
+    async def read(self, key):
+        await self._arrive("read")
+        return self._item(key)
+
+    async def list(self, prefix):
+        await self._arrive(f"list {prefix}")
+        keys = [k for k in sorted(self.hosted.items) if k.startswith(prefix)]
+        return [self._item(k) for k in keys], self.hosted.revision
+
+    async def follow(self, prefix, after, wait_ms):
+        await self._arrive("follow")
+        events = await self.hosted.wait(prefix, after, wait_ms)
+        if events is None:
+            raise HistoryGoneError(prefix)
+        items = [
+            StoreItem(e["key"], None, e["revision"]) if e.get("deleted") else self._item(e["key"])
+            for e in events
+        ]
+        return [i for i in items if i is not None], self.hosted.revision
+
+    async def put_if(self, key, value, revision, lease=0):
+        raise NotImplementedError
+
+    async def grant_lease(self, ttl_ms):
+        raise NotImplementedError
+
+    async def keep_lease(self, lease):
+        raise NotImplementedError
+
+    async def end_lease(self, lease):
+        raise NotImplementedError
+
+
+def watch(scenario):
+    """Run a scenario with a store, a started watcher and its clock."""
+
+    async def play(clock):
+        hosted = HostedStore(clock)
+        hosted.put(CONFIG, b"1")
+        hosted.put("servers/e1", b"ready")
+        hosted.put("servers/e2", b"ready")
+        decisions = DecisionLog(clock)
+        directory = EndpointDirectory(clock, decisions)
+        holder = ConfigInForce(Format().decode_config, decisions)
+        store = Store(hosted)
+        watcher = StoreWatcher(store, Format(), directory, holder, clock, decisions)
+        watcher.own_prefix = "own/"
+        watcher.start()
+        await asyncio.sleep(0.5)
+        await scenario(hosted, store, watcher)
+        watcher.close()
+
+    run_virtual(play)
+
+
+def known(watcher):
+    return sorted(e.id for e in watcher.directory.endpoints())
+
+
+def test_change_between_the_reads_of_a_listing_is_not_missed():
+    """Replays ndvc trouble-3, seed 1: version 27 was written while a daemon listed anew."""
+    for moment in ("read", "list own/", "list servers/"):
+
+        async def scenario(hosted, store, watcher, moment=moment):
+            def write(call):
+                if call == moment:
+                    store.before = lambda call: None
+                    hosted.put(CONFIG, b"27")
+                    hosted.put("servers/e3", b"ready")
+
+            watcher.after = None
+            store.before = write
+            await asyncio.sleep(1.5)
+            assert watcher.holder.config.version == 27, moment
+            assert known(watcher) == ["e1", "e2", "e3"]
+
+        watch(scenario)
+
+
+def test_version_never_goes_back_and_unreadable_ones_change_nothing():
+    async def scenario(hosted, store, watcher):
+        for value in (b"5", b"3", b"nonsense", b"4"):
+            hosted.put(CONFIG, value)
+            await asyncio.sleep(0.6)
+            assert watcher.holder.config.version == 5
+
+    watch(scenario)
+
+
+def test_lost_history_leads_to_a_listing():
+    async def scenario(hosted, store, watcher):
+        hosted.delete("servers/e2")
+        hosted.put(CONFIG, b"9")
+        hosted.compact()
+        await asyncio.sleep(1.0)
+        assert watcher.holder.config.version == 9
+        assert known(watcher) == ["e1"]
+
+    watch(scenario)
+
+
+def test_outage_takes_nobody_out_and_entries_get_time_to_return():
+    async def scenario(hosted, store, watcher):
+        def refuse(call):
+            raise StoreUnavailableError("away")
+
+        store.before = refuse
+        await asyncio.sleep(0.8)  # until the watch that was waiting has ended
+        hosted.delete("servers/e1")
+        hosted.delete("servers/e2")
+        await asyncio.sleep(5.0)
+        assert known(watcher) == ["e1", "e2"]
+        store.before = lambda call: None
+        await asyncio.sleep(1.0)
+        hosted.put("servers/e1", b"ready")
+        assert known(watcher) == ["e1", "e2"]
+        await asyncio.sleep(3.0)
+        assert known(watcher) == ["e1"]
+
+    watch(scenario)
+
+
+def test_entry_that_vanishes_without_an_outage_is_gone_at_once():
+    async def scenario(hosted, store, watcher):
+        hosted.delete("servers/e1")
+        await asyncio.sleep(0.6)
+        assert known(watcher) == ["e2"]
+
+    watch(scenario)
+
+
+def test_unreadable_entry_names_no_endpoint_and_disturbs_no_other():
+    async def scenario(hosted, store, watcher):
+        hosted.put("servers/e7", b"\xff\x00")
+        hosted.put("servers/e1", b"\xff\x00")
+        await asyncio.sleep(0.6)
+        assert known(watcher) == ["e2"]
+
+    watch(scenario)
+
+
+@pytest.mark.parametrize(
+    ("known_state", "told_state", "taken"),
+    [
+        (ReplicaState.READY, ReplicaState.JOINING, False),
+        (ReplicaState.BROKEN, ReplicaState.OPEN, False),
+        (ReplicaState.JOINING, ReplicaState.READY, True),
+        (ReplicaState.READY, ReplicaState.OPEN, True),
+    ],
+)
+def test_late_entry_does_not_undo_what_an_endpoint_said_itself(known_state, told_state, taken):
+    async def play(clock):
+        directory = EndpointDirectory(clock, DecisionLog(clock))
+        one = member(endpoint(1, entry_number=4), "r", 0, known_state)
+        other = member(endpoint(1, entry_number=5), "r", 0, told_state)
+        directory.update("e1", one, 10)
+        directory.update("e1", other, 11)
+        return directory.get("e1").membership.state
+
+    assert run_virtual(play) is (told_state if taken else known_state)
+
+
+def test_earlier_entry_of_the_same_life_is_ignored():
+    async def play(clock):
+        directory = EndpointDirectory(clock, DecisionLog(clock))
+        directory.update("e1", endpoint(1, entry_number=9, zone="new"), 10)
+        directory.update("e1", endpoint(1, entry_number=8, zone="old"), 11)
+        return directory.get("e1").zone
+
+    assert run_virtual(play) == "new"
