--- a/libraries/gateway/src/corianderhaven/gateway/_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_admission.py
@@ -10,6 +10,7 @@
 from corianderhaven.common import MS_PER_S
 
 WAIT_WITHOUT_REPLICA_MS = 350.0  # a replica of staged VMs is formed in about this time
+RESUMED_WAIT_MS = 1_500.0  # callers give a stream up after a pause of two seconds
 RATE_WINDOW_MS = 3_000.0  # over which arrivals and grants are counted: some ten of each
 OVERLOAD = 1.25  # arrivals above the line's speed by more than chance of ten in a window
 LEAST_LEFTOVER = 0.1  # part of the line's speed that late requests get below overload
@@ -32,7 +33,7 @@
     useful_ms : float
         When it must be sent to be answered at all.
     resumed : bool
-        Whether its caller has had a part of the answer already.
+        Whether it was sent to an endpoint that failed it, so that it may not be refused.
     """
 
     priority: int
@@ -158,10 +159,10 @@
         """Return the `Refusal` of a request that can't be served, or None."""
         now = self.clock.now_ms()
         starved_ms = 0.0 if self.starved_since_ms is None else now - self.starved_since_ms
-        if starved_ms > WAIT_WITHOUT_REPLICA_MS and not self.has_replica():
-            return Refusal("no replica serves the model", NO_REPLICA_RETRY_AFTER_MS)
         if waiter.resumed:
             return None
+        if starved_ms > WAIT_WITHOUT_REPLICA_MS and not self.has_replica():
+            return Refusal("no replica serves the model", NO_REPLICA_RETRY_AFTER_MS)
         wait_ms = self.expected_wait_ms(waiter)
         if wait_ms is None:
             return Refusal("overloaded", OVERLOAD_RETRY_AFTER_MS)
@@ -221,7 +222,8 @@
     def _starved_too_long(self, waiter, now):
         if self.starved_since_ms is None:
             return False
-        return now - max(self.starved_since_ms, waiter.arrived_ms) > WAIT_WITHOUT_REPLICA_MS
+        bound_ms = RESUMED_WAIT_MS if waiter.resumed else WAIT_WITHOUT_REPLICA_MS
+        return now - max(self.starved_since_ms, waiter.arrived_ms) > bound_ms
 
 
 async def pump_lines(lines, clock):
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -285,7 +285,8 @@
             arrived_ms=self.clock.now_ms(),
             on_time_ms=job.started_ms + (route.goal_ms or DEFAULT_GOAL_MS) - first_ms,
             useful_ms=job.deadline_ms - needed_ms,
-            resumed=job.head_passed,
+            # Its caller has waited for an endpoint already, and may have a part of the answer.
+            resumed=job.sends > 0,
             excluded=job.excluded,
         )
 
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_admission.py
@@ -162,3 +162,31 @@
         return replicas.taken, len(log)
 
     assert run_virtual(play) == (0, 2)
+
+
+def test_request_that_an_endpoint_failed_is_not_refused_for_overload():
+    """Replays ndvc trouble-3: requests sent once were told 502 as the line was overloaded."""
+    arrivals = steady(30, 10) + [(9.5, {"resumed": True})]
+    log = replay(sorted(arrivals, key=lambda a: a[0]))
+    ((resumed, outcome, at),) = (row for row in log if row[0].resumed)
+    assert outcome != "refused"
+    assert at - resumed.arrived_ms <= 1_000.0  # the next slot that an answer frees is its own
+
+
+def test_broken_stream_waits_longer_for_a_replica_than_a_new_request():
+    async def play(clock):
+        replicas = Replicas(clock, 9, 500.0)
+        replicas.serving = False
+        pumping = asyncio.create_task(pump(replicas))
+        log = []
+        tasks = [
+            asyncio.create_task(replicas.serve(waiter(clock.now_ms(), resumed=resumed), log))
+            for resumed in (True, False)
+        ]
+        await asyncio.sleep(1.0)
+        replicas.serving = True
+        await asyncio.gather(*tasks)
+        pumping.cancel()
+        return {w.resumed: outcome for w, outcome, _ in log}
+
+    assert run_virtual(play) == {True: "late", False: "refused"}
