Answer 431 and 413 to what is too large, and test the edges of HTTP

Cause: the new tests: headers above the configured limit were handled when they came in one piece, as the parser checks only unfinished ones. Change: sizes are checked in one place; what is no request gets the status that the parser names.

--- a/libraries/common/src/corianderhaven/common/_async_http.py
+++ b/libraries/common/src/corianderhaven/common/_async_http.py
@@ -14,6 +14,8 @@
 
 READ_LIMIT_BYTES = 1 << 18  # a reader this far behind stops the sender
 LISTEN_BACKLOG = 1024  # a burst of new connections between two turns of the loop
+HEADERS_TOO_LARGE = 431
+BODY_TOO_LARGE = 413
 UNACKNOWLEDGED_MS = 2_000  # the kernel drops a connection whose peer vanished
 
 
@@ -26,11 +28,14 @@
         What broke.
     sent : bool
         Whether any byte of a request may have left this process.
+    status : int or None
+        What to answer a caller whose bytes are no request.
     """
 
-    def __init__(self, message, sent=True):
+    def __init__(self, message, sent=True, status=None):
         super().__init__(message)
         self.sent = sent
+        self.status = status
 
 
 class CallerLostError(Exception):
@@ -149,7 +154,8 @@
             try:
                 event = self.parser.next_event()
             except h11.RemoteProtocolError as error:
-                raise ConnectionLostError(f"not HTTP: {error}") from None
+                status = error.error_status_hint
+                raise ConnectionLostError(f"not HTTP: {error}", status=status) from None
             if event is h11.PAUSED:
                 raise ConnectionLostError("bytes past the end of the message")
             if event is not h11.NEED_DATA:
@@ -311,10 +317,13 @@
         except TimeoutError:
             return None
         except ConnectionLostError as error:
-            await self._reject_broken(error)
+            await self._reject(error.status)
             return None
         if not isinstance(event, h11.Request):
             return None
+        if sum(len(key) + len(value) for key, value in event.headers) > limits.header_bytes:
+            await self._reject(HEADERS_TOO_LARGE)
+            return None
         request = CallerRequest(event.method, event.target, list(event.headers))
         parts, size = [], 0
         async with asyncio.timeout(limits.idle_timeout_ms / MS_PER_S):
@@ -323,17 +332,17 @@
                     return None
                 size += len(event.data)
                 if size > limits.body_bytes:
-                    await self.answer(413, [(b"connection", b"close")], b"")
+                    await self._reject(BODY_TOO_LARGE)
                     return None
                 parts.append(bytes(event.data))
         request.body = b"".join(parts)
         request.received_ms = self.server.clock.now_ms()
         return request
 
-    async def _reject_broken(self, error):
-        """Answer 400 to bytes that are no request."""
-        if "not HTTP" in str(error) and self.parser.our_state is h11.IDLE:
-            await self.answer(400, [(b"connection", b"close")], b"")
+    async def _reject(self, status):
+        """Answer what is no proper request, and let the connection end."""
+        if status is not None and self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            await self.answer(status, [(b"connection", b"close")], b"")
 
     async def write(self, data):
         """Write to the caller; raises `CallerLostError`."""
--- /dev/null
+++ b/libraries/common/src/corianderhaven/common/tests/test_async_http.py
@@ -0,0 +1,224 @@
+"""HTTP over asyncio: what callers and back ends may do, byte by byte."""
+
+import asyncio
+
+import pytest
+
+from corianderhaven.common import (
+    AsyncHttpClient,
+    AsyncHttpServer,
+    ClientConnection,
+    Clock,
+    ConnectionLostError,
+    ServerLimits,
+)
+
+
+async def echo(request, caller):
+    await caller.answer(200, [(b"x-target", request.target)], request.body)
+
+
+def serve(scenario, handler=echo, **limits):
+    async def run():
+        server = await AsyncHttpServer("127.0.0.1:0", handler, Clock()).start()
+        server.limits = ServerLimits(**limits)
+        try:
+            await asyncio.wait_for(scenario(server), 10)
+        finally:
+            server.close()
+
+    asyncio.run(run())
+
+
+async def raw(server, data, end=False):
+    """Send bytes on a new connection and return all that comes until it ends."""
+    host, _, port = server.address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    if end:
+        writer.write_eof()
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+def test_target_and_body_arrive_as_sent():
+    async def scenario(server):
+        answer = await AsyncHttpClient(server.address).call("POST", "/a%2Fb?x=%20", b"body")
+        assert (answer.status, answer.body) == (200, b"body")
+        assert (b"x-target", b"/a%2Fb?x=%20") in answer.headers
+
+    serve(scenario)
+
+
+def test_body_in_chunks():
+    async def scenario(server):
+        request = (
+            b"POST / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n"
+            b"transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        assert (await raw(server, request)).endswith(b"abcde")
+
+    serve(scenario)
+
+
+def test_connection_is_kept_for_many_requests():
+    async def scenario(server):
+        connection = await ClientConnection.open(server.address, 1000)
+        for number in range(5):
+            body = b"%d" % number
+            headers = [("host", "h"), ("content-length", "1")]
+            await connection.send("POST", "/", headers, body)
+            assert (await connection.read_head()).status == 200
+            assert await connection.read_body() == body
+            assert connection.renew()
+        connection.close()
+
+    serve(scenario)
+
+
+@pytest.mark.parametrize(
+    "data", [b"nonsense\r\n\r\n", b"GET / HTTP/9\r\n\r\n", b"\x00\x01\r\n\r\n"]
+)
+def test_bytes_that_are_no_request_get_400(data):
+    async def scenario(server):
+        assert (await raw(server, data)).startswith(b"HTTP/1.1 400")
+
+    serve(scenario)
+
+
+def test_headers_above_the_limit_get_431_and_large_bodies_413():
+    async def scenario(server):
+        long = b"GET / HTTP/1.1\r\nhost: h\r\nx: " + b"a" * 4_000
+        assert (await raw(server, long + b"\r\n\r\n")).startswith(b"HTTP/1.1 431")
+        assert (await raw(server, long)).startswith(b"HTTP/1.1 431")
+        large = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 3000\r\n\r\n" + b"b" * 3_000
+        assert (await raw(server, large)).startswith(b"HTTP/1.1 413")
+
+    serve(scenario, header_bytes=1_000, body_bytes=2_000)
+
+
+def test_request_that_ends_early_is_not_handled():
+    handled = []
+
+    async def note(request, caller):
+        handled.append(request)
+
+    async def scenario(server):
+        await raw(server, b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nabc", end=True)
+
+    serve(scenario, note)
+    assert handled == []
+
+
+def test_idle_connection_is_closed_after_its_time_only():
+    async def scenario(server):
+        host, _, port = server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(1), 0.2)
+        assert await asyncio.wait_for(reader.read(1), 1.0) == b""
+        writer.close()
+
+    serve(scenario, idle_timeout_ms=400.0)
+
+
+def test_handler_is_cancelled_when_its_caller_goes():
+    async def scenario(server):
+        connection = await ClientConnection.open(server.address, 1000)
+        await connection.send("GET", "/", [("host", "h")])
+        await asyncio.wait_for(begun.wait(), 2)
+        connection.close()
+        await asyncio.wait_for(cancelled.wait(), 0.4)
+
+    begun, cancelled = asyncio.Event(), asyncio.Event()
+
+    async def hang(request, caller):
+        begun.set()
+        try:
+            await asyncio.sleep(60)
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+
+    serve(scenario, hang)
+
+
+def test_answer_that_is_broken_off_never_looks_complete():
+    async def scenario(server):
+        connection = await ClientConnection.open(server.address, 1000)
+        await connection.send("GET", "/", [("host", "h")])
+        await connection.read_head()
+        assert await connection.read_part() == b"part"
+        with pytest.raises(ConnectionLostError):
+            await connection.read_part()
+
+    async def break_off(request, caller):
+        await caller.begin(200, [])
+        await caller.send_part(b"part")
+        caller.break_off()
+
+    serve(scenario, break_off)
+
+
+async def answer_raw(data, reset=False):
+    """Return a listener that answers any request with `data` and ends the connection."""
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(data)
+        await writer.drain()
+        if reset:
+            writer.transport.abort()
+        else:
+            writer.close()
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    return server, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+@pytest.mark.parametrize(
+    ("data", "body"),
+    [
+        (b"HTTP/1.1 200 OK\r\n\r\nuntil the end", b"until the end"),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfourHTTP/1.1 200 OK\r\n\r\n", b"four"),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort", None),
+        (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n", None),
+        (b"\x16\x03 nonsense", None),
+        (b"", None),
+    ],
+)
+def test_answers_of_faulty_back_ends(data, body):
+    async def run():
+        server, address = await answer_raw(data)
+        try:
+            answer = await AsyncHttpClient(address).call("GET", "/", timeout_ms=2_000)
+            assert answer.body == body
+        except ConnectionLostError as error:
+            assert body is None
+            assert error.sent
+        finally:
+            server.close()
+
+    asyncio.run(run())
+
+
+def test_refused_connection_has_sent_nothing():
+    async def run():
+        server, address = await answer_raw(b"")
+        server.close()
+        await server.wait_closed()
+        with pytest.raises(ConnectionLostError) as caught:
+            await ClientConnection.open(address, 500)
+        assert not caught.value.sent
+
+    asyncio.run(run())
+
+
+def test_closing_server_asks_callers_to_go_elsewhere():
+    async def scenario(server):
+        server.closing = True
+        answer = await AsyncHttpClient(server.address).call("GET", "/")
+        assert (b"connection", b"close") in answer.headers
+
+    serve(scenario)
