--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -41,6 +41,7 @@
 LAST_MS = 700.0  # before SIGKILL: for what can't be finished to be ended in order
 IDLE_FACTOR = 1.2  # callers may reuse a connection for most of the idle timeout
 PUMP_MS = 20.0
+RELOADED = ("grace_ms", "drain_ms", "stall_ms", "retry_ratio", "retry_slack", "retry_window_ms")
 
 
 class FleetDaemon:
@@ -50,14 +51,18 @@
     ----------
     settings : NodeSettings
     clock : Clock or None
+    read_settings : callable or None
+        Reads the settings anew; they may change while the daemon runs.
     """
 
-    def __init__(self, settings, clock=None):
+    def __init__(self, settings, clock=None, read_settings=None):
         self.settings = settings
         self.clock = clock or Clock()
+        self.read_settings = read_settings
         self.decisions = DecisionLog(self.clock)
         self.draining = False
         self.stopped = None
+        self.failed = False
 
     async def run(self):
         """Serve until SIGTERM, then drain; returns whether all requests were finished."""
@@ -65,12 +70,41 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.request_drain)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
+        watching = loop.create_task(self._watch_tasks())
         await self.stopped.wait()
-        finished = await self.drain()
+        watching.cancel()
+        finished = not self.failed and await self.drain()
         self.close()
         return finished
 
+    def reload(self):
+        """Take over the settings that may change while the daemon runs."""
+        if self.read_settings is None:
+            return
+        try:
+            fresh = self.read_settings()
+        except SettingsError as error:
+            self.decisions.record("settings_unreadable", reason=str(error))
+            return
+        changed = [n for n in RELOADED if getattr(fresh, n) != getattr(self.settings, n)]
+        for name in changed:
+            setattr(self.settings, name, getattr(fresh, name))
+        self.gateway.budget.use(self.settings)
+        self.decisions.record("settings_reloaded", changed=changed)
+
+    async def _watch_tasks(self):
+        """End the daemon when one of its tasks fails; it is started again from nothing."""
+        tasks = [self.watcher.task, self.lease.task, self.keeper.task]
+        tasks += self.exchange.tasks + self.gateway.tasks
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_EXCEPTION)
+        for task in done:
+            if not task.cancelled() and task.exception() is not None:
+                self.decisions.record("daemon_failed", reason=repr(task.exception()))
+                self.failed = True
+                self.stopped.set()
+
     async def start(self):
         """Start everything; raises `OSError` when an address is taken."""
         settings = self.settings
@@ -227,6 +261,7 @@
                 self.decisions.record("digest_unreadable", reason=str(error))
                 await caller.answer(400, [], b"")
         elif request.target == b"/metrics":
+            self.gateway.refresh_metrics()
             await caller.answer(200, [], prometheus_client.generate_latest())
         else:
             await caller.answer(404, [], b"")
@@ -234,7 +269,7 @@
 
 def serve_node_file(path):
     """Run a daemon with the settings of a node file; returns the exit code."""
-    daemon = FleetDaemon(read_node_file(path))
+    daemon = FleetDaemon(read_node_file(path), read_settings=lambda: read_node_file(path))
     try:
         finished = asyncio.run(daemon.run())
     except OSError as error:
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
@@ -1,8 +1,9 @@
 """Requests through a whole daemon, before workers that misbehave."""
 
 import asyncio
+from dataclasses import replace
 
-from corianderhaven.common import ClientConnection
+from corianderhaven.common import AsyncHttpClient, ClientConnection, SettingsError
 from corianderhaven.daemon.tests.hosted import ask, draft, heads, hosted, until, workers
 from corianderhaven.standins import HostedModel
 
@@ -303,3 +304,51 @@
         assert site.engines.violations == []
 
     play(scenario, daemons=2, site_fields={"domain_size": 8})
+
+
+def test_metrics_tell_replicas_and_requests():
+    async def scenario(site, daemon):
+        await draft(daemon, "large")
+        client = AsyncHttpClient(daemon.peers_server.address)
+        text = (await client.call("GET", "/metrics")).body.decode()
+        client.close()
+        serving = len(heads(site, "large"))
+        assert f'corianderhaven_gateway_serving_replicas{{model="large"}} {float(serving)}' in text
+        assert 'corianderhaven_gateway_requests_total{outcome="complete",route="draft"}' in text
+        assert "corianderhaven_gateway_longest_pause_seconds_bucket" in text
+
+    play(scenario)
+
+
+def test_changed_settings_are_taken_over_and_broken_ones_are_not():
+    async def scenario(site, daemon):
+        daemon.read_settings = lambda: replace(daemon.settings, retry_slack=8.0, zone="elsewhere")
+        daemon.reload()
+        assert daemon.gateway.budget.slack == 1.0
+        assert daemon.settings.zone == "a"
+
+        def broken():
+            raise SettingsError("no such file")
+
+        daemon.read_settings = broken
+        daemon.reload()
+        assert daemon.gateway.budget.slack == 1.0
+        assert (await ask(daemon, "/status/1")).status == 200
+
+    play(scenario)
+
+
+def test_failed_task_ends_the_daemon_so_that_it_starts_anew():
+    async def scenario(site, daemon):
+        daemon.stopped = asyncio.Event()
+
+        async def fail():
+            raise RuntimeError("broken")
+
+        daemon.lease.task = asyncio.create_task(fail())
+        watching = asyncio.create_task(daemon._watch_tasks())
+        await asyncio.wait_for(daemon.stopped.wait(), 2)
+        assert daemon.failed
+        watching.cancel()
+
+    play(scenario)
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -89,6 +89,22 @@
         finally:
             self.in_flight -= 1
 
+    def refresh_metrics(self):
+        """Set the gauges that are read at scrape time."""
+        _metrics.IN_FLIGHT.set(self.in_flight)
+        for (_, model), line in self.lines.items():
+            _metrics.WAITING.labels(model).set(len(line.waiting))
+        services = self.holder.config.services.values() if self.holder.config else ()
+        for service in services:
+            if service.engine is None:
+                continue
+            heads = self.view.all_heads(service.name)
+            for model in service.engine.models:
+                _metrics.SERVING_REPLICAS.labels(model.name).set(len(heads.get(model.name, ())))
+            serving = sum(len(heads.get(m.name, ())) * m.size for m in service.engine.models)
+            vms = len(self.directory.endpoints(service.name))
+            _metrics.STRANDED.labels(service.name).set(max(0, vms - serving))
+
     def make_digest(self):
         """Return what peers need to know."""
         heads = {
@@ -350,6 +366,8 @@
         _metrics.REQUESTS.labels(job.route.name, outcome).inc()
         if first_ms is not None:
             _metrics.FIRST_EVENT.labels(job.route.name).observe(first_ms / MS_PER_S)
+            if job.route.gap_goal_ms:
+                _metrics.PAUSES.labels(job.route.name).observe(job.longest_pause_ms / MS_PER_S)
         self.decisions.record(
             "request_ended",
             request=job.facts.request_id,
--- a/libraries/gateway/src/corianderhaven/gateway/_retry_budget.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_retry_budget.py
@@ -18,11 +18,15 @@
 
     def __init__(self, clock, settings):
         self.clock = clock
+        self.requests = defaultdict(deque)
+        self.repeats = defaultdict(deque)
+        self.use(settings)
+
+    def use(self, settings):
+        """Take over the bounds in `settings`."""
         self.ratio = settings.retry_ratio
         self.slack = settings.retry_slack / SLACK_PART
         self.window_ms = settings.retry_window_ms
-        self.requests = defaultdict(deque)
-        self.repeats = defaultdict(deque)
 
     def note_request(self, service):
         """Count a caller's request."""
