--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STAMP := $(VENV)/.installed
 BIN := $(VENV)/bin
 
-.PHONY: setup run site test lint format capacity bench clean
+.PHONY: setup run run-hosted site test lint format capacity bench clean
 
 setup: $(STAMP)
 
@@ -21,6 +21,9 @@
 run: setup
 	$(BIN)/python examples/demonstration.py
 
+run-hosted: setup
+	$(BIN)/python examples/hosted_demonstration.py
+
 site: setup
 	$(BIN)/python examples/demonstration.py --stay
 
--- /dev/null
+++ b/examples/hosted_demonstration.py
@@ -0,0 +1,170 @@
+"""Plays the users' platform in small, with daemons as processes of their own.
+
+Store, engines and plain workers run in this process; requests of each kind go through two
+daemons while a member is lost and the store is away. Exits 0 when every request was answered
+in full and both rules of replicas held.
+"""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from corianderhaven.common import AsyncHttpClient, ClientConnection, ConnectionLostError
+from corianderhaven.standins import HostingSite, free_address, small_models
+
+REQUESTS = 60
+READY_S = 20.0
+NODE_FILE = """
+node_name = "{name}"
+ip = "{ip}"
+zone = "{zone}"
+port_range = [{port}, {port}]
+bootstrap = true
+[listen]
+front = "{front}"
+ready = "{ready}"
+[bounds]
+grace_s = 8
+stall_ms = 400
+retry_ratio = 0.2
+retry_slack = 107
+[platform]
+address = "{store}"
+"""
+
+
+class DaemonProcess:
+    """One corianderhavend with a node file of its own."""
+
+    def __init__(self, name, zone, store, folder):
+        self.front, self.ready = free_address(), free_address()
+        ip, _, port = free_address().rpartition(":")
+        self.path = Path(folder) / f"{name}.toml"
+        self.path.write_text(
+            NODE_FILE.format(
+                name=name,
+                ip=ip,
+                zone=zone,
+                port=port,
+                front=self.front,
+                ready=self.ready,
+                store=store,
+            )
+        )
+        self.log = (Path(folder) / f"{name}.log").open("wb")
+        command = [sys.executable, "-m", "corianderhaven.daemon", "--node-file", str(self.path)]
+        self.process = subprocess.Popen(command, stdout=self.log, stderr=self.log, env=os.environ)
+
+    async def is_ready(self):
+        """Return whether the daemon says that it is ready."""
+        client = AsyncHttpClient(self.ready)
+        try:
+            return (await client.call("GET", "/api/readyz")).status == 200
+        except ConnectionLostError:
+            return False
+        finally:
+            client.close()
+
+    def stop(self):
+        """Stop the daemon in order; returns its exit code."""
+        self.process.send_signal(signal.SIGTERM)
+        code = self.process.wait(15)
+        self.log.close()
+        return code
+
+
+async def ask(address, number):
+    """Send the request of a number; returns whether its answer was whole."""
+    kind = ("draft", "status", "issue")[number % 3]
+    headers = [
+        ("host", "site.example"),
+        ("corianderhaven-attempt-id", f"demo-{number}"),
+        ("corianderhaven-deadline-ms", "4000"),
+        ("authorization", "Bearer key-a"),
+    ]
+    method, body = "GET", b""
+    if kind != "status":
+        method, body = "POST", b"{}"
+        headers.append(("content-length", "2"))
+    if kind == "draft":
+        headers += [
+            ("corianderhaven-model", ("small", "large")[number % 2]),
+            ("corianderhaven-token-count", "100,40"),
+        ]
+    connection = await ClientConnection.open(address, 1000)
+    try:
+        await connection.send(method, f"/{kind}/{number}", headers, body)
+        head = await connection.read_head()
+        answer = await connection.read_body()
+        events = answer.count(b"id: ")
+        return head.status == 200 and (kind != "draft" or events == 8)
+    except ConnectionLostError:
+        return False
+    finally:
+        connection.close()
+
+
+async def wait_until_served(site, daemons):
+    """Wait until the daemons are ready and each model has an open replica."""
+    async with asyncio.timeout(READY_S):
+        while not all([await d.is_ready() for d in daemons]) or not serves_all(site):
+            await asyncio.sleep(0.1)
+
+
+def serves_all(site):
+    """Return whether each model has an open replica."""
+    states = [
+        (e.group.model, site.engines.state(e)) for e in site.engines.engines.values() if e.group
+    ]
+    return all((m.name, "open") in states for m in site.models)
+
+
+async def play(folder):
+    """Play the demonstration; returns the exit code."""
+    site = await HostingSite(["a", "b"], 4, small_models(), token_ms=30.0).start()
+    store = site.store_server.address
+    daemons = [DaemonProcess(f"edge-{z}-1", z, store, folder) for z in ("a", "b")]
+    try:
+        await wait_until_served(site, daemons)
+        print("both daemons ready, both models served")
+        tasks = []
+        for number in range(REQUESTS):
+            tasks.append(asyncio.create_task(ask(daemons[number % 2].front, number)))
+            await asyncio.sleep(0.04)
+            if number == 20:
+                head = next(
+                    e
+                    for e in site.engines.engines.values()
+                    if site.engines.state(e) == "open" and len(e.group.members) == 2
+                )
+                site.kill(head.group.members[1])
+                print("a member of a replica was lost")
+            if number in (35, 50):
+                site.store.faults.away = number == 35
+                print("the store is", "away" if number == 35 else "back")
+        whole = sum(await asyncio.gather(*tasks))
+        print(f"{whole} of {REQUESTS} answers whole")
+        most = max(site.run_counts()[f"demo-{n}"] for n in range(REQUESTS) if n % 3 == 2)
+        print(f"operations that may not be repeated ran {most} time at most")
+        print(f"violations of the rules of replicas: {len(site.engines.violations)}")
+        good = whole == REQUESTS and most == 1 and not site.engines.violations
+    finally:
+        loop = asyncio.get_running_loop()
+        codes = [await loop.run_in_executor(None, d.stop) for d in daemons]
+        site.close()
+    print(f"daemons stopped with exit codes {codes}")
+    return 0 if good and codes == [0, 0] else 1
+
+
+def main():
+    """Run the program and return its exit code."""
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(play(folder))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
