Refuse what comes after the balancer has noticed a drain

Ruled out: too short a grace time (streams begun within 2.6 s of SIGTERM finished), new connections (the balancer had gone elsewhere). Change: from 2.6 s after SIGTERM requests get 503, not run, with Retry-After and an end of the connection; before, answers ask callers to go elsewhere. The test fails before, passes after.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -152,6 +152,8 @@
         end_ms = begun_ms + self.settings.grace_ms - LAST_MS
         while self.clock.now_ms() < end_ms:
             noticed = self.clock.now_ms() - begun_ms > NOTICE_MS
+            # What comes later could be cut at the end of the grace time.
+            self.gateway.draining = noticed
             if noticed and not self.gateway.in_flight:
                 break
             await asyncio.sleep(PUMP_MS / MS_PER_S)
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
@@ -277,6 +277,31 @@
     play(scenario, site_fields={"token_ms": 60.0, "events": 30})
 
 
+def test_request_that_comes_late_in_a_drain_is_refused_and_not_begun():
+    """Replays ndvc mix, seed 146408457263: 4.6 s after SIGTERM on a kept connection."""
+
+    async def scenario(site, daemon):
+        stream = asyncio.create_task(draft(daemon, "small"))
+        await until(lambda: daemon.gateway.in_flight)
+        kept = await ClientConnection.open(daemon.callers_server.address, 1000)
+        daemon.stopped = asyncio.Event()
+        daemon.request_drain()
+        draining = asyncio.create_task(daemon.drain())
+        early = await ask(daemon, "/status/1")
+        assert early.status == 200
+        assert early.header("connection") == "close"
+        await until(lambda: daemon.gateway.draining)
+        late = await ask(daemon, "/status/1", connection=kept)
+        assert late.status == 503
+        assert float(late.header("retry-after")) > 0
+        assert late.request_id not in site.run_counts()
+        assert (await stream).complete
+        assert await draining
+        kept.close()
+
+    play(scenario, site_fields={"token_ms": 110.0, "events": 28})
+
+
 def test_two_daemons_share_one_keeper_and_tell_each_other_their_load():
     async def scenario(site, daemons):
         tenures = [d.lease.tenure for d in daemons]
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -128,8 +128,9 @@
 
     async def _handle(self, request, caller):
         facts = self.wire.read_request(request)
-        if self.table is None:
-            await self._answer_early(request, caller, facts, 503, "no configuration yet")
+        if self.table is None or self.draining:
+            reason = "draining" if self.draining else "no configuration yet"
+            await self._answer_early(request, caller, facts, 503, reason)
             return
         path = request.target.split(b"?", 1)[0].decode("latin-1")
         route = self.table.match(request.header("host") or "", path)
