--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -41,7 +41,7 @@
 LAST_MS = 700.0  # before SIGKILL: for what can't be finished to be ended in order
 IDLE_FACTOR = 1.2  # callers may reuse a connection for most of the idle timeout
 PUMP_MS = 20.0
-RELOADED = ("grace_ms", "drain_ms", "stall_ms", "retry_ratio", "retry_slack", "retry_window_ms")
+RELOADED = ("grace_ms", "stall_ms", "retry_ratio", "retry_slack", "retry_window_ms")
 
 
 class FleetDaemon:
@@ -169,7 +169,7 @@
     def _build(self):
         settings = self.settings
         platform_format = HostingFormat()
-        self.store = PlatformStore(settings.store, settings.ip)
+        self.store = PlatformStore(settings.store, settings.ip, settings.lease_min_ms)
         self.directory = EndpointDirectory(self.clock, self.decisions)
         self.holder = ConfigInForce(platform_format.decode_config, self.decisions)
         self.holder.listeners.append(self._use_limits)
--- a/libraries/fleet/src/corianderhaven/fleet/_types.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_types.py
@@ -246,9 +246,7 @@
     peers: str
     store: str
     first_start: bool = False
-    heartbeat_ms: float = 1_000.0
     grace_ms: float = 8_000.0
-    drain_ms: float = 2_000.0
     stall_ms: float = 4_000.0
     retry_ratio: float = 0.2
     retry_window_ms: float = 10_000.0
