Make the test of silence at the last endpoint able to fail

Cause: tried against the code before its fix, the test passed: a 502 with a whole body counted as complete. Change: status and events are checked. Against the old rule it now fails with 502, against the present one it passes. No product code changed.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
@@ -164,7 +164,8 @@
         for worker in slow:
             worker.faults.slow_ms = 900.0
         answer = await draft(daemon, "small")
-        assert answer.complete
+        assert (answer.status, answer.complete) == (200, True)
+        assert answer.event_ids == list(range(1, site.events + 1))
         assert len([r for r in site.runs if r.request_id == answer.request_id]) == 1
 
     play(scenario)
