--- a/libraries/daemon/src/corianderhaven/daemon/_main.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_main.py
@@ -5,6 +5,7 @@
 from loguru import logger
 
 from corianderhaven.common import (
+    MS_PER_S,
     LogWriter,
     SettingsError,
     configure_line_logging,
@@ -12,6 +13,8 @@
     run_program,
 )
 
+SIGNAL_CHECK_MS = 200.0  # shorter than the notice that a balancer needs of a drain
+
 
 def serve(
     *,
@@ -98,7 +101,10 @@
         daemon.start()
     except OSError as error:
         raise SettingsError(f"cannot listen on {callers} and {peers}: {error}")
-    daemon.drain_requested.wait()
+    # A signal that the system hands to another thread wakes no main thread that waits for good,
+    # and handlers run in the main thread only.
+    while not daemon.drain_requested.wait(SIGNAL_CHECK_MS / MS_PER_S):
+        continue
     finished = daemon.drain()
     daemon.close()
     logger.info("daemon_stopped")
