--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import signal
 
 import prometheus_client
@@ -41,6 +42,7 @@
 LAST_MS = 700.0  # before SIGKILL: for what can't be finished to be ended in order
 IDLE_FACTOR = 1.2  # callers may reuse a connection for most of the idle timeout
 PUMP_MS = 20.0
+OPENED_TOLD_MS = 3_000.0  # by then every daemon has read the head's own entry
 RELOADED = ("grace_ms", "stall_ms", "retry_ratio", "retry_slack", "retry_window_ms")
 
 
@@ -200,7 +202,10 @@
             self.clock,
             self.decisions,
         )
-        self.peers = PeerTable(settings.name, self.clock)
+        self.peers = PeerTable(settings.name, self.clock, settings.zone)
+        self.peers.make_digest = self._make_digest
+        self.watcher.daemons = lambda: 1 + len(self.peers.peers)
+        self.watcher.hurried = lambda: self.lease.tenure is not None
         self.gateway = Gateway(
             settings,
             self.directory,
@@ -216,7 +221,6 @@
             self.watcher,
             DAEMONS_PREFIX,
             settings.peers,
-            self._make_digest,
             self.decisions,
             settings.ip,
         )
@@ -228,15 +232,17 @@
     def _make_digest(self):
         digest = self.gateway.make_digest()
         digest.store_reachable = self.watcher.store_reachable
-        if not digest.store_reachable:
-            digest.opened = self.keeper.opened()
+        within_ms = OPENED_TOLD_MS if digest.store_reachable else math.inf
+        digest.opened = {
+            head_id: (head.replica, head.generation, head.born_ms)
+            for head_id, head in self.keeper.opened(within_ms).items()
+        }
         return digest
 
     def _use_opened(self, opened):
-        """Believe a keeper's word on replicas while the store tells nothing."""
-        if not self.watcher.store_reachable:
-            for head_id, (replica, generation) in opened.items():
-                self.directory.update_opened(head_id, replica, generation)
+        """Believe the keeper's word on replicas, which comes before the store's."""
+        for head_id, (replica, generation, born_ms) in opened.items():
+            self.directory.update_opened(head_id, replica, generation, born_ms)
 
     def _note_traffic(self):
         self.keeper.traffic_seen = True
@@ -257,8 +263,9 @@
     async def _answer_peer(self, request, caller):
         if request.target == DIGEST_PATH.encode():
             try:
-                self.peers.receive(request.body)
-                await caller.answer(204, [], b"")
+                peer = self.peers.receive(request.body)
+                answer = self.peers.answer_to(peer) if peer is not None else b""
+                await caller.answer(200, [], answer)
             except ValueError as error:
                 self.decisions.record("digest_unreadable", reason=str(error))
                 await caller.answer(400, [], b"")
--- a/libraries/fleet/src/corianderhaven/fleet/__init__.py
+++ b/libraries/fleet/src/corianderhaven/fleet/__init__.py
@@ -1,6 +1,7 @@
 """What a daemon knows of endpoints, and how daemons keep replicas whole."""
 
 from ._config_in_force import ConfigInForce
+from ._digests import DIGEST_PATH, Digest, HeadDigest, PeerMessage, ZoneSummary
 from ._directory import EndpointDirectory
 from ._formation import Dissolve, Form, FormationPlanner, Stage, Standby, Vm, find_lost
 from ._interfaces import (
@@ -15,7 +16,8 @@
 )
 from ._keeper import ReplicaKeeper
 from ._keeper_lease import KeeperLease
-from ._peers import DIGEST_PATH, Digest, HeadDigest, PeerExchange, PeerTable
+from ._peer_exchange import PeerExchange
+from ._peers import PeerTable
 from ._replicas import Replica, group_replicas, model_of, replica_name, serving
 from ._types import (
     Account,
@@ -59,6 +61,7 @@
     "NodeSettings",
     "OrderResult",
     "PeerExchange",
+    "PeerMessage",
     "PeerTable",
     "PlatformFormat",
     "Replica",
@@ -73,6 +76,7 @@
     "StoreUnavailableError",
     "StoreWatcher",
     "Vm",
+    "ZoneSummary",
     "find_lost",
     "group_replicas",
     "model_of",
--- a/libraries/fleet/src/corianderhaven/fleet/_directory.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_directory.py
@@ -116,10 +116,10 @@
         )
         self.update(endpoint_id, endpoint, record.revision)
 
-    def update_opened(self, endpoint_id, replica, generation):
-        """Take over a peer's word that an endpoint heads an open replica."""
+    def update_opened(self, endpoint_id, replica, generation, born_ms):
+        """Take over the keeper's word that an endpoint heads an open replica in this life."""
         record = self.records.get(endpoint_id)
-        if record is None:
+        if record is None or record.endpoint.born_ms != born_ms:
             return
         known = record.endpoint.membership
         if known is not None and known.generation >= generation:
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper.py
@@ -62,16 +62,25 @@
         if self.work is not None:
             self.work.close()
 
-    def opened(self):
-        """Return the heads opened in this tenure that still head the same replica."""
+    def opened(self, within_ms=float("inf")):
+        """Return the `OpenedHead`s of this tenure that still head the same replica.
+
+        Parameters
+        ----------
+        within_ms : float
+            Only those opened this lately.
+        """
         if self.work is None:
             return {}
+        since_ms = self.clock.now_ms() - within_ms
         current = {}
-        for head_id, key in self.work.opened.items():
+        for head_id, opened in self.work.opened.items():
             head = self.directory.get(head_id)
             member = head.membership if head is not None else None
-            if member is not None and (member.replica, member.generation) == key:
-                current[head_id] = key
+            if member is None or opened.opened_ms < since_ms:
+                continue
+            if (member.replica, member.generation) == (opened.replica, opened.generation):
+                current[head_id] = opened
         return current
 
     def suspect(self, head_id, reason):
--- a/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
@@ -69,6 +69,16 @@
         return key in self.released or now_ms >= self.ended_ms.get(key, float("inf"))
 
 
+@dataclass(frozen=True)
+class OpenedHead:
+    """A replica whose head was opened, and in which life of the head."""
+
+    replica: str
+    generation: int
+    born_ms: int
+    opened_ms: float
+
+
 class ReplicaTasks:
     """The tasks of one tenure.
 
@@ -176,7 +186,8 @@
                     memory.loads, loads = memory.loads - loads, 0
                     open_sent = True
                     opened = await self._open(ids, key)
-                    self.opened[ids[0]] = key
+                    if opened:
+                        self._note_opened(ids[0], key)
         finally:
             memory.loads -= loads
             memory.busy -= set(ids)
@@ -187,6 +198,11 @@
             took_ms = round(self.clock.now_ms() - started_ms)
             self.decisions.record("replica_formed", replica=key[0], opened=opened, took_ms=took_ms)
 
+    def _note_opened(self, head_id, key):
+        head = self.directory.get(head_id)
+        if head is not None:
+            self.opened[head_id] = OpenedHead(*key, head.born_ms, self.clock.now_ms())
+
     def _ready_bound_ms(self, engine, action):
         model = engine.model(action.model)
         load_ms = (model.load_s if action.loads else model.warm_s) * MS_PER_S
--- a/libraries/fleet/src/corianderhaven/fleet/_watching.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_watching.py
@@ -7,6 +7,9 @@
 from ._interfaces import HistoryGoneError, StoreUnavailableError
 
 FOLLOW_WAIT_MS = 500  # endpoints report more often; a longer silence is checked by a listing
+SHORTEST_PACE_MS = 250.0  # an entry is that late at most; engines write theirs each 1.2 s
+PACE_MS_PER_DAEMON = 60.0  # keeps all daemons of a site at some 16 calls a second
+LONGEST_PACE_MS = 1_000.0  # a configuration must be in force 2 s after it was written
 RETRY_PAUSE_MS = 150.0  # a store that is down costs some seven calls a second and daemon
 OUTAGE_MS = 400.0  # a shorter failure can't make a lease of three heartbeats lapse
 
@@ -31,7 +34,8 @@
         self.holder = holder
         self.clock = clock
         self.decisions = decisions
-        self.pace_ms = 250.0
+        self.daemons = lambda: 1
+        self.hurried = lambda: False
         self.own_items = {}
         self.own_prefix = ""
         self.own_changed = asyncio.Event()
@@ -61,11 +65,21 @@
             return 0.0
         return self.clock.now_ms() - self.failing_since_ms
 
+    def pace_ms(self):
+        """Return the pause between two calls, in which changes gather.
+
+        All daemons together may make only so many calls, so it grows with their number. The
+        keeper's stays short, as it is the one that acts on members' changes.
+        """
+        if self.hurried():
+            return SHORTEST_PACE_MS
+        return min(max(SHORTEST_PACE_MS, PACE_MS_PER_DAEMON * self.daemons()), LONGEST_PACE_MS)
+
     async def _run(self):
         while True:
             try:
                 await self._follow_once()
-                await asyncio.sleep(self.pace_ms / MS_PER_S)
+                await asyncio.sleep(self.pace_ms() / MS_PER_S)
             except HistoryGoneError:
                 self.decisions.record("store_history_gone", after=self.after)
                 self.after = None
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_peers.py
@@ -4,20 +4,20 @@
 from msgspec.json import encode
 
 from corianderhaven.common import ManualClock
-from corianderhaven.fleet import Digest, HeadDigest, PeerTable
+from corianderhaven.fleet import Digest, HeadDigest, PeerMessage, PeerTable
 
 
 def table(*names):
     clock = ManualClock()
     peers = PeerTable("own", clock)
-    peers.list_from([(name, f"10.0.0.{n}:1") for n, name in enumerate(names)])
+    peers.list_from([(name, f"10.0.0.{n}:1", "") for n, name in enumerate(names)])
     return clock, peers
 
 
 def tell(peers, name, reachable=True, address="10.0.0.0:1", **heads):
     digest = Digest(name, address, {h: HeadDigest(*v) for h, v in heads.items()})
     digest.store_reachable = reachable
-    peers.receive(encode(digest))
+    peers.receive(encode(PeerMessage(digest)))
 
 
 def test_load_of_fresh_peers_is_summed_and_old_load_forgotten():
@@ -60,7 +60,7 @@
 def test_replaced_daemon_takes_its_predecessors_place():
     clock, peers = table("a")
     tell(peers, "a", h=(5, 1.0))
-    peers.list_from([("a", "10.9.9.9:1")])
+    peers.list_from([("a", "10.9.9.9:1", "")])
     assert [p.address for p in peers.targets()] == ["10.9.9.9:1"]
     assert peers.others_at("h") == 0
     peers.list_from([])
@@ -73,10 +73,10 @@
     suspects, opened = [], []
     peers.on_suspects = lambda heads, daemon: suspects.append((heads, daemon))
     peers.on_opened = opened.append
-    digest = Digest("a", "10.0.0.0:1", suspects=["h"], opened={"e": ("m.3.1", 30_001)})
-    peers.receive(encode(digest))
-    assert suspects == [(["h"], "a")]
-    assert opened == [{"e": ("m.3.1", 30_001)}]
+    digest = Digest("a", "10.0.0.0:1", suspects={"h": 7.0}, opened={"e": ("m.3.1", 30_001, 7)})
+    peers.receive(encode(PeerMessage(digest)))
+    assert suspects == [({"h": 7.0}, "a")]
+    assert opened == [{"e": ("m.3.1", 30_001, 7)}]
 
 
 @pytest.mark.parametrize("body", [b"", b"{}", b'{"daemon": 3}', b"\xff"])
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_watching.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_watching.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from corianderhaven.common import DecisionLog
+from corianderhaven.common import DecisionLog, ManualClock
 from corianderhaven.fleet import (
     ConfigInForce,
     EndpointDirectory,
@@ -219,3 +219,60 @@
         return directory.get("e1").zone
 
     assert run_virtual(play) == "new"
+
+
+@pytest.mark.parametrize(("daemons", "most_calls"), [(1, 9), (4, 9), (12, 7), (36, 5), (360, 5)])
+def test_calls_of_all_daemons_grow_more_slowly_than_the_fleet(daemons, most_calls):
+    """Replays a grown quiet-1: 36 daemons made 139 calls a second, a tenth of its worth."""
+
+    async def scenario(hosted, store, watcher):
+        watcher.daemons = lambda: daemons
+        calls = []
+        store.before = calls.append
+        for number in range(80):
+            hosted.put("servers/e1", b"ready" if number % 2 else b"ready ")
+            await asyncio.sleep(0.05)
+        assert 3 <= len(calls) <= 2 * most_calls
+        watcher.hurried = lambda: True
+        await asyncio.sleep(1.0)
+        del calls[:]
+        for number in range(40):
+            hosted.put("servers/e1", b"ready" if number % 2 else b"ready ")
+            await asyncio.sleep(0.05)
+        assert 7 <= len(calls) <= 10
+
+    watch(scenario)
+
+
+@pytest.mark.parametrize("daemons", [4, 360])
+def test_configuration_is_known_within_its_bound_whatever_the_fleets_size(daemons):
+    async def scenario(hosted, store, watcher):
+        watcher.daemons = lambda: daemons
+        for version in (5, 6, 7):
+            hosted.put(CONFIG, b"%d" % version)
+            await asyncio.sleep(1.2)
+            assert watcher.holder.config.version == version
+
+    watch(scenario)
+
+
+def directory_with(entry):
+    clock = ManualClock()
+    directory = EndpointDirectory(clock, DecisionLog(clock))
+    directory.update(entry.id, entry, 3)
+    return directory
+
+
+def test_keepers_word_comes_before_the_heads_entry():
+    directory = directory_with(endpoint(1, born_ms=7))
+    directory.update_opened("e1", "m.1.2", 12, 7)
+    assert directory.get("e1").membership.state is ReplicaState.OPEN
+
+
+def test_keepers_word_says_nothing_of_a_later_life_or_an_older_replica():
+    reborn = directory_with(endpoint(1, born_ms=8))
+    reborn.update_opened("e1", "m.1.2", 12, 7)
+    assert reborn.get("e1").membership is None
+    newer = directory_with(member(endpoint(1, born_ms=7), "m.1.3", 0, generation=13))
+    newer.update_opened("e1", "m.1.2", 12, 7)
+    assert newer.get("e1").membership.replica == "m.1.3"
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -27,6 +27,7 @@
 LEAST_ANSWER_PART = 0.5  # of the usual answer's time; a shorter rest is not worth a send
 LIVES_MS = 250.0  # longer than a pass that reads prompts, and than a digest's way
 DEFAULT_GOAL_MS = 500.0
+FORGET_PAUSE_MS = 5_000.0  # a few endpoints come and go in it; each costs some hundred bytes
 
 
 class Gateway:
@@ -73,6 +74,7 @@
         self.tasks = [
             loop.create_task(pump_lines(self.lines, self.clock)),
             loop.create_task(self._watch_silence()),
+            loop.create_task(self._forget_gone()),
         ]
 
     def close(self):
@@ -115,12 +117,18 @@
             for head_id, entry in self.load_book.entries.items()
             if entry.own
         }
-        return Digest(self.settings.name, self.settings.peers, heads, self.view.suspected())
+        return Digest(
+            self.settings.name,
+            self.settings.peers,
+            heads,
+            self.view.suspected(),
+            zone=self.settings.zone,
+        )
 
-    def _hear_suspects(self, head_ids, daemon):
-        for head_id in head_ids:
+    def _hear_suspects(self, suspects, daemon):
+        for head_id, age_ms in suspects.items():
             head = self.directory.get(head_id)
-            if head is not None and self.view.suspect_once(head):
+            if head is not None and self.view.suspect_told(head, age_ms):
                 self.on_suspicion(head_id, f"told by {daemon}")
 
     def _use_config(self, config):
@@ -324,7 +332,7 @@
         heads = self.view.heads(service, model.name)
         own = sum(self.load_book.entry(head.id).own for head in heads)
         others = sum(self.peers.others_at(head.id) for head in heads)
-        daemons = 1 + len(self.peers.fresh())
+        daemons = 1 + self.peers.daemons_heard()
         part = (own + 1) / (own + others + daemons)
         taken_ms = self._pace(service, engine, model).taken_ms()
         return part * len(heads) * engine.slots / taken_ms
@@ -385,6 +393,14 @@
             config=self.holder.config.version,
         )
 
+    async def _forget_gone(self):
+        """Drop what is kept of endpoints that no longer exist."""
+        while True:
+            await asyncio.sleep(FORGET_PAUSE_MS / MS_PER_S)
+            known_ids = {endpoint.id for endpoint in self.directory.endpoints()}
+            self.load_book.forget(known_ids)
+            self.view.forget(known_ids)
+
     async def _watch_silence(self):
         while True:
             await asyncio.sleep(CHECK_MS / MS_PER_S)
--- a/libraries/gateway/src/corianderhaven/gateway/_load_book.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_load_book.py
@@ -56,7 +56,7 @@
         entry = self.entries.get(endpoint_id)
         if entry is None:
             return others
-        if len(self.peers.fresh()) < len(self.peers.peers):
+        if not self.peers.all_heard():
             # A peer is silent: what endpoints tell counts its requests too.
             age_ms = self.clock.now_ms() - entry.told_ms
             fading = max(0.0, 1.0 - age_ms / TOLD_FRESH_MS)
--- a/libraries/gateway/src/corianderhaven/gateway/_replica_view.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_replica_view.py
@@ -1,12 +1,30 @@
 """The heads that may get requests for a model."""
 
 from collections import defaultdict
+from dataclasses import dataclass
 
 from corianderhaven.fleet import group_replicas, serving
 
 SUSPECT_MS = 2_500.0  # by then a lost member is found, or the replica has shown itself sound
 
 
+@dataclass(frozen=True)
+class Suspicion:
+    """The belief that the replica of a head has lost a member.
+
+    Parameters
+    ----------
+    membership : Membership or None
+        The head's place at that time; in another replica it is not suspected.
+    first_hand : bool
+        Whether this daemon saw the cause itself.
+    """
+
+    membership: object
+    since_ms: float
+    first_hand: bool
+
+
 class ReplicaView:
     """Whole open replicas by service and model, without those under suspicion.
 
@@ -42,31 +60,41 @@
 
     def suspect(self, head):
         """Send nothing to a head for a while, or until it heads another replica."""
-        until = self.clock.now_ms() + SUSPECT_MS
-        self.suspects[head.id] = (head.membership, until)
+        self.suspects[head.id] = Suspicion(head.membership, self.clock.now_ms(), True)
+
+    def suspect_told(self, head, age_ms):
+        """Believe a peer's suspicion; returns whether it is new.
 
-    def suspect_once(self, head):
-        """Suspect a head for another's reason; returns whether that is new."""
+        It counts from when the peer began it, so that hearing of it again prolongs nothing.
+        """
+        since_ms = self.clock.now_ms() - age_ms
         known = self.suspects.get(head.id)
-        if known is not None and _same_replica(known[0], head.membership):
+        if age_ms >= SUSPECT_MS:
+            return False
+        told_before = known is not None and _same_replica(known.membership, head.membership)
+        if told_before and since_ms < known.since_ms + SUSPECT_MS:
             return False
-        self.suspect(head)
+        self.suspects[head.id] = Suspicion(head.membership, since_ms, False)
         return True
 
     def suspected(self):
-        """Return the ids of the heads under suspicion."""
+        """Return the age of each suspicion of this daemon's own, by head id."""
         now = self.clock.now_ms()
-        return [head_id for head_id, (_, until) in self.suspects.items() if now < until]
+        return {
+            head_id: now - s.since_ms
+            for head_id, s in self.suspects.items()
+            if s.first_hand and now - s.since_ms < SUSPECT_MS
+        }
+
+    def forget(self, known_ids):
+        """Drop the suspicions of endpoints that no longer exist."""
+        self.suspects = {i: s for i, s in self.suspects.items() if i in known_ids}
 
     def _trusted(self, head, now):
         suspicion = self.suspects.get(head.id)
-        if suspicion is None:
+        if suspicion is None or now - suspicion.since_ms >= SUSPECT_MS:
             return True
-        membership, until = suspicion
-        if now < until and _same_replica(membership, head.membership):
-            return False
-        del self.suspects[head.id]
-        return True
+        return not _same_replica(suspicion.membership, head.membership)
 
     def _group(self, spec):
         heads = defaultdict(list)
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_parts.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_parts.py
@@ -139,7 +139,7 @@
 
 def test_load_that_an_endpoint_told_fades():
     clock, load_book = book()
-    load_book.peers.list_from([("silent", "127.0.0.1:1")])
+    load_book.peers.list_from([("silent", "127.0.0.1:1", "")])
     load_book.entry("e0").own = 1
     load_book.tell("e0", (7, 2, 9))
     assert load_book.occupancy("e0") == pytest.approx(9.0)
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_silence.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_silence.py
@@ -3,7 +3,7 @@
 from msgspec.json import encode
 
 from corianderhaven.common import ManualClock
-from corianderhaven.fleet import Digest, HeadDigest, PeerTable
+from corianderhaven.fleet import Digest, HeadDigest, PeerMessage, PeerTable
 from corianderhaven.gateway import ActiveStream, SilenceWatch
 
 
@@ -55,7 +55,8 @@
 def test_sign_of_life_at_another_daemon_counts():
     clock, peers, watch, _ = watch_with("h")
     for _ in range(10):
-        peers.receive(encode(Digest("other", "127.0.0.1:1", {"h": HeadDigest(4, 10.0)})))
+        digest = Digest("other", "127.0.0.1:1", {"h": HeadDigest(4, 10.0)})
+        peers.receive(encode(PeerMessage(digest)))
         assert advance(clock, watch, 80) == set()
     assert advance(clock, watch, 600) == {"h"}
 
