--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -204,7 +204,7 @@
         )
         self.peers = PeerTable(settings.name, self.clock, settings.zone)
         self.peers.make_digest = self._make_digest
-        self.watcher.daemons = lambda: 1 + len(self.peers.peers)
+        self.watcher.daemons = self.peers.fleet_size
         self.watcher.hurried = lambda: self.lease.tenure is not None
         self.gateway = Gateway(
             settings,
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
@@ -1,10 +1,11 @@
 """Requests through a whole daemon, before workers that misbehave."""
 
 import asyncio
+import time
 from dataclasses import replace
 
 from corianderhaven.common import AsyncHttpClient, ClientConnection, SettingsError
-from corianderhaven.daemon.tests.hosted import ask, draft, heads, hosted, until, workers
+from corianderhaven.daemon.tests.hosted import ask, draft, heads, hosted, served, until, workers
 from corianderhaven.standins import HostedModel
 
 
@@ -350,7 +351,7 @@
     async def scenario(site, daemon):
         daemon.read_settings = lambda: replace(daemon.settings, retry_slack=8.0, zone="elsewhere")
         daemon.reload()
-        assert daemon.gateway.budget.slack == 1.0
+        assert daemon.gateway.budget.left("unasked") == 1.0
         assert daemon.settings.zone == "a"
 
         def broken():
@@ -358,7 +359,7 @@
 
         daemon.read_settings = broken
         daemon.reload()
-        assert daemon.gateway.budget.slack == 1.0
+        assert daemon.gateway.budget.left("unasked") == 1.0
         assert (await ask(daemon, "/status/1")).status == 200
 
     play(scenario)
@@ -402,3 +403,52 @@
         assert sum(a.body.endswith(second.id.encode()) for a in answers) >= 7
 
     play(scenario)
+
+
+def test_time_of_day_that_jumps_changes_nothing(monkeypatch):
+    """Deadlines, ages and leases are counted by clocks that only go on."""
+    true_time = time.time
+
+    async def scenario(site, daemon):
+        for jump_s in (2.4, -2.4, 3_600.0, -3_600.0):
+            monkeypatch.setattr(time, "time", lambda jump_s=jump_s: true_time() + jump_s)
+            stream = await draft(daemon, "large")
+            assert stream.complete
+            assert (await ask(daemon, "/issue/1", "POST", body=b"x")).status == 200
+            await asyncio.sleep(0.2)
+        assert daemon.lease.may_order()
+        assert daemon.ready
+
+    play(scenario)
+
+
+def test_keeper_is_elected_and_orders_although_the_store_loses_every_answer_for_a_while():
+    async def scenario(site, daemons):
+        site.store.faults.lose_answers = True
+        keeper = next(d for d in daemons if d.lease.tenure is not None)
+        keeper.close()
+        other = next(d for d in daemons if d is not keeper)
+        await asyncio.sleep(3.0)
+        site.store.faults.lose_answers = False
+        await until(lambda: other.lease.tenure is not None, 8.0)
+        victim = heads(site, "large")[0].engine.group.members[1]
+        site.kill(victim)
+        await until(lambda: served(other, site), 8.0)
+        assert (await draft(other, "large")).complete
+        assert site.engines.violations == []
+
+    play(scenario, daemons=2)
+
+
+def test_flapping_endpoint_loses_no_request_and_runs_none_twice():
+    async def scenario(site, daemon):
+        flapping = workers(site, "ledger")[0]
+        for number in range(24):
+            flapping.faults.shed = bool(number // 3 % 2)
+            flapping.leaving = bool(number // 6 % 2)
+            answer = await ask(daemon, f"/issue/{number}", "POST", body=b"x")
+            assert answer.status == 200
+            assert site.run_counts()[answer.request_id] == 1
+            await asyncio.sleep(0.05)
+
+    play(scenario)
--- a/libraries/fleet/src/corianderhaven/fleet/_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peers.py
@@ -62,6 +62,7 @@
         self.on_suspects = lambda head_ids, daemon: None
         self.on_opened = lambda opened: None
         self.totals = {}
+        self.totals_heard = 0
         self.totals_ms = -1e12
 
     def list_from(self, records):
@@ -99,7 +100,6 @@
         self._hear(digest, peer.name)
         for summary in message.zones:
             self._take_summary(summary, peer, now)
-        self.totals_ms = -1e12
         return peer
 
     def message_to(self, peer):
@@ -124,6 +124,10 @@
         zones = {p.zone for p in self.peers.values() if p.zone > self.zone}
         return own_hubs + [hub for zone in sorted(zones) for hub in self.hubs(zone)]
 
+    def fleet_size(self):
+        """Return how many daemons are known, this one included."""
+        return 1 + len(self.peers)
+
     def zone_size(self):
         """Return how many daemons of this zone are known, this one included."""
         return 1 + sum(p.zone == self.zone for p in self.peers.values())
@@ -157,7 +161,8 @@
 
     def daemons_heard(self):
         """Return of how many other daemons the present load is known."""
-        return sum(s.daemons for s in self._fresh_summaries())
+        self._fresh_totals()
+        return self.totals_heard
 
     def all_heard(self):
         """Return whether the present load of all known daemons is known."""
@@ -281,8 +286,9 @@
         """Return the heads of all zones added up, kept for `TOTALS_MS`."""
         now = self.clock.now_ms()
         if now - self.totals_ms >= TOTALS_MS:
-            self.totals = {}
+            self.totals, self.totals_heard = {}, 0
             for summary in self._fresh_summaries():
                 add_heads(self.totals, summary.heads)
+                self.totals_heard += summary.daemons
             self.totals_ms = now
         return self.totals
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_zone_hubs.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_zone_hubs.py
@@ -167,3 +167,17 @@
     fleet.step(3)
     assert all(heard[name] for name in fleet.own if name != "b-05")
     assert all(age >= 100.0 for ages in heard.values() for age in ages)
+
+
+def test_load_of_all_heads_is_added_up_once_for_a_choice(monkeypatch):
+    """Replays grown trouble-3, given up as too slow: each head's load added all daemons up."""
+    fleet = Fleet({"a": 12, "b": 12, "c": 12})
+    fleet.step(3)
+    table, sums = fleet.tables["a-07"], []
+    add_up = table._direct_summary
+    monkeypatch.setattr(table, "_direct_summary", lambda *a: sums.append(1) or add_up(*a))
+    for number in range(60):
+        table.others_at(f"h{number}")
+        assert table.all_heard()
+        table.last_sign_ms(f"h{number}")
+    assert len(sums) <= 1
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -55,7 +55,7 @@
         peers.on_suspects = self._hear_suspects
         self.load_book = LoadBook(clock, peers)
         self.view = ReplicaView(directory, holder, clock)
-        self.budget = RetryBudget(clock, settings)
+        self.budget = RetryBudget(clock, settings, peers.fleet_size)
         self.silence = SilenceWatch(clock, peers)
         self.sender = Sender(wire, self.load_book, self.silence, clock, settings.ip)
         self.lines = {}
@@ -348,17 +348,31 @@
         heads = self.view.heads(service, model)
         heads = [h for h in heads if h.id not in waiter.excluded] or heads
         limit = engine.slots + 1
-        endpoint = choose_endpoint(heads, self.load_book, self.settings.zone, engine.slots, limit)
+        endpoint = choose_endpoint(
+            heads,
+            self.load_book,
+            self.settings.zone,
+            engine.slots,
+            limit,
+            **self._rivals(),
+        )
         if endpoint is not None:
             self.load_book.entry(endpoint.id).own += 1
         return endpoint
 
+    def _rivals(self):
+        """Return how many daemons choose at the same time as this one."""
+        return {
+            "daemons": self.peers.fleet_size(),
+            "zone_daemons": self.peers.zone_size(),
+        }
+
     def _plain_endpoints(self, job):
         return [e for e in self.directory.endpoints(job.service.name) if not e.leaving]
 
     def _pick_plain(self, job):
         endpoints = [e for e in self._plain_endpoints(job) if e.id not in job.excluded]
-        endpoint = choose_endpoint(endpoints, self.load_book, self.settings.zone)
+        endpoint = choose_endpoint(endpoints, self.load_book, self.settings.zone, **self._rivals())
         if endpoint is not None:
             self.load_book.entry(endpoint.id).own += 1
         return endpoint
--- a/libraries/gateway/src/corianderhaven/gateway/_retry_budget.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_retry_budget.py
@@ -2,9 +2,11 @@
 
 from collections import defaultdict, deque
 
-# Each daemon may use this part of the slack that all share; twice as many daemons as
-# today's four could each use theirs in the same window.
-SLACK_PART = 8
+# The slack is for all daemons together. Each uses an equal part of it, the fewest parts being
+# for daemons that are not known yet, and the factor for those that started anew in a window
+# and so forgot what they had used.
+FEWEST_PARTS = 8
+PARTS_PER_DAEMON = 1.25
 
 
 class RetryBudget:
@@ -14,10 +16,13 @@
     ----------
     clock : Clock
     settings : NodeSettings
+    daemons : callable
+        Returns how many daemons are known, this one included.
     """
 
-    def __init__(self, clock, settings):
+    def __init__(self, clock, settings, daemons=lambda: 1):
         self.clock = clock
+        self.daemons = daemons
         self.requests = defaultdict(deque)
         self.repeats = defaultdict(deque)
         self.use(settings)
@@ -25,7 +30,7 @@
     def use(self, settings):
         """Take over the bounds in `settings`."""
         self.ratio = settings.retry_ratio
-        self.slack = settings.retry_slack / SLACK_PART
+        self.slack = settings.retry_slack
         self.window_ms = settings.retry_window_ms
 
     def note_request(self, service):
@@ -35,7 +40,8 @@
     def left(self, service):
         """Return how many repeated sends are allowed now."""
         requests = self._count(self.requests[service])
-        return self.ratio * requests + self.slack - self._count(self.repeats[service])
+        slack = self.slack / max(FEWEST_PARTS, PARTS_PER_DAEMON * self.daemons())
+        return self.ratio * requests + slack - self._count(self.repeats[service])
 
     def take(self, service):
         """Use one repeated send; returns whether it is allowed."""
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_parts.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_parts.py
@@ -71,9 +71,9 @@
     assert routes.account(None) is None
 
 
-def budget(clock, slack=80.0, ratio=0.2):
-    settings = NodeSettings("n", "z", "", "", "", "", "", retry_slack=slack, retry_ratio=ratio)
-    return RetryBudget(clock, settings)
+def budget(clock, daemons=lambda: 1):
+    settings = NodeSettings("n", "z", "", "", "", "", "", retry_slack=80.0, retry_ratio=0.2)
+    return RetryBudget(clock, settings, daemons)
 
 
 def test_budget_bounds_repeats_in_any_window():
@@ -90,6 +90,23 @@
         assert len(in_window) <= 0.2 * 1_000 + 80.0 / 8 + 1
 
 
+@pytest.mark.parametrize("daemons", [1, 4, 8, 36, 360])
+def test_all_daemons_together_stay_within_the_budget_whatever_their_number(daemons):
+    """Replays grown trouble-1: 36 daemons repeated 900 of 2,202 requests, 720 being allowed.
+
+    Each used an eighth of the slack that all of them share.
+    """
+    clock = ManualClock()
+    repeats = [budget(clock, lambda: daemons) for _ in range(daemons)]
+    taken = 0
+    for _ in range(100):
+        clock.advance_ms(99.0)
+        for one in repeats:
+            one.note_request("s")
+            taken += one.take("s") + one.take("s") + one.take("s")
+    assert taken <= 0.2 * 100 * daemons + 80.0 + 1
+
+
 def test_budget_of_one_service_is_not_anothers():
     repeats = budget(ManualClock())
     while repeats.take("s"):
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_silence.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_silence.py
@@ -76,3 +76,13 @@
     watch.end(stream)
     assert advance(clock, watch, 2_000) == set()
     assert watch.heads == {}
+
+
+def test_slow_daemon_accuses_nobody_and_finds_silence_once_it_is_fast_again():
+    """On a machine five times slower each check comes late, and so do the events it reads."""
+    clock, _, watch, streams = watch_with("h", "g")
+    for _ in range(10):
+        clock.advance_ms(100.0)
+        assert watch.silent_heads() == []
+    silent = advance(clock, watch, 600, ticking=streams[1:])
+    assert silent == {"h"}
