--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Everything runs inside .venv under the checkout; no other step is needed.
 PYTHON ?= python3.11
-LIBRARIES := common config platform membership placement routing fleet gateway daemon cli standins
+LIBRARIES := common config platform membership placement routing fleet gateway daemon cli standins soak
 # Most of the time of a test goes into waiting, so there are more workers than half the cores.
 TEST_WORKERS ?= 6
 VENV := .venv
@@ -49,7 +49,11 @@
 clean:
 	rm -rf $(VENV)
 
-.PHONY: replay reference
+# SOAK holds the flags, for example SOAK="--seeds=50 --minutes=0.5".
+soak: setup
+	$(BIN)/python -m corianderhaven.soak $(SOAK)
+
+.PHONY: replay reference soak
 replay: setup
 	$(BIN)/python examples/replay.py
 
--- a/docs/make_platform_measurements.py
+++ b/docs/make_platform_measurements.py
@@ -15,6 +15,13 @@
 MODEL_CHECK = "`test_keeper_model.py` (seeded)"
 REQUESTS = "`test_hosted_requests.py`"
 TESTS = {
+    "hup": "changed settings, " + REQUESTS,
+    "clock_step": "time of day that jumps, " + REQUESTS,
+    "node_slow": "slow daemon, `test_silence.py`",
+    "platform_lost": "store that loses every answer, " + REQUESTS + "; `corianderhaven-soak`",
+    "srv_flap": "flapping endpoint, " + REQUESTS + "; rebirths in " + MODEL_CHECK,
+    "srv_lying_health": "none is asked: facts come from answers; failing endpoint, `test_parts.py`",
+    "shift": "load of other zones, `test_zone_hubs.py`; choice by zone, `test_parts.py`",
     "add_nodes": "two daemons in " + REQUESTS,
     "after_ack_kill": "successor tests in " + MODEL_CHECK,
     "answer_lost": "lost answer of a non-idempotent request, " + REQUESTS,
@@ -48,7 +55,6 @@
     "retry_abuse": "overload, `test_admission.py`",
     "srv_slow": "slow endpoint, " + REQUESTS,
     "zone_cut": "head out of reach, " + MODEL_CHECK + ", `test_peers.py`",
-    "hup": "changed settings, " + REQUESTS,
 }
 
 
--- a/examples/hosted_demonstration.py
+++ b/examples/hosted_demonstration.py
@@ -6,75 +6,14 @@
 """
 
 import asyncio
-import os
-import signal
-import subprocess
 import sys
 import tempfile
-from pathlib import Path
 
-from corianderhaven.common import AsyncHttpClient, ClientConnection, ConnectionLostError
-from corianderhaven.standins import HostingSite, free_address, small_models
+from corianderhaven.common import ClientConnection, ConnectionLostError
+from corianderhaven.standins import HostedDaemonProcess, HostingSite, small_models
 
 REQUESTS = 60
 READY_S = 20.0
-NODE_FILE = """
-node_name = "{name}"
-ip = "{ip}"
-zone = "{zone}"
-port_range = [{port}, {port}]
-bootstrap = true
-[listen]
-front = "{front}"
-ready = "{ready}"
-[bounds]
-grace_s = 8
-stall_ms = 400
-retry_ratio = 0.2
-retry_slack = 107
-[platform]
-address = "{store}"
-"""
-
-
-class DaemonProcess:
-    """One corianderhavend with a node file of its own."""
-
-    def __init__(self, name, zone, store, folder):
-        self.front, self.ready = free_address(), free_address()
-        ip, _, port = free_address().rpartition(":")
-        self.path = Path(folder) / f"{name}.toml"
-        self.path.write_text(
-            NODE_FILE.format(
-                name=name,
-                ip=ip,
-                zone=zone,
-                port=port,
-                front=self.front,
-                ready=self.ready,
-                store=store,
-            )
-        )
-        self.log = (Path(folder) / f"{name}.log").open("wb")
-        command = [sys.executable, "-m", "corianderhaven.daemon", "--node-file", str(self.path)]
-        self.process = subprocess.Popen(command, stdout=self.log, stderr=self.log, env=os.environ)
-
-    async def is_ready(self):
-        """Return whether the daemon says that it is ready."""
-        client = AsyncHttpClient(self.ready)
-        try:
-            return (await client.call("GET", "/api/readyz")).status == 200
-        except ConnectionLostError:
-            return False
-        finally:
-            client.close()
-
-    def stop(self):
-        """Stop the daemon in order; returns its exit code."""
-        self.process.send_signal(signal.SIGTERM)
-        code = self.process.wait(15)
-        self.log.close()
-        return code
 
 
 async def ask(address, number):
@@ -127,7 +66,7 @@
     """Play the demonstration; returns the exit code."""
     site = await HostingSite(["a", "b"], 4, small_models(), token_ms=30.0).start()
     store = site.store_server.address
-    daemons = [DaemonProcess(f"edge-{z}-1", z, store, folder) for z in ("a", "b")]
+    daemons = [HostedDaemonProcess(f"edge-{z}-1", z, store, folder) for z in ("a", "b")]
     try:
         await wait_until_served(site, daemons)
         print("both daemons ready, both models served")
--- /dev/null
+++ b/libraries/soak/src/corianderhaven/soak/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the program of this package."""
+
+import sys
+
+from . import main
+
+sys.exit(main())
--- a/libraries/standins/src/corianderhaven/standins/__init__.py
+++ b/libraries/standins/src/corianderhaven/standins/__init__.py
@@ -1,7 +1,15 @@
 """Stand-ins of the platform, model engines and plain services, for tests and demonstrations."""
 
+from ._hosting_daemon import HostedDaemonProcess
 from ._hosting_engine import HostedEngine, HostedEngines, HostedModel
-from ._hosting_site import ENGINE_SERVICE, PLAIN_SERVICE, HostingSite, small_models
+from ._hosting_site import (
+    ENGINE_SERVICE,
+    PLAIN_SERVICE,
+    HostingSite,
+    WorkerFaults,
+    default_routes,
+    small_models,
+)
 from ._hosting_store import HostedStore
 from ._kv_store import KvStore
 from ._layout import EngineLayout, Layout, PlatformLayout, VmLayout
@@ -16,6 +24,7 @@
     "DaemonProcess",
     "ENGINE_SERVICE",
     "EngineLayout",
+    "HostedDaemonProcess",
     "HostedEngine",
     "HostedEngines",
     "HostedModel",
@@ -28,7 +37,9 @@
     "PlatformLayout",
     "Site",
     "VirtualClock",
+    "WorkerFaults",
     "VmLayout",
+    "default_routes",
     "expected_text",
     "free_address",
     "main",
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -71,12 +71,13 @@
 
 @dataclass
 class HostedWorker:
-    """A worker's listener."""
+    """A worker's listener, and the address at which it says that it can be reached."""
 
     id: str
     service: str
     zone: str
     server: object = None
+    address: str = ""
     engine: object = None
     entries: int = 0
     listed: bool = True
@@ -118,6 +119,7 @@
         self.servers = []
         self.tasks = []
         self.config_version = 0
+        self.wrap_address = _same_address
         self.keys = {"team-a": ["key-a"], "team-b": ["key-b"]}
         self.routes = default_routes()
 
@@ -146,7 +148,7 @@
         """Add an empty engine VM."""
         worker = await self._add_worker(f"e-{name}", ENGINE_SERVICE, zone)
         worker.engine = self.engines.add(
-            HostedEngine(worker.id, zone, f"domain-{zone}", worker.server.address)
+            HostedEngine(worker.id, zone, f"domain-{zone}", worker.address)
         )
         return worker
 
@@ -223,6 +225,7 @@
 
         worker.server = AsyncHttpServer("127.0.0.1:0", answer, self.clock)
         await worker.server.start()
+        worker.address = await self.wrap_address(worker_id, worker.server.address)
         self.servers.append(worker.server)
         self.workers[worker_id] = worker
         return worker
@@ -258,7 +261,7 @@
         worker.entries += 1
         return {
             "service": worker.service,
-            "address": worker.server.address,
+            "address": worker.address,
             "zone": worker.zone,
             "version": "v1",
             "slots": 6,
@@ -430,6 +433,11 @@
         await caller.end()
 
 
+async def _same_address(worker_id, address):
+    """Let a worker be reached where it listens."""
+    return address
+
+
 def default_routes():
     """Return one route of each kind."""
     common = {"host": "site.example", "timeout_ms": 4000, "priority": 1, "anonymous": False}
