--- a/libraries/common/src/corianderhaven/common/__init__.py
+++ b/libraries/common/src/corianderhaven/common/__init__.py
@@ -1,13 +1,11 @@
 """Clock, exceptions with codes, logging, identifiers and HTTP helpers."""
 
-from ._async_http import (
-    AsyncHttpClient,
+from ._async_client import AsyncHttpClient, ClientConnection, ResponseHead
+from ._async_connection import ConnectionLostError
+from ._async_server import (
     AsyncHttpServer,
     CallerLostError,
     CallerRequest,
-    ClientConnection,
-    ConnectionLostError,
-    ResponseHead,
     ServerConnection,
     ServerLimits,
 )
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -6,12 +6,11 @@
 from corianderhaven.fleet import Digest, HeadDigest, model_of
 
 from . import _metrics
-from ._admission import Refusal, Waiter, WaitingLine, pump_lines
-from ._choice import choose_endpoint
+from ._admission import Refusal, pump_lines
+from ._dispatcher import DEFAULT_GOAL_MS, Dispatcher
 from ._event_stream import EventSplitter
 from ._job import Job, SendResult
 from ._load_book import LoadBook
-from ._pace import EnginePace
 from ._replica_view import ReplicaView
 from ._retry_budget import RetryBudget
 from ._routes import RouteTable
@@ -24,9 +23,7 @@
 PLAIN_RETRY_AFTER_MS = 200.0
 NOT_RUN_RETRY_AFTER_MS = 400.0
 REPEAT_AT_GOAL_PART = 0.7  # of the goal; leaves time for another endpoint's usual answer
-LEAST_ANSWER_PART = 0.5  # of the usual answer's time; a shorter rest is not worth a send
 LIVES_MS = 250.0  # longer than a pass that reads prompts, and than a digest's way
-DEFAULT_GOAL_MS = 500.0
 FORGET_PAUSE_MS = 5_000.0  # a few endpoints come and go in it; each costs some hundred bytes
 
 
@@ -55,11 +52,12 @@
         peers.on_suspects = self._hear_suspects
         self.load_book = LoadBook(clock, peers)
         self.view = ReplicaView(directory, holder, clock)
+        self.dispatcher = Dispatcher(
+            directory, self.view, self.load_book, peers, settings.zone, clock
+        )
         self.budget = RetryBudget(clock, settings, peers.fleet_size)
         self.silence = SilenceWatch(clock, peers)
         self.sender = Sender(wire, self.load_book, self.silence, clock, settings.ip)
-        self.lines = {}
-        self.paces = {}
         self.table = None
         self.on_suspicion = lambda head_id, reason: None
         self.on_request = lambda: None
@@ -72,7 +70,7 @@
         """Begin the periodic checks."""
         loop = asyncio.get_running_loop()
         self.tasks = [
-            loop.create_task(pump_lines(self.lines, self.clock)),
+            loop.create_task(pump_lines(self.dispatcher.lines, self.clock)),
             loop.create_task(self._watch_silence()),
             loop.create_task(self._forget_gone()),
         ]
@@ -94,7 +92,7 @@
     def refresh_metrics(self):
         """Set the gauges that are read at scrape time."""
         _metrics.IN_FLIGHT.set(self.in_flight)
-        for (_, model), line in self.lines.items():
+        for (_, model), line in self.dispatcher.lines.items():
             _metrics.WAITING.labels(model).set(len(line.waiting))
         services = self.holder.config.services.values() if self.holder.config else ()
         for service in services:
@@ -191,12 +189,12 @@
 
     async def _serve_stream(self, job, engine):
         model = engine.model(job.facts.model)
-        pace = self._pace(job.service.name, engine, model)
-        line = self._line(job.service.name, engine, model)
+        pace = self.dispatcher.pace(job.service.name, engine, model)
+        line = self.dispatcher.line(job.service.name, engine, model)
         self.budget.note_request(job.service.name)
         while True:
             asked_ms = self.clock.now_ms()
-            endpoint = await line.acquire(self._waiter(job, pace, engine))
+            endpoint = await line.acquire(self.dispatcher.waiter(job, pace, engine))
             job.waited_ms += self.clock.now_ms() - asked_ms
             if isinstance(endpoint, Refusal):
                 await self._give_up(job, endpoint.reason, endpoint.retry_after_ms)
@@ -208,28 +206,28 @@
                 if result is SendResult.COMPLETE:
                     pace.note_taken(self.clock.now_ms() - sent_ms)
             finally:
-                self._release(endpoint, line)
+                self.dispatcher.release(endpoint, line)
             if not await self._go_on(job, endpoint, result):
                 return
 
     async def _serve_plain(self, job):
         self.budget.note_request(job.service.name)
         while True:
-            endpoint = self._pick_plain(job)
+            endpoint = self.dispatcher.pick_plain(job)
             if endpoint is None:
                 await self._give_up(job, "no endpoint", PLAIN_RETRY_AFTER_MS)
                 return
             try:
                 result = await self.sender.exchange(job, endpoint, self._patience_ms(job))
             finally:
-                self._release(endpoint)
+                self.dispatcher.release(endpoint)
             if not await self._go_on(job, endpoint, result):
                 return
 
     def _patience_ms(self, job):
         """Return how long one endpoint may take, or None without another to ask."""
         may_repeat = job.may_move()
-        others = [e for e in self._plain_endpoints(job) if e.id not in job.excluded]
+        others = [e for e in self.dispatcher.plain_endpoints(job) if e.id not in job.excluded]
         if not may_repeat or len(others) < 2 or self.budget.left(job.service.name) < 1.0:
             return None
         return (job.route.goal_ms or DEFAULT_GOAL_MS) * REPEAT_AT_GOAL_PART
@@ -299,89 +297,6 @@
         else:
             await self._refuse(job, "deadline", PLAIN_RETRY_AFTER_MS)
 
-    def _waiter(self, job, pace, engine):
-        facts, route = job.facts, job.route
-        running = engine.slots
-        first_ms = pace.first_event_ms(facts.prompt_tokens, running)
-        tokens = facts.length_hint or min(facts.answer_tokens or 1e9, engine.usual_answer)
-        needed_ms = first_ms + pace.answer_ms(tokens, running) * LEAST_ANSWER_PART
-        return Waiter(
-            priority=job.priority,
-            arrived_ms=self.clock.now_ms(),
-            on_time_ms=job.started_ms + (route.goal_ms or DEFAULT_GOAL_MS) - first_ms,
-            useful_ms=job.deadline_ms - needed_ms,
-            # Its caller has waited for an endpoint already, and may have a part of the answer.
-            resumed=job.sends > 0,
-            excluded=job.excluded,
-        )
-
-    def _line(self, service, engine, model):
-        key = (service, model.name)
-        line = self.lines.get(key)
-        if line is None:
-            line = self.lines[key] = WaitingLine(
-                self.clock,
-                lambda waiter: self._pick_replica(service, engine, model.name, waiter),
-                lambda: bool(self.view.heads(service, model.name)),
-                lambda: self._capacity_per_ms(service, engine, model),
-            )
-        return line
-
-    def _capacity_per_ms(self, service, engine, model):
-        """Return how many requests a ms the open replicas can take from this daemon."""
-        heads = self.view.heads(service, model.name)
-        own = sum(self.load_book.entry(head.id).own for head in heads)
-        others = sum(self.peers.others_at(head.id) for head in heads)
-        daemons = 1 + self.peers.daemons_heard()
-        part = (own + 1) / (own + others + daemons)
-        taken_ms = self._pace(service, engine, model).taken_ms()
-        return part * len(heads) * engine.slots / taken_ms
-
-    def _pace(self, service, engine, model):
-        """Return the one estimate of a model's times, a new one when it is declared anew."""
-        pace = self.paces.get((service, model.name))
-        if pace is None or pace.engine != engine:
-            pace = self.paces[(service, model.name)] = EnginePace(engine, model)
-        return pace
-
-    def _pick_replica(self, service, engine, model, waiter):
-        heads = self.view.heads(service, model)
-        heads = [h for h in heads if h.id not in waiter.excluded] or heads
-        limit = engine.slots + 1
-        endpoint = choose_endpoint(
-            heads,
-            self.load_book,
-            self.settings.zone,
-            engine.slots,
-            limit,
-            **self._rivals(),
-        )
-        if endpoint is not None:
-            self.load_book.entry(endpoint.id).own += 1
-        return endpoint
-
-    def _rivals(self):
-        """Return how many daemons choose at the same time as this one."""
-        return {
-            "daemons": self.peers.fleet_size(),
-            "zone_daemons": self.peers.zone_size(),
-        }
-
-    def _plain_endpoints(self, job):
-        return [e for e in self.directory.endpoints(job.service.name) if not e.leaving]
-
-    def _pick_plain(self, job):
-        endpoints = [e for e in self._plain_endpoints(job) if e.id not in job.excluded]
-        endpoint = choose_endpoint(endpoints, self.load_book, self.settings.zone, **self._rivals())
-        if endpoint is not None:
-            self.load_book.entry(endpoint.id).own += 1
-        return endpoint
-
-    def _release(self, endpoint, line=None):
-        self.load_book.entry(endpoint.id).own -= 1
-        if line is not None and line.waiting:
-            line.pump()
-
     def _log_end(self, job):
         now = self.clock.now_ms()
         first_ms = job.first_event_ms
