--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
@@ -440,6 +440,30 @@
     play(scenario, daemons=2)
 
 
+def test_head_that_says_it_was_not_meant_gets_no_more_requests():
+    """Replays a recorded day: a head that had left answered 53 requests in 3 s with 421.
+
+    Its old entry still named it open, and as it had no load it was chosen each time.
+    """
+
+    async def scenario(site, daemon):
+        left = heads(site, "small")[0]
+        left.listed = False  # its entry stays as it is
+        left.engine.group = None
+        failed = []
+        record = daemon.decisions.record
+        daemon.decisions.record = lambda event, **fields: (
+            failed.append(fields["endpoint"]) if event == "send_failed" else None,
+            record(event, **fields),
+        )
+        for _ in range(12):
+            answer = await draft(daemon, "small")
+            assert (answer.status, answer.complete) == (200, True)
+        assert failed.count(left.id) <= 1
+
+    play(scenario)
+
+
 def test_flapping_endpoint_loses_no_request_and_runs_none_twice():
     async def scenario(site, daemon):
         flapping = workers(site, "ledger")[0]
--- a/libraries/fleet/src/corianderhaven/fleet/_directory.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_directory.py
@@ -96,7 +96,16 @@
                 self._mark_changed()
             return
         known = self.records.get(key)
-        if known is not None and (revision < known.revision or self._older(known, endpoint)):
+        if known is not None and revision <= known.revision:
+            if revision == known.revision:
+                # Read again: it is still there, and says nothing that wasn't known.
+                known.lapses_ms = None
+            return
+        self._replace(key, endpoint, revision)
+
+    def _replace(self, key, endpoint, revision):
+        known = self.records.get(key)
+        if known is not None and self._older(known, endpoint):
             return
         self.records[key] = EndpointRecord(endpoint, self.clock.now_ms(), revision)
         if known is None or known.endpoint != endpoint:
@@ -114,7 +123,7 @@
             staged=report.staged,
             membership=report.membership,
         )
-        self.update(endpoint_id, endpoint, record.revision)
+        self._replace(endpoint_id, endpoint, record.revision)
 
     def update_opened(self, endpoint_id, replica, generation, born_ms):
         """Take over the keeper's word that an endpoint heads an open replica in this life."""
@@ -125,7 +134,8 @@
         if known is not None and known.generation >= generation:
             return
         opened = Membership(replica, generation, 0, ReplicaState.OPEN)
-        self.update(endpoint_id, replace(record.endpoint, membership=opened), record.revision)
+        endpoint = replace(record.endpoint, membership=opened)
+        self._replace(endpoint_id, endpoint, record.revision)
 
     def _older(self, known, endpoint):
         """Return whether an entry was written before what is known of the endpoint."""
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_watching.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_watching.py
@@ -8,6 +8,7 @@
 from corianderhaven.fleet import (
     ConfigInForce,
     EndpointDirectory,
+    EngineReport,
     FleetConfig,
     HistoryGoneError,
     MetadataStore,
@@ -263,6 +264,21 @@
     return directory
 
 
+def test_old_entry_read_again_does_not_undo_what_the_endpoint_said_since():
+    """Replays a recorded day: a worker cut off from the store had left its replica.
+
+    Its entry stayed as it was, and each listing made daemons believe it again.
+    """
+    headed = member(endpoint(1, born_ms=7), "m.1.2", 0, generation=12)
+    directory = directory_with(headed)
+    directory.update_from_report("e1", EngineReport(7, False, (), None, 0, 0, 1.0))
+    assert directory.get("e1").membership is None
+    directory.replace_all([("e1", headed, 3)])
+    assert directory.get("e1").membership is None
+    directory.update("e1", headed, 4)
+    assert directory.get("e1").membership.replica == "m.1.2"
+
+
 def test_keepers_word_comes_before_the_heads_entry():
     directory = directory_with(endpoint(1, born_ms=7))
     directory.update_opened("e1", "m.1.2", 12, 7)
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -250,7 +250,9 @@
         job.excluded.add(endpoint.id)
         # One connection that isn't made may be a lost packet, if others see the endpoint live.
         lives = self.silence.lives(endpoint.id, LIVES_MS)
-        if result is SendResult.SILENT or (result is SendResult.NOT_SENT and not lives):
+        unreached = result is SendResult.NOT_SENT and not lives
+        # What no longer heads the replica looks idle, and would be chosen again and again.
+        if unreached or result in (SendResult.SILENT, SendResult.MISDIRECTED):
             self._suspect(endpoint, result.value)
         if job.sends < MOST_SENDS and job.may_repeat(result):
             costs_budget = result is not SendResult.NOT_SENT
--- a/libraries/gateway/src/corianderhaven/gateway/_job.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_job.py
@@ -12,6 +12,7 @@
     COMPLETE = "complete"
     NOT_SENT = "not_sent"
     NOT_RUN = "not_run"
+    MISDIRECTED = "misdirected"
     FAILED = "failed"
     BROKEN = "broken"
     SILENT = "silent"
@@ -86,6 +87,6 @@
 
     def may_repeat(self, result):
         """Return whether another endpoint may get the request after `result`."""
-        if result in (SendResult.NOT_SENT, SendResult.NOT_RUN):
+        if result in (SendResult.NOT_SENT, SendResult.NOT_RUN, SendResult.MISDIRECTED):
             return True
         return self.route.repeatable and self.may_have_run < self.route.max_endpoints
--- a/libraries/gateway/src/corianderhaven/gateway/_sending.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sending.py
@@ -138,7 +138,7 @@
             return SendResult.BROKEN
         if answer.not_run:
             job.may_have_run -= 1
-            return SendResult.NOT_RUN
+            return SendResult.MISDIRECTED if answer.misdirected else SendResult.NOT_RUN
         if not 200 <= head.status < 300:
             return SendResult.FAILED
         if not answer.stamped or head.header("content-encoding"):
--- a/libraries/gateway/src/corianderhaven/gateway/_wire.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_wire.py
@@ -53,6 +53,8 @@
         The id of the request that it answers.
     stamped : bool
         Whether it bears the endpoint's signature.
+    misdirected : bool
+        Whether the endpoint says that it is not the one, or not in the state, that was meant.
     not_run : bool
         Whether it states that the request was not run.
     load : tuple of int or None
@@ -61,6 +63,7 @@
 
     request_id: str | None
     stamped: bool
+    misdirected: bool
     not_run: bool
     load: tuple | None = None
 
