--- a/docs/make_platform_measurements.py
+++ b/docs/make_platform_measurements.py
@@ -70,16 +70,17 @@
     if not scores:
         return []
     names = [d["name"] for d in scores[0]["days"] if not d["name"].startswith("fresh")]
-    rows = ["| began | score | " + " | ".join(names) + " | rules broken |"]
-    rows.append("|" + "---|" * (len(names) + 3))
+    rows = ["| began | score | " + " | ".join(names) + " | rules broken | given up |"]
+    rows.append("|" + "---|" * (len(names) + 4))
     for entry in scores:
         worth = {d["name"]: d["G"] for d in entry["days"]}
         broken = sum(bool(d["rules"]) for d in entry["days"])
+        faults = sum(bool(d.get("fault")) for d in entry["days"])
         cells = [f"{worth.get(name, float('nan')):.3f}" for name in names]
         score = entry["score"]
         score = score.get(site) if isinstance(score, dict) else score
         shown = f"{score:.3f}" if isinstance(score, float) else str(score)
-        row = [entry["at"][0][11:16], shown, *cells, f"{broken} days"]
+        row = [entry["at"][0][11:16], shown, *cells, f"{broken} days", f"{faults} days"]
         rows.append("| " + " | ".join(row) + " |")
     return rows
 
@@ -124,7 +125,7 @@
     lines += [
         "Made by `docs/make_platform_measurements.py` from `journal/`. Times of day are those of",
         "2026-12-04; a day's worth is one play, and a change under 0.03 is noise. Rows show the",
-        "whole way, failed states included.",
+        "whole way, failed states included. A day that takes too much processor time is given up.",
         "",
     ]
     for site in sorted({e["site"] for e in entries if e["cmd"] == "score"}):
