--- a/libraries/cli/src/corianderhaven/cli/_main.py
+++ b/libraries/cli/src/corianderhaven/cli/_main.py
@@ -23,6 +23,7 @@
     EXIT_UNKNOWN,
     print_error,
 )
+from ._run_page import picture
 
 COMMANDS = {
     "config": {
@@ -40,6 +41,7 @@
     "drain": site_commands.drain,
     "load": load,
     "losses": losses,
+    "picture": picture,
 }
 INVALID_CODES = (
     ErrorCode.INVALID_DOCUMENT,
--- a/libraries/soak/src/corianderhaven/soak/_callers.py
+++ b/libraries/soak/src/corianderhaven/soak/_callers.py
@@ -9,8 +9,8 @@
 from ._daemons import now_ms
 from ._promises import Attempt
 
-CONNECT_MS = 1_000.0
-DEADLINE_MS = 3_000.0
+CONNECT_MS = 1_000.0  # as callers of the platform allow
+DEADLINE_MS = 3_000.0  # below the routes' own timeout
 ANSWER_S = 4.5  # the deadline and what a stopped process may add; then the caller leaves
 PAUSE_S = 0.15  # between two requests of one caller, on average
 VERSIONS_BACK = [0, 0, 3]  # a version is three above the one before it
--- a/libraries/soak/src/corianderhaven/soak/_daemons.py
+++ b/libraries/soak/src/corianderhaven/soak/_daemons.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+from dataclasses import dataclass
 from pathlib import Path
 
 from corianderhaven.common import MS_PER_S
@@ -10,11 +11,28 @@
 
 from ._link import Link
 
+KB_PER_MB = 1024.0
 RESTART_S = 0.4  # as a platform starts a process again that has ended
-GRACE_S = 4
+GRACE_S = 4  # twenty times the time that a stream of the stand-in takes
 STOP_SLACK_S = 3.0  # beyond the grace time: for the exit itself, on a busy machine
 
 
+@dataclass(frozen=True)
+class Usage:
+    """What one process holds.
+
+    Parameters
+    ----------
+    start : int
+        Which start of the daemon it is.
+    """
+
+    start: int
+    memory_mb: float
+    descriptors: int
+    threads: int
+
+
 class SoakDaemon:
     """One daemon that is started again whenever it ends.
 
@@ -84,6 +102,22 @@
             return
         self._launch()
 
+    def usage(self):
+        """Return the process's `Usage`, or None when it has ended."""
+        folder = Path(f"/proc/{self.process.process.pid}")
+        try:
+            status = dict(
+                line.split(":", 1) for line in (folder / "status").read_text().splitlines()
+            )
+            return Usage(
+                self.starts,
+                round(int(status["VmRSS"].split()[0]) / KB_PER_MB, 1),
+                len(list((folder / "fd").iterdir())),
+                int(status["Threads"]),
+            )
+        except (OSError, KeyError):
+            return None
+
     def log_lines(self, request_id):
         """Return the lines of all starts' logs that name a request."""
         wanted = request_id.encode()
--- a/libraries/soak/src/corianderhaven/soak/_main.py
+++ b/libraries/soak/src/corianderhaven/soak/_main.py
@@ -21,6 +21,7 @@
     minutes: float = 0.5,
     processes: int = 4,
     logs: str = "",
+    faults: bool = True,
 ):
     """Play seeded random faults against real daemons; exits 1 at the first broken promise.
 
@@ -29,6 +30,7 @@
     :param minutes: time in which faults come, for each seed
     :param processes: number of daemons
     :param logs: folder for the daemons' logs; by default they are dropped
+    :param faults: whether any fault comes; without, the usage of each daemon shows what grows
     """
     check_positive("minutes", minutes)
     check_positive("seeds", seeds)
@@ -36,7 +38,7 @@
         raise SettingsError(f"processes must be from 1 to {MOST_PROCESSES}, not {processes}")
     failed = []
     for number in range(seed, seed + seeds):
-        report = _play(number, minutes, processes, logs)
+        report = _play(number, minutes, processes, logs, faults)
         print(json.dumps(report.as_dict()), flush=True)
         if report.breaches:
             failed.append(number)
@@ -45,13 +47,14 @@
     return 1 if failed else 0
 
 
-def _play(number, minutes, processes, logs):
+def _play(number, minutes, processes, logs, faults):
     with tempfile.TemporaryDirectory() as scratch:
         folder = scratch
         if logs:
             folder = str(Path(logs) / f"seed-{number}")
             Path(folder).mkdir(parents=True, exist_ok=True)
-        return asyncio.run(_run(Soak(number, minutes * S_PER_MINUTE, processes, folder)))
+        seconds = minutes * S_PER_MINUTE
+        return asyncio.run(_run(Soak(number, seconds, processes, folder, faults)))
 
 
 async def _run(soak_of_seed):
--- a/libraries/soak/src/corianderhaven/soak/_soak.py
+++ b/libraries/soak/src/corianderhaven/soak/_soak.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import Counter
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, astuple, dataclass, field
 
 from corianderhaven.standins import HostingSite, small_models
 
@@ -15,18 +15,26 @@
 from ._strikes import Strikes, publish_version
 
 ZONES = ("a", "b", "c")
-ENGINES_PER_ZONE = 5
-CALLERS_PER_DAEMON = 4
-TOKEN_MS = 25.0
-READY_S = 20.0
+ENGINES_PER_ZONE = 5  # two large replicas and a spare, so that a lost member leaves one
+CALLERS_PER_DAEMON = 4  # each waits 0.15 s between requests: some 15 requests a second
+TOKEN_MS = 25.0  # a stream lasts long enough to be struck in its middle
+READY_S = 20.0  # a hundred processes that start at once take some ten seconds
 RECOVER_S = 12.0  # from the last fault until every daemon serves every kind again
+EARLY_PART = 0.25  # of the time: by then lines, paces and connections have filled up
 FINAL_PAUSE_S = 0.1
 TRACE_LINES = 60
 
 
 @dataclass
 class SoakReport:
-    """What a run showed."""
+    """What a run showed.
+
+    Parameters
+    ----------
+    usage : dict of str to list
+        Memory in MB, descriptors and threads of each daemon that was not started anew, after
+        a fourth of the time and at the end.
+    """
 
     seed: int
     seconds: float
@@ -35,6 +43,7 @@
     drains: int
     answer_p95_s: float
     recovered_s: float | None
+    usage: dict = field(default_factory=dict)
     breaches: list = field(default_factory=list)
     trace: list = field(default_factory=list)
 
@@ -55,13 +64,17 @@
         Number of daemons, spread over three zones.
     folder : str
         For node files and logs.
+    faults : bool
+        Whether any fault comes.
     """
 
-    def __init__(self, seed, seconds, processes, folder):
+    def __init__(self, seed, seconds, processes, folder, faults=True):
         self.seed = seed
         self.seconds = seconds
         self.processes = processes
         self.folder = folder
+        self.faults = faults
+        self.early_usage = {}
         self.attempts = []
         self.drains = []
 
@@ -114,19 +127,35 @@
         strikes = Strikes(
             self.site, self.daemons, self.worker_links, self.promises, self._note_drain
         )
-        plan = plan_faults(self.seed, self.seconds)
+        plan = plan_faults(self.seed, self.seconds) if self.faults else []
         loop = asyncio.get_running_loop()
         begun, tasks = loop.time(), []
+        loop.call_later(self.seconds * EARLY_PART, self._note_early_usage)
         for fault in plan:
             await asyncio.sleep(max(0.0, begun + fault.at_s - loop.time()))
             tasks.append(asyncio.create_task(strikes.strike(fault)))
             if self.promises.breaches:
                 break
+        else:
+            await asyncio.sleep(max(0.0, begun + self.seconds - loop.time()))
         await asyncio.gather(*tasks)
+        self.usage = self._usage_since_early()
         for link in self.worker_links.values():
             link.heal()
         return Counter(fault.kind for fault in plan[: len(tasks)])
 
+    def _note_early_usage(self):
+        self.early_usage = {daemon.name: daemon.usage() for daemon in self.daemons}
+
+    def _usage_since_early(self):
+        """Return the early and the present usage of daemons that were not started anew."""
+        pairs = [(d.name, self.early_usage.get(d.name), d.usage()) for d in self.daemons]
+        return {
+            name: [astuple(early)[1:], astuple(late)[1:]]
+            for name, early, late in pairs
+            if early is not None and late is not None and early.start == late.start
+        }
+
     def _note_drain(self, daemon, code, undisturbed):
         self.drains.append(code)
         if code is None:
@@ -180,6 +209,7 @@
             len(self.drains),
             round(times[int(len(times) * 0.95)], 3) if times else 0.0,
             round(recovered_s, 2) if recovered_s is not None else None,
+            self.usage,
             [asdict(breach) for breach in breaches],
             trace[:TRACE_LINES],
         )
--- a/libraries/soak/src/corianderhaven/soak/_strikes.py
+++ b/libraries/soak/src/corianderhaven/soak/_strikes.py
@@ -5,8 +5,11 @@
 
 from corianderhaven.standins import ENGINE_SERVICE, PLAIN_SERVICE, WorkerFaults, default_routes
 
-SLOW_STORE_MS = 120.0
-LINK_DELAY_MS = 40.0
+SLOW_STORE_MS = 120.0  # thirty times the store's usual answer
+LINK_DELAY_MS = 40.0  # below the time in which a connection must be made
+REPLACED_S = 0.5  # until an empty VM comes for a lost one
+MIXING = 97  # lets a worker's place in the list say nothing of how it misbehaves
+PLAIN_PART = 0.4  # of the misbehaving workers; else the many engines would leave few plain ones
 LEAVE_S = 1.0  # a leaving worker serves on for this long
 MISBEHAVIOURS = [
     {"shed": True},
@@ -141,7 +144,7 @@
             return
         self.site.kill(victim.id)
         self.worker_links[victim.id].silence()
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(REPLACED_S)
         await self.site.add_engine(victim.zone, f"{victim.zone}-{next(self.numbers)}")
 
     async def worker_leaves(self, fault):
@@ -173,10 +176,10 @@
 
     async def worker_misbehaves(self, fault):
         live = [w for w in self.site.workers.values() if w.listed]
-        if fault.pick < 0.4:
+        if fault.pick < PLAIN_PART:
             live = [w for w in live if w.service == PLAIN_SERVICE]
         worker = self._pick(live, fault)
-        fields = self._pick(MISBEHAVIOURS, fault.__class__("", 0.0, 0.0, fault.pick * 97 % 1))
+        fields = MISBEHAVIOURS[int(fault.pick * MIXING % 1.0 * len(MISBEHAVIOURS))]
         worker.faults = WorkerFaults(**fields)
         await asyncio.sleep(fault.for_s)
         worker.faults = WorkerFaults()
--- a/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
+++ b/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
@@ -186,6 +186,15 @@
     assert sum(report.faults.values()) >= 4
 
 
+def test_calm_run_tells_what_each_daemon_holds(tmp_path):
+    report = asyncio.run(Soak(7, 2.0, 2, str(tmp_path), faults=False).run())
+    assert report.faults == {}
+    assert sorted(report.usage) == ["entry-00", "entry-01"]
+    for early, late in report.usage.values():
+        assert all(value > 0 for value in (*early, *late))
+    assert report.breaches == []
+
+
 def test_daemon_stopped_while_it_starts_cuts_nothing_off(tmp_path):
     """Seed 207: a drain came 0.3 s after a kill, when the new process did not listen yet."""
 
