--- a/libraries/standins/src/corianderhaven/standins/_local_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_local_site.py
@@ -27,21 +27,29 @@
 PLATFORM_GROUP = "platform"
 
 
+# Nothing listens at this loopback number. Whoever has bound a port there has taken it for all
+# processes that ask `free_address`, also while the program that is to use it is down.
+RESERVATION_IP = "127.255.255.254"
+
 _ports = random.Random()
-_used_ports = set()
+_reservations = []
 
 
 def free_address(ip="127.0.0.1"):
-    """Return ``IP:port`` with a port that is free now and that no outgoing connection takes."""
+    """Return ``IP:port`` with a port that is free and stays taken until this process ends."""
     while True:
         port = _ports.randrange(LOWEST_PORT, HIGHEST_PORT)
-        if port in _used_ports:
-            continue
-        with socket.socket() as probe, contextlib.suppress(OSError):
+        reservation = socket.socket()
+        with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            probe.bind((ip, port))
-            _used_ports.add(port)
-            return f"{ip}:{port}"
+            try:
+                reservation.bind((RESERVATION_IP, port))
+                probe.bind((ip, port))
+            except OSError:
+                reservation.close()
+                continue
+        _reservations.append(reservation)
+        return f"{ip}:{port}"
 
 
 @dataclass
