--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_herding.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_herding.py
@@ -89,9 +89,10 @@
 
 @pytest.mark.parametrize(("daemons", "heads", "per_s"), [(4, 10, 60.0), (36, 40, 240.0)])
 def test_daemons_with_the_same_old_view_do_not_pile_up_on_one_head(daemons, heads, per_s):
-    """Replays a grown quiet-1: 36 daemons sent one in sixteen requests to a full head.
+    """Replays the load of a grown quiet-1, where one in sixteen first events came late.
 
-    Heads were six tenths busy; each daemon chose the one that all had last heard to be idle.
+    Heads are six tenths busy here. Where each daemon chose the one that all had last heard to
+    be idle, one request in 14 met a full head.
     """
     assert Herd(daemons, heads, per_s).play(20.0) < 0.01
 
