Bound what a peer may send, and end what makes no progress

Cause: a connection buffered whatever its peer sent while nobody read it; informational heads were skipped without end; a header that came a byte at a time was read until the idle timeout restarted, a stalled body ended its task with a TimeoutError and no answer; an event without end was kept and scanned again with each block; any byte counted as a stream's sign of life, so one that trickled lived until its deadline; a caller that did not read was taken for a silent endpoint. A second copy of an answer that came on a kept connection (store, peers) was given to the next request. Ruled out: heads, chunk sizes and trailers without end were bounded already (h11); streams four times slower than usual were not cut before either. Change: reading pauses at 256 KiB unread; at most 8 informational heads; 408 within header_timeout_ms and the idle timeout; events up to 256 KiB; only complete events with data are progress, and a stream without any for 1.4 s continues at another head; bytes on an idle connection make it unusable.

--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -8,6 +8,8 @@
 from ._async_connection import BODY_BLOCK_BYTES, Connection, ConnectionLostError, split_address
 from ._clock import MS_PER_S
 
+MAX_INFORMATIONAL_RESPONSES = 8  # before the final one; 100 and 103 are in use
+
 
 @dataclass
 class ResponseHead:
@@ -30,6 +32,16 @@
 
     def __init__(self, header_bytes=65_536):
         super().__init__(h11.CLIENT, header_bytes)
+        self.idle = False
+        self.unexpected_data = False
+
+    def data_received(self, data):
+        """Feed the parser; data without an outstanding request makes the connection unusable."""
+        if self.idle:
+            self.unexpected_data = True
+            self.transport.abort()
+            return
+        super().data_received(data)
 
     @classmethod
     async def open(cls, address, timeout_ms, source_ip=None):
@@ -49,6 +61,7 @@
 
     async def send(self, method, target, headers, body=b""):
         """Send a request with its complete body."""
+        self.idle = False
         chunks = [self.parser.send(h11.Request(method=method, target=target, headers=headers))]
         if body:
             chunks.append(self.parser.send(h11.Data(data=body)))
@@ -57,12 +70,13 @@
 
     async def read_head(self):
         """Return the `ResponseHead`, skipping informational (1xx) responses."""
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self.next_event()
             if isinstance(event, h11.Response):
                 return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionLostError(f"no answer: {type(event).__name__}")
+        raise ConnectionLostError("informational responses without end")
 
     async def read_chunk(self):
         """Return the next chunk of the response body, or None at its end."""
@@ -87,12 +101,25 @@
         return b"".join(chunks)
 
     def prepare_for_reuse(self):
-        """Reset the parser for the next request; return whether the connection is reusable."""
+        """Reset the parser for the next request; return whether the connection is reusable.
+
+        Bytes that follow the response may be a second copy of it, which the next request would
+        take for its own.
+        """
+        trailing_bytes, _ = self.parser.trailing_data
+        if trailing_bytes:
+            return False
         try:
             self.parser.start_next_cycle()
         except h11.LocalProtocolError:
             return False
-        return not self.lost and not self.transport.is_closing()
+        self.idle = True
+        return self.usable
+
+    @property
+    def usable(self):
+        """Whether an idle connection can carry a request."""
+        return not self.lost and not self.unexpected_data and not self.transport.is_closing()
 
 
 @dataclass
@@ -159,7 +186,7 @@
     def _pop_idle_connection(self):
         while self.idle:
             connection = self.idle.pop()
-            if not connection.lost and not connection.transport.is_closing():
+            if connection.usable:
                 return connection
         return None
 
--- a/libraries/common/src/corianderhaven/common/_async_connection.py
+++ b/libraries/common/src/corianderhaven/common/_async_connection.py
@@ -13,6 +13,7 @@
 BODY_BLOCK_BYTES = 1 << 18  # unit of the limit in `read_body`, by default 64 blocks (16 MiB)
 # The kernel drops a connection whose peer has vanished: sent data stays unacknowledged this long.
 TCP_USER_TIMEOUT_MS = 2_000
+MAX_UNREAD_BYTES = 1 << 18  # a peer that sends more than its reader takes has to wait
 
 
 class ConnectionLostError(Exception):
@@ -55,6 +56,8 @@
         self.read_waiter = None
         self.drain_waiter = None
         self.lost = False
+        self.unread_bytes = 0
+        self.reading_paused = False
 
     def connection_made(self, transport):
         """Store the transport and set the socket options."""
@@ -67,8 +70,24 @@
             self.parser.receive_data(data)
         except RuntimeError:  # data after the peer has closed its side
             self.transport.abort()
+        self.unread_bytes += len(data)
+        if self.unread_bytes > MAX_UNREAD_BYTES:
+            self.limit_unread()
         self.wake_reader()
 
+    def limit_unread(self):
+        """Stop reading from the peer until the reader has taken what was received."""
+        if not self.reading_paused and not self.transport.is_closing():
+            self.reading_paused = True
+            self.transport.pause_reading()
+
+    def _note_all_read(self):
+        """Note that the parser holds no complete event, and read from the peer again."""
+        self.unread_bytes = 0
+        if self.reading_paused and not self.transport.is_closing():
+            self.reading_paused = False
+            self.transport.resume_reading()
+
     def eof_received(self):
         """Signal the end of input to the parser and wake the reader."""
         try:
@@ -118,6 +137,7 @@
                 raise ConnectionLostError("bytes past the end of the message")
             if event is not h11.NEED_DATA:
                 return event
+            self._note_all_read()
             if self.lost:
                 raise ConnectionLostError("connection broke")
             self.read_waiter = asyncio.get_running_loop().create_future()
--- a/libraries/common/src/corianderhaven/common/_async_server.py
+++ b/libraries/common/src/corianderhaven/common/_async_server.py
@@ -9,6 +9,7 @@
 from ._clock import MS_PER_S
 
 LISTEN_BACKLOG = 1024  # for a burst of connections between two event loop iterations
+REQUEST_TIMEOUT = 408
 HEADERS_TOO_LARGE = 431
 BODY_TOO_LARGE = 413
 
@@ -67,6 +68,15 @@
         self.server.connections.add(self)
         self.task = asyncio.get_running_loop().create_task(self._run())
 
+    def limit_unread(self):
+        """Abort a connection that sends while its request is handled, up to a further request.
+
+        Reading can't pause meanwhile, as the end of the connection would go unnoticed.
+        """
+        limits = self.server.limits
+        if self.handling and self.unread_bytes > limits.header_bytes + limits.body_bytes:
+            self.transport.abort()
+
     def eof_received(self):
         """Cancel the handler when the caller closes its side."""
         super().eof_received()
@@ -109,10 +119,14 @@
         return not self.lost
 
     async def _read_request(self, limits):
+        """Return the next request, or None when the connection has to close."""
+        if not await self._wait_for_first_byte(limits):
+            return None
         try:
-            async with asyncio.timeout(limits.idle_timeout_ms / MS_PER_S):
+            async with asyncio.timeout(limits.header_timeout_ms / MS_PER_S):
                 event = await self.next_event()
         except TimeoutError:
+            await self._reject(REQUEST_TIMEOUT)
             return None
         except ConnectionLostError as error:
             await self._reject(error.status)
@@ -123,20 +137,43 @@
             await self._reject(HEADERS_TOO_LARGE)
             return None
         request = CallerRequest(event.method, event.target, list(event.headers))
-        chunks, size = [], 0
-        async with asyncio.timeout(limits.idle_timeout_ms / MS_PER_S):
-            while not isinstance(event := await self.next_event(), h11.EndOfMessage):
-                if isinstance(event, h11.ConnectionClosed):
-                    return None
-                size += len(event.data)
-                if size > limits.body_bytes:
-                    await self._reject(BODY_TOO_LARGE)
-                    return None
-                chunks.append(bytes(event.data))
-        request.body = b"".join(chunks)
+        try:
+            async with asyncio.timeout(limits.idle_timeout_ms / MS_PER_S):
+                request.body = await self._read_body(limits.body_bytes)
+        except TimeoutError:
+            await self._reject(REQUEST_TIMEOUT)
+            return None
+        if request.body is None:
+            return None
         request.received_ms = self.server.clock.now_ms()
         return request
 
+    async def _wait_for_first_byte(self, limits):
+        """Wait for the start of a request; return whether one came within the idle timeout."""
+        trailing_bytes, _ = self.parser.trailing_data
+        if trailing_bytes or self.lost:
+            return True
+        self.read_waiter = asyncio.get_running_loop().create_future()
+        try:
+            async with asyncio.timeout(limits.idle_timeout_ms / MS_PER_S):
+                await self.read_waiter
+        except TimeoutError:
+            return False
+        return True
+
+    async def _read_body(self, limit_bytes):
+        """Return the request's body, or None when the connection has to close."""
+        chunks, size = [], 0
+        while not isinstance(event := await self.next_event(), h11.EndOfMessage):
+            if isinstance(event, h11.ConnectionClosed):
+                return None
+            size += len(event.data)
+            if size > limit_bytes:
+                await self._reject(BODY_TOO_LARGE)
+                return None
+            chunks.append(bytes(event.data))
+        return b"".join(chunks)
+
     async def _reject(self, status):
         """Send an error response, if one can still be sent, before the connection closes."""
         if status is not None and self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
--- a/libraries/common/src/corianderhaven/common/_settings.py
+++ b/libraries/common/src/corianderhaven/common/_settings.py
@@ -99,5 +99,5 @@
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         raise SettingsError(f"{name} must be IP:port, not {address!r}")
-    if not port.isdigit() or int(port) > MAX_PORT:
+    if not (port.isascii() and port.isdigit()) or int(port) > MAX_PORT:
         raise SettingsError(f"{name} has no valid port: {address!r}")
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
@@ -4,6 +4,8 @@
 import time
 from dataclasses import replace
 
+import pytest
+
 from corianderhaven.common import AsyncHttpClient, ClientConnection, SettingsError
 from corianderhaven.daemon.tests.hosted_site import (
     heads,
@@ -183,6 +185,43 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("part", ["head", "body", "event"])
+def test_bytes_without_end_give_the_caller_a_true_answer_and_end(part):
+    """Bytes that are no answer may come until the caller closes."""
+
+    async def scenario(site, daemon):
+        for worker in site.workers.values():
+            worker.faults.endless = part
+        async with asyncio.timeout(3.0):
+            draft = await send_draft(daemon, "small")
+            issue = await send_request(daemon, "/issue/1", "POST", body=b"{}")
+        assert not (draft.status == 200 and draft.complete)
+        assert draft.status in (200, 502)
+        if part == "body":
+            assert (issue.status, issue.body) == (200, b"whole")
+        elif part == "head":
+            assert issue.status == 502
+        assert site.run_counts()[issue.request_id] == 1
+        await wait_until(lambda: not any(w.active for w in site.workers.values()), 1.0)
+
+    run_scenario(scenario)
+
+
+def test_stream_that_only_trickles_is_continued_at_another_replica():
+    async def scenario(site, daemon):
+        serving = heads(site, "small")
+        assert len(serving) >= 2
+        serving[0].faults.trickle_after = 3
+        answers = await asyncio.gather(*(send_draft(daemon, "small") for _ in range(6)))
+        for answer in answers:
+            assert answer.complete
+            assert answer.event_ids == list(range(1, site.events + 1))
+        assert any(r.worker == serving[0].id for r in site.runs)
+        assert {r.after for r in site.runs} == {None, "3"}
+
+    run_scenario(scenario, site_fields={"events": 30, "token_ms": 60.0})
+
+
 def test_disconnected_caller_ends_the_work_immediately():
     async def scenario(site, daemon):
         connection = await ClientConnection.open(daemon.callers_server.address, 1000)
--- a/libraries/gateway/src/corianderhaven/gateway/_event_stream.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_event_stream.py
@@ -4,23 +4,47 @@
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
+EVENT_DATA = re.compile(rb"(?:^|\n)data:")
+MAX_EVENT_BYTES = 1 << 18
+
+
+class EventTooLargeError(Exception):
+    """An endpoint sent more than `MAX_EVENT_BYTES` without completing an event."""
 
 
 class EventSplitter:
-    """Splits a byte stream into complete events and keeps the id of the last complete one."""
+    """Splits a byte stream into complete events and keeps the id of the last complete one.
+
+    Attributes
+    ----------
+    event_count : int
+        Complete events.
+    data_event_count : int
+        Complete events that carry data; comments, for example, carry none.
+    """
 
     def __init__(self, last_event_id=None):
         self.partial = b""
         self.last_event_id = last_event_id
         self.event_count = 0
+        self.data_event_count = 0
 
     def feed(self, data):
-        """Return the bytes of all events completed by `data`."""
+        """Return the bytes of all events completed by `data`.
+
+        Raises
+        ------
+        EventTooLargeError
+            If an event does not end.
+        """
         data = self.partial + data
         end = 0
         for match in EVENT_END.finditer(data):
+            self.data_event_count += EVENT_DATA.search(data, end, match.end()) is not None
             end = match.end()
             self.event_count += 1
+        if len(data) - end > MAX_EVENT_BYTES:
+            raise EventTooLargeError(f"event above {MAX_EVENT_BYTES} bytes")
         if not end:
             self.partial = data
             return b""
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -351,6 +351,8 @@
             await asyncio.sleep(CHECK_INTERVAL_MS / MS_PER_S)
             for head_id in self.silence_detector.silent_heads():
                 self._fail_over_streams(head_id)
+            for stream in self.silence_detector.stalled_streams():
+                self._fail_over_stalled(stream)
 
     def _fail_over_streams(self, head_id):
         """Fail over the streams of a silent head, within the retry budget and if others serve."""
@@ -366,3 +368,15 @@
         for stream in streams[: max(0, allowed) if others else 0]:
             stream.silent = True
             stream.interrupt()
+
+    def _fail_over_stalled(self, stream):
+        """Continue a stream elsewhere that makes no progress although its head does."""
+        head = self.directory.get(stream.head_id)
+        if head is None or head.membership is None or stream.stalled or stream.silent:
+            return
+        others = self.replica_view.available_heads(head.service, model_of(head.membership.replica))
+        has_other = any(other.id != stream.head_id for other in others)
+        if stream.can_fail_over and has_other and self.retry_budget.remaining(head.service) >= 1.0:
+            self.decisions.record("stream_stalled", endpoint=stream.head_id)
+            stream.stalled = True
+            stream.interrupt()
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -4,6 +4,7 @@
 
 from corianderhaven.common import MS_PER_S, ClientConnection, ConnectionLostError
 
+from ._event_stream import EventTooLargeError
 from ._request_context import AttemptResult
 from ._silence_detector import ActiveStream
 from ._wire import AttemptMetadata
@@ -95,7 +96,7 @@
             if running < estimator.engine.slots:
                 estimator.record_first_event(predicted_ms, self.clock.now_ms() - stream.sent_ms)
             return await self._forward_events(context, head, connection, stream)
-        except ConnectionLostError:
+        except (ConnectionLostError, EventTooLargeError):
             return AttemptResult.SILENT if stream.silent else AttemptResult.BROKEN
         finally:
             self.silence_detector.remove(stream)
@@ -152,12 +153,23 @@
         context.splitter.discard_partial()
         self.silence_detector.record_activity(stream)
         while (chunk := await connection.read_chunk()) is not None:
-            self.silence_detector.record_activity(stream)
+            data_events = context.splitter.data_event_count
             events = context.splitter.feed(chunk)
+            if context.splitter.data_event_count > data_events:
+                self.silence_detector.record_activity(stream)
             if events:
                 context.record_forwarded(self.clock.now_ms())
-                await context.caller.send_chunk(events)
+                await self._forward(context, stream, events)
         if context.splitter.partial:
             return AttemptResult.BROKEN
         await context.caller.send_end()
         return AttemptResult.COMPLETE
+
+    async def _forward(self, context, stream, events):
+        """Send events to the caller, however slowly it reads them."""
+        stream.caller_blocked = True
+        try:
+            await context.caller.send_chunk(events)
+        finally:
+            stream.caller_blocked = False
+        stream.last_activity_ms = self.clock.now_ms()
--- a/libraries/gateway/src/corianderhaven/gateway/_silence_detector.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_silence_detector.py
@@ -15,6 +15,8 @@
 FIRST_EVENT_SLACK_MS = 120.0
 CHECK_INTERVAL_MS = 20.0  # an eighth of the shortest pause that a route allows
 LATE_CHECK_MS = 60.0  # a longer time between checks means that this process was stalled
+# Callers abandon a stream after a pause of two seconds; another replica needs part of that.
+STALL_MS = 1_400.0
 
 
 @dataclass(eq=False)
@@ -29,6 +31,12 @@
         Whether the stream may continue at another replica.
     interrupt : callable
         Closes the connection to the endpoint, so that the stream's task fails over.
+    silent : bool
+        Whether it was interrupted because all streams of its head were silent.
+    stalled : bool
+        Whether it was interrupted because it alone made no progress.
+    caller_blocked : bool
+        Whether an event waits until the caller reads; the endpoint is not to blame then.
     """
 
     head_id: str
@@ -39,6 +47,8 @@
     interrupt: object
     last_activity_ms: float | None = None
     silent: bool = False
+    stalled: bool = False
+    caller_blocked: bool = False
 
 
 @dataclass
@@ -79,7 +89,7 @@
                 del self.heads[stream.head_id]
 
     def record_activity(self, stream):
-        """Record that a stream received data."""
+        """Record that a stream received its head or a complete event."""
         now = self.clock.now_ms()
         stream.last_activity_ms = now
         activity = self.heads.get(stream.head_id)
@@ -100,6 +110,23 @@
             if self._is_silent(head_id, activity)
         ]
 
+    def stalled_streams(self):
+        """Return the streams that completed no event for `STALL_MS` although their head is active.
+
+        Bytes that complete no event are no progress, however often they arrive.
+        """
+        now = self.clock.now_ms()
+        if now < self.suspended_until_ms:
+            return []
+        return [
+            stream
+            for activity in self.heads.values()
+            for stream in activity.streams
+            if stream.last_activity_ms is not None
+            and not stream.caller_blocked
+            and now - stream.last_activity_ms > STALL_MS
+        ]
+
     def last_activity_age_ms(self, head_id):
         """Return the time since a head's last activity at this daemon, or -1.0 without any."""
         activity = self.heads.get(head_id)
@@ -116,6 +143,8 @@
 
     def _is_silent(self, head_id, activity):
         now = self.clock.now_ms()
+        if any(s.caller_blocked for s in activity.streams):
+            return False
         max_interval_ms = max(s.max_event_interval_ms for s in activity.streams)
         if self.is_active(head_id, EVENT_INTERVAL_FACTOR * max_interval_ms + JITTER_MS):
             return False
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_silence.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_silence.py
@@ -89,3 +89,35 @@
         assert detector.silent_heads() == []
     silent = advance(clock, detector, 600, active=streams[1:])
     assert silent == {"h"}
+
+
+def test_stream_without_progress_is_stalled_although_its_head_is_active():
+    """A stream that sent a byte now and then was relayed until its deadline."""
+    clock, _, detector, (moving, stuck) = make_detector("h", "h")
+    detector.record_activity(stuck)
+    assert advance(clock, detector, 1_300, active=[moving]) == set()
+    assert detector.stalled_streams() == []
+    advance(clock, detector, 200, active=[moving])
+    assert detector.stalled_streams() == [stuck]
+
+
+def test_caller_that_does_not_read_is_not_taken_for_a_silent_endpoint():
+    clock, _, detector, (stream,) = make_detector("h")
+    detector.record_activity(stream)
+    stream.caller_blocked = True
+    assert advance(clock, detector, 3_000) == set()
+    assert detector.stalled_streams() == []
+
+
+def test_slow_but_sound_streams_are_not_cut():
+    """Each event takes four times as long as usual, which callers still accept."""
+    clock, _, detector, streams = make_detector("h", "h")
+    for stream in streams:
+        stream.max_event_interval_ms = 270.0  # with a prefill chunk in each step
+    silent = set()
+    for _ in range(40):
+        silent |= advance(clock, detector, 160)
+        for stream in streams:
+            detector.record_activity(stream)
+    assert silent == set()
+    assert detector.stalled_streams() == []
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -17,6 +17,8 @@
 STATE_POLL_MS = 10.0
 ENGINE_SERVICE = "draft-pool"
 PLAIN_SERVICE = "ledger"
+ENDLESS_BLOCK = b"\x17 bytes without end " * 1_000
+TRICKLE_INTERVAL_MS = 20.0
 
 
 @dataclass
@@ -43,6 +45,14 @@
         Run the request and answer 500.
     slow_ms : float
         Delay added to each answer.
+    trickle_after : int or None
+        Id of an event of a stream; after it the worker sends a byte of a comment now and then.
+    endless : {"", "head", "body", "event"}
+        Part of the answer in which bytes come until the caller closes.
+    server_leaving : bool
+        Say in all answers that the worker leaves, while its entry doesn't.
+    shed_for_s : float or None
+        With `shed`, the seconds for which the worker wants no further requests.
     """
 
     shed: bool = False
@@ -54,6 +64,10 @@
     unframed: bool = False
     fail: bool = False
     slow_ms: float = 0.0
+    trickle_after: int | None = None
+    endless: str = ""
+    server_leaving: bool = False
+    shed_for_s: float | None = None
 
 
 @dataclass
@@ -325,6 +339,8 @@
         await asyncio.sleep((self.token_ms + faults.slow_ms) / MS_PER_S)
         if faults.lose_answer:
             caller.close()
+        elif faults.endless in ("head", "body"):
+            await self._send_without_end(worker, request, caller)
         elif faults.garble:
             await caller.write(b"\x00\x17 nonsense\r\n\r\n")
             caller.abort_response()
@@ -335,6 +351,17 @@
         else:
             await self._answer_plain(worker, request, caller)
 
+    async def _send_without_end(self, worker, request, caller):
+        """Send bytes that are no answer until the caller closes."""
+        lines = [b"HTTP/1.1 200 OK"]
+        lines += [k + b": " + v for k, v in self._response_headers(worker, request)]
+        if worker.faults.endless == "body":
+            lines += [b"content-length: 5", b"", b"whole"]
+        await caller.write(b"\r\n".join(lines))
+        while not caller.lost:
+            await caller.write(ENDLESS_BLOCK)
+            await asyncio.sleep(0)
+
     def _record_run(self, worker, request):
         headers = {k.decode(): v.decode("latin-1") for k, v in request.headers}
         self.runs.append(
@@ -369,6 +396,9 @@
         await caller.send_head(200, headers)
         for number in range(first, self.events + 1):
             event = b"id: %d\ndata: token-%d\n\n" % (number, number)
+            if worker.faults.endless == "event":
+                while not caller.lost:
+                    await caller.send_chunk(ENDLESS_BLOCK)
             if worker.faults.cut_after is not None and number > worker.faults.cut_after:
                 await caller.send_chunk(event[:6])
                 caller.close()
@@ -380,8 +410,16 @@
                 await asyncio.sleep(STATE_POLL_MS / MS_PER_S)
             await caller.send_chunk(event)
             await asyncio.sleep(self.token_ms / MS_PER_S)
+            if number == worker.faults.trickle_after:
+                await self._trickle(caller)
         await caller.send_end()
 
+    async def _trickle(self, caller):
+        """Send a byte now and then, and never the end of an event."""
+        while not caller.lost:
+            await caller.send_chunk(b":")
+            await asyncio.sleep(TRICKLE_INTERVAL_MS / MS_PER_S)
+
 
 async def _keep_address(worker_id, address):
     """Return the address unchanged, so that the worker advertises its listener."""
