--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -5,6 +5,7 @@
 import math
 import signal
 
+import msgspec
 import prometheus_client
 
 from corianderhaven.common import (
@@ -17,12 +18,15 @@
 )
 from corianderhaven.fleet import (
     DIGEST_PATH,
+    STATE_PATH,
     ActiveConfig,
     EndpointDirectory,
     KeeperLease,
     PeerExchange,
+    PeerState,
     PeerTable,
     ReplicaKeeper,
+    StoreEra,
     StoreWatcher,
 )
 from corianderhaven.gateway import Gateway
@@ -42,6 +46,8 @@
 SHUTDOWN_MARGIN_MS = 700.0  # kept before SIGKILL for ending unfinished requests cleanly
 IDLE_TIMEOUT_FACTOR = 1.2  # callers may reuse a connection for most of the idle timeout
 DRAIN_POLL_MS = 20.0
+LEAVING_ANNOUNCE_MS = 3_000.0  # several exchanges between any two daemons
+JOIN_TIMEOUT_MS = 1_500.0  # peers that the store lists may all be gone
 OPENED_ANNOUNCE_MS = 3_000.0  # by then every daemon has read the head's own entry
 RELOADABLE_SETTINGS = ("grace_ms", "stall_ms", "retry_ratio", "retry_slack", "retry_window_ms")
 
@@ -122,6 +128,7 @@
         )
         await self.callers_server.start()
         await self.readiness_server.start()
+        self.started_ms = self.clock.now_ms()
         self.watcher.start()
         self.lease.start()
         self.keeper.start()
@@ -170,12 +177,30 @@
     @property
     def ready(self):
         """Whether the load balancer should send new connections to this daemon."""
-        return not self.draining and self.active_config.config is not None and self.directory.synced
+        return not self.draining and self.active_config.config is not None and self.joined
+
+    @property
+    def joined(self):
+        """Whether this daemon knows what its peers know, or has tried for `JOIN_TIMEOUT_MS`.
+
+        The store may have been restored from a copy in which a withdrawn key is still valid and
+        an endpoint that has left is still ready.
+        """
+        if not self.directory.synced:
+            return False
+        if self.exchange.state_received:
+            return True
+        # A restored store may lack the peers' records as well.
+        may_be_restored = self.era.number and not self.settings.first_start
+        if not may_be_restored and not self.exchange.lists_peers():
+            return True
+        return self.clock.now_ms() - self.started_ms > JOIN_TIMEOUT_MS
 
     def _create_components(self):
         settings = self.settings
         platform_format = HostingFormat()
-        self.store = PlatformStore(settings.store, settings.ip, settings.lease_min_ms)
+        self.era = StoreEra(self.clock, self.decisions)
+        self.store = PlatformStore(settings.store, self.era, settings.ip, settings.lease_min_ms)
         self.directory = EndpointDirectory(self.clock, self.decisions)
         self.active_config = ActiveConfig(platform_format.decode_config, self.decisions)
         self.active_config.listeners.append(self._apply_limits)
@@ -196,7 +221,9 @@
             self.clock,
             self.decisions,
         )
+        self.lease.first_start = settings.first_start
         self.orders = PlatformOrders(self.decisions, settings.ip)
+        self.orders.on_leaving = self._note_leaving
         self.keeper = ReplicaKeeper(
             self.lease,
             self.orders,
@@ -228,6 +255,12 @@
             self.decisions,
             settings.ip,
         )
+        self.exchange.config_version = lambda: self.active_config.version
+        self.exchange.apply_state = self._apply_state
+        self.gateway.on_leaving = self._note_leaving
+        self.gateway.joined = lambda: self.joined
+        self.peers.on_leaving = self._apply_leaving
+        self.peers.on_peer_state = self._observe_peer
         self.gateway.on_suspicion = self.keeper.suspect
         self.lease.outage_confirmed = self.peers.store_outage_confirmed
         self.peers.on_opened = self._apply_opened
@@ -236,6 +269,10 @@
     def _make_digest(self):
         digest = self.gateway.make_digest()
         digest.store_reachable = self.watcher.store_reachable
+        digest.era = self.era.number
+        digest.tenure = self.lease.latest_tenure
+        digest.config_version = self.active_config.version
+        digest.leaving = self.directory.recently_leaving(LEAVING_ANNOUNCE_MS)
         within_ms = OPENED_ANNOUNCE_MS if digest.store_reachable else math.inf
         digest.opened = {
             head_id: (head.replica, head.generation, head.started_ms)
@@ -248,6 +285,36 @@
         for head_id, (replica, generation, started_ms) in opened.items():
             self.directory.update_from_keeper(head_id, replica, generation, started_ms)
 
+    def _note_leaving(self, endpoint):
+        """Stop using an endpoint that said in an answer that it leaves."""
+        self.directory.mark_leaving(endpoint.id, endpoint.started_ms, "answer")
+
+    def _observe_peer(self, digest):
+        """End the own tenure if a peer knows of a restored store or a later keeper."""
+        self.era.observe(digest.era, digest.daemon)
+        self.lease.observe_tenure(digest.tenure, digest.daemon)
+
+    def _apply_leaving(self, leaving, daemon):
+        for endpoint_id, started_ms in leaving.items():
+            self.directory.mark_leaving(endpoint_id, started_ms, daemon)
+
+    def _make_state(self):
+        """Return the `PeerState` for a daemon that starts or is behind."""
+        departed = {
+            endpoint_id: (former.started_ms, former.entry_number, former.leaving)
+            for endpoint_id, former in self.directory.departed.items()
+        }
+        return PeerState(self.active_config.value, self.active_config.version, departed)
+
+    def _apply_state(self, state, peer):
+        """Take over what a peer knows and the store may have lost."""
+        self.decisions.record(
+            "peer_state", peer=peer, config=state.config_version, departed=len(state.departed)
+        )
+        self.directory.add_departed(state.departed)
+        if state.config_version > self.active_config.version:
+            self.active_config.update(state.config, None)
+
     def _record_traffic(self):
         self.keeper.traffic_seen = True
 
@@ -273,6 +340,8 @@
             except ValueError as error:
                 self.decisions.record("digest_unreadable", reason=str(error))
                 await caller.send_response(400, [], b"")
+        elif request.target == STATE_PATH.encode():
+            await caller.send_response(200, [], msgspec.json.encode(self._make_state()))
         elif request.target == b"/metrics":
             self.gateway.refresh_metrics()
             await caller.send_response(200, [], prometheus_client.generate_latest())
--- a/libraries/fleet/src/corianderhaven/fleet/__init__.py
+++ b/libraries/fleet/src/corianderhaven/fleet/__init__.py
@@ -12,13 +12,16 @@
     OrderResult,
     PlatformFormat,
     StoreItem,
+    StoreRestoredError,
     StoreUnavailableError,
 )
 from ._keeper import ReplicaKeeper
 from ._keeper_lease import KeeperLease
 from ._peer_exchange import PeerExchange
+from ._peer_state import STATE_PATH, PeerState
 from ._peers import PeerTable
 from ._replicas import Replica, group_replicas, is_serving, model_of, replica_name
+from ._store_era import StoreEra
 from ._store_watcher import StoreWatcher
 from ._types import (
     Account,
@@ -62,6 +65,7 @@
     "OrderResult",
     "PeerExchange",
     "PeerMessage",
+    "PeerState",
     "PeerTable",
     "PlatformFormat",
     "Replica",
@@ -69,10 +73,13 @@
     "ReplicaState",
     "RequestKind",
     "RouteRule",
+    "STATE_PATH",
     "ServiceSpec",
     "Stage",
     "Standby",
+    "StoreEra",
     "StoreItem",
+    "StoreRestoredError",
     "StoreUnavailableError",
     "StoreWatcher",
     "Vm",
--- a/libraries/fleet/src/corianderhaven/fleet/_digests.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_digests.py
@@ -33,6 +33,14 @@
         Heads that the keeper opened recently or while the store was unreachable, with replica,
         generation and start time of the head in ms. Their entries in the store appear later or
         not at all.
+    era : int
+        Latest era of the store that this daemon has seen.
+    tenure : int
+        Latest tenure of a keeper that this daemon has seen.
+    config_version : int
+        Version of the configuration in force at this daemon; 0 without one.
+    leaving : dict of str to int
+        Endpoints that said recently that they leave, with their start times in ms.
     """
 
     daemon: str
@@ -42,6 +50,10 @@
     store_reachable: bool = True
     opened: dict[str, tuple[str, int, int]] = {}
     zone: str = ""
+    era: int = 0
+    tenure: int = 0
+    config_version: int = 0
+    leaving: dict[str, int] = {}
 
 
 class ZoneSummary(msgspec.Struct):
@@ -71,12 +83,19 @@
     heads: dict[str, HeadDigest] = {}
     suspects: dict[str, float] = {}
     opened: dict[str, tuple[str, int, int]] = {}
+    leaving: dict[str, int] = {}
 
 
 def without_summarized_fields(digest):
     """Return a digest without heads, suspicions and opened heads, which zone summaries contain."""
     return Digest(
-        digest.daemon, digest.address, store_reachable=digest.store_reachable, zone=digest.zone
+        digest.daemon,
+        digest.address,
+        store_reachable=digest.store_reachable,
+        zone=digest.zone,
+        era=digest.era,
+        tenure=digest.tenure,
+        config_version=digest.config_version,
     )
 
 
--- a/libraries/fleet/src/corianderhaven/fleet/_directory.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_directory.py
@@ -1,6 +1,7 @@
 """Directory of the endpoints listed in the store."""
 
 import asyncio
+import itertools
 from dataclasses import dataclass, replace
 
 from corianderhaven.common import DecisionLog
@@ -12,6 +13,8 @@
 REREGISTRATION_MS = 2_000.0
 # Late entries of an earlier incarnation arrive within a few heartbeats.
 STALE_INCARNATION_MS = 3_000.0
+MAX_DEPARTED = 2_000  # about 200 KB; more than leave within the age of a store's copy
+MAX_RECENT = 64  # bounds the size of digests
 # Transitions that a member makes by itself and never reverses within a generation: a report
 # of the first state is older than a report of the second.
 ONE_WAY_TRANSITIONS = {
@@ -20,6 +23,22 @@
 }
 
 
+@dataclass(frozen=True)
+class Departed:
+    """Last known state of an endpoint that is gone or said that it leaves.
+
+    Parameters
+    ----------
+    leaving : bool
+        Whether the endpoint said so itself; its incarnation then never accepts work again.
+    """
+
+    started_ms: int
+    entry_number: int
+    leaving: bool
+    since_ms: float
+
+
 @dataclass
 class EndpointRecord:
     """Endpoint with the time and store revision of its last update.
@@ -40,8 +59,9 @@
 class EndpointDirectory:
     """Endpoints by id, as listed in the store.
 
-    A store outage removes no endpoint. An entry saying that its endpoint is leaving always takes
-    effect.
+    A store outage removes no endpoint. An endpoint that said that it leaves, in an entry or in an
+    answer, stays leaving until it has started again: entries that are older, from a restored
+    store for example, don't bring it back.
 
     Parameters
     ----------
@@ -57,6 +77,7 @@
         self.changed = asyncio.Event()
         self.synced = False
         self.store_recovered_ms = None
+        self.departed = {}
 
     def endpoints(self, service=None):
         """Return the endpoints that have not expired, of one service or of all."""
@@ -111,6 +132,14 @@
         known = self.records.get(key)
         if known is not None and self._is_outdated(known, endpoint):
             return
+        former = self.departed.get(key)
+        if former is not None:
+            if known is None and self._is_older_than(former, endpoint):
+                return
+            if former.leaving and endpoint.started_ms == former.started_ms:
+                endpoint = replace(endpoint, leaving=True)
+        if endpoint.leaving:
+            self._note_departed(endpoint, True)
         self.records[key] = EndpointRecord(endpoint, self.clock.now_ms(), revision)
         if known is None or known.endpoint != endpoint:
             self._log_change(known, endpoint, revision)
@@ -141,6 +170,60 @@
         endpoint = replace(record.endpoint, membership=opened)
         self._replace_if_newer(endpoint_id, endpoint, record.revision)
 
+    def mark_leaving(self, endpoint_id, started_ms, source):
+        """Apply the word of an endpoint that it leaves, which precedes its entry."""
+        record = self.records.get(endpoint_id)
+        if record is None:
+            former = self.departed.get(endpoint_id)
+            if former is None or former.started_ms < started_ms:
+                since_ms = self.clock.now_ms()
+                self.departed[endpoint_id] = Departed(started_ms, 0, True, since_ms)
+            return
+        if record.endpoint.leaving or record.endpoint.started_ms != started_ms:
+            return
+        record.endpoint = replace(record.endpoint, leaving=True)
+        self._note_departed(record.endpoint, True)
+        self.decisions.record("endpoint_leaving", endpoint=endpoint_id, source=source)
+        self._mark_changed()
+
+    def recently_leaving(self, within_ms):
+        """Return the start times of endpoints that said within `within_ms` that they leave."""
+        since_ms = self.clock.now_ms() - within_ms
+        return {
+            endpoint_id: former.started_ms
+            for endpoint_id, former in itertools.islice(reversed(self.departed.items()), MAX_RECENT)
+            if former.leaving and former.since_ms >= since_ms
+        }
+
+    def add_departed(self, departed):
+        """Add what a peer knows of former endpoints, as {id: (start, entry number, leaving)}."""
+        now = self.clock.now_ms()
+        for endpoint_id, (started_ms, entry_number, leaving) in departed.items():
+            record = self.records.get(endpoint_id)
+            if record is not None:
+                if leaving:
+                    self.mark_leaving(endpoint_id, started_ms, "peer")
+            elif endpoint_id not in self.departed:
+                self.departed[endpoint_id] = Departed(started_ms, entry_number, leaving, now)
+
+    def _note_departed(self, endpoint, leaving):
+        """Remember an endpoint that is gone or leaves, newest last."""
+        former = self.departed.pop(endpoint.id, None)
+        same = former is not None and former.started_ms == endpoint.started_ms
+        since_ms = former.since_ms if same else self.clock.now_ms()
+        leaving = leaving or (same and former.leaving)
+        self.departed[endpoint.id] = Departed(
+            endpoint.started_ms, endpoint.entry_number, leaving, since_ms
+        )
+        while len(self.departed) > MAX_DEPARTED:
+            del self.departed[next(iter(self.departed))]
+
+    def _is_older_than(self, former, endpoint):
+        """Return whether an entry is not newer than the last one of a former endpoint."""
+        if endpoint.started_ms != former.started_ms:
+            return endpoint.started_ms < former.started_ms
+        return 0 < endpoint.entry_number <= former.entry_number
+
     def _is_outdated(self, known, endpoint):
         """Return whether `endpoint` is older than the known state of the endpoint."""
         old = known.endpoint
@@ -169,6 +252,7 @@
                 record.expires_ms = self.store_recovered_ms + REREGISTRATION_MS
             return
         del self.records[key]
+        self._note_departed(record.endpoint, record.endpoint.leaving)
         self.decisions.record(
             "endpoint_gone", endpoint=key, last_told_ms=round(now - record.updated_ms)
         )
@@ -183,7 +267,8 @@
             if record.expires_ms is not None and now >= record.expires_ms
         ]
         for key in expired:
-            del self.records[key]
+            endpoint = self.records.pop(key).endpoint
+            self._note_departed(endpoint, endpoint.leaving)
             self.decisions.record("endpoint_lapsed", endpoint=key)
         if expired:
             self._mark_changed()
--- a/libraries/fleet/src/corianderhaven/fleet/_interfaces.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_interfaces.py
@@ -21,6 +21,16 @@
         self.outcome_unknown = outcome_unknown
 
 
+class StoreRestoredError(StoreUnavailableError):
+    """Raised when the store was restored from a copy while a call was under way.
+
+    The call may have been carried out in either era.
+    """
+
+    def __init__(self, message):
+        super().__init__(message, outcome_unknown=True)
+
+
 class HistoryGoneError(Exception):
     """Raised when the store has compacted the changes since the requested revision."""
 
@@ -40,7 +50,23 @@
 
 
 class MetadataStore(ABC):
-    """Linearizable key-value store with conditional writes, leases and watches."""
+    """Linearizable key-value store with conditional writes, leases and watches.
+
+    Every call raises `StoreRestoredError` if the store's era changes during the call.
+
+    Parameters
+    ----------
+    era : StoreEra
+    """
+
+    def __init__(self, era):
+        self.era = era
+
+    def check_era(self, sent_in, answered_in):
+        """Check the era of an answer to a call that was sent when `sent_in` was the latest."""
+        latest = self.era.observe(answered_in, "store")
+        if not latest or (sent_in and answered_in != sent_in):
+            raise StoreRestoredError(f"sent in era {sent_in}, answered in era {answered_in}")
 
     @abstractmethod
     async def read(self, key):
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
@@ -5,7 +5,7 @@
 
 from corianderhaven.common import MS_PER_S, new_id
 
-from ._interfaces import LeaseEndedError, StoreUnavailableError
+from ._interfaces import LeaseEndedError, StoreRestoredError, StoreUnavailableError
 
 LEASE_MS = 2_500.0  # three lost renewals; bounds the time without a keeper after a crash
 RENEWAL_INTERVAL_MS = 700.0
@@ -13,6 +13,8 @@
 TAKEOVER_DELAY_MS = 1_200.0  # twice the time for which digests are valid, see `may_order`
 MAX_OUTAGE_TENURE_MS = 30_000.0  # a longer outage can't be told from a network partition
 ORDER_MARGIN_MS = 400.0  # orders in flight must arrive before a successor's first order
+# Revisions that the store may lose when it is restored from a copy some seconds old.
+REVISIONS_PER_ERA = 10_000_000
 CAMPAIGN_JITTER_MS = 120.0  # lets one daemon's record become visible before the others try
 
 
@@ -20,7 +22,9 @@
     """Campaigns for the keeper's record in the store and renews its lease.
 
     The daemon that holds the lease is the keeper and may send orders to engines. Its tenure is
-    the revision of the record, which orders carry in their generations as a fencing token.
+    the revision of the record, raised by the era of the store, and orders carry it in their
+    generations as a fencing token. A tenure ends as soon as a later era is seen: the restored
+    store may have lost the lease, and given it to another daemon.
 
     Parameters
     ----------
@@ -44,11 +48,14 @@
         self.decisions = decisions
         self.lease = None
         self.tenure = None
+        self.latest_tenure = 0
         self.valid_until_ms = 0.0
         self.orders_from_ms = 0.0
         self.outage_confirmed = lambda: False
         self.resigned = False
+        self.first_start = False
         self.task = None
+        store.era.listeners.append(self._end_tenure_of_earlier_era)
 
     def start(self):
         """Start campaigning."""
@@ -94,6 +101,24 @@
             self.decisions.record("keeper_superseded", tenure=self.tenure, seen=generation)
         self.tenure = self.lease = None
 
+    def _end_tenure_of_earlier_era(self):
+        if self.tenure is not None:
+            self.decisions.record("keeper_era_ended", tenure=self.tenure, era=self.store.era.number)
+        self.tenure = self.lease = None
+
+    def observe_tenure(self, tenure, source):
+        """Take note of a tenure that a peer has seen; a later one than its own ends this one's.
+
+        A holder that goes on during an outage of the store may have been succeeded before the
+        outage, while only this daemon was cut off from the store.
+        """
+        self.latest_tenure = max(self.latest_tenure, tenure)
+        if self.tenure is not None and tenure > self.tenure:
+            self.decisions.record(
+                "keeper_succeeded", tenure=self.tenure, later=tenure, source=source
+            )
+            self.tenure = self.lease = None
+
     async def _run(self):
         while True:
             try:
@@ -111,7 +136,10 @@
 
     async def _renew(self):
         sent_ms = self.clock.boot_ms()
+        tenure = self.tenure
         await self.store.renew_lease(self.lease)
+        if self.tenure != tenure:
+            return  # the tenure ended while the call was under way
         self.valid_until_ms = sent_ms + LEASE_MS
 
     async def _campaign(self):
@@ -131,19 +159,32 @@
         try:
             revision = await self.store.put_if(self.key, self.value, 0, lease)
         except StoreUnavailableError as error:
-            if not error.outcome_unknown:
+            if not error.outcome_unknown or isinstance(error, StoreRestoredError):
                 raise
             revision = await self._own_record_revision(lease)
         if revision is None:
             await self.store.revoke_lease(lease)
             await asyncio.sleep(RENEWAL_INTERVAL_MS / MS_PER_S / 3)
             return
-        self.lease, self.tenure = lease, revision
+        self.lease = lease
+        self.tenure = self.store.era.number * REVISIONS_PER_ERA + revision
+        self.latest_tenure = max(self.latest_tenure, self.tenure)
         self.valid_until_ms = sent_ms + LEASE_MS
         # This daemon's digests have reported the store as reachable for that long already.
         reachable_for_ms = self.clock.now_ms() - self.watcher.reachable_since_ms
-        self.orders_from_ms = self.clock.boot_ms() + max(0.0, TAKEOVER_DELAY_MS - reachable_for_ms)
-        self.decisions.record("keeper_elected", tenure=revision)
+        wait_ms = max(0.0, TAKEOVER_DELAY_MS - reachable_for_ms, self._era_wait_ms())
+        self.orders_from_ms = self.clock.boot_ms() + wait_ms
+        self.decisions.record("keeper_elected", tenure=self.tenure, wait_ms=round(wait_ms))
+
+    def _era_wait_ms(self):
+        """Return how long a holder that has not seen the era may still count on its lease.
+
+        Its last renewal was answered before the store was restored, so the lease that it counts
+        on ends within `LEASE_MS` of the time at which any daemon first saw the era.
+        """
+        if self.first_start:
+            return 0.0  # the system starts for the first time: there was no holder
+        return max(0.0, LEASE_MS - self.store.era.known_for_ms())
 
     async def _own_record_revision(self, lease):
         """Return the revision of the record if this process wrote it, else None."""
--- a/libraries/fleet/src/corianderhaven/fleet/_peer_exchange.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peer_exchange.py
@@ -1,6 +1,7 @@
 """Registration of this daemon in the store and exchange of digests with peers."""
 
 import asyncio
+import contextlib
 
 import msgspec
 
@@ -8,6 +9,7 @@
 
 from ._digests import DIGEST_PATH
 from ._interfaces import LeaseEndedError, StoreUnavailableError
+from ._peer_state import STATE_PATH, decode_state
 
 MIN_EXCHANGE_INTERVAL_MS = 100.0  # a tenth of a typical response time, so load data is current
 MAX_EXCHANGE_INTERVAL_MS = 200.0  # a third of the time for which digests are valid
@@ -40,6 +42,15 @@
         ``IP:port`` at which peers reach this daemon.
     decisions : DecisionLog
     source_ip : str or None
+
+    Attributes
+    ----------
+    state_received : bool
+        Whether the state of a peer was taken over since the start.
+    config_version : callable
+        Returns the version of the configuration in force here.
+    apply_state : callable
+        Takes a `PeerState` and the name of the peer that sent it.
     """
 
     def __init__(self, table, store, watcher, key_prefix, address, decisions, source_ip):
@@ -52,6 +63,13 @@
         self.source_ip = source_ip
         self.exchanges = {}
         self.tasks = []
+        self.record_lease = None
+        self.record_written = False
+        self.record_lost = asyncio.Event()
+        self.state_received = False
+        self.config_version = lambda: 0
+        self.apply_state = lambda state, peer: None
+        store.era.listeners.append(self._forget_record)
 
     def start(self):
         """Start registering and exchanging digests."""
@@ -66,22 +84,35 @@
         for task in (*self.tasks, *self.exchanges.values()):
             task.cancel()
 
+    def _forget_record(self):
+        """Register again: the restored store may lack the record, and its lease be another's."""
+        self.record_lease = None
+        self.record_lost.set()
+
     async def _register(self):
-        key = self.key_prefix + self.table.own_name
-        lease = None
         while True:
             try:
-                if lease is None:
-                    lease = await self.store.grant_lease(RECORD_LEASE_MS)
-                    await self._write_record(key, lease)
-                else:
-                    await self.store.renew_lease(lease)
+                await self._register_once()
             except LeaseEndedError:
-                lease = None
+                self.record_lease = None
                 continue
             except StoreUnavailableError as error:
                 self.decisions.record("registration_failed", reason=str(error))
-            await asyncio.sleep(RECORD_RENEWAL_MS / MS_PER_S)
+            self.record_lost.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(RECORD_RENEWAL_MS / MS_PER_S):
+                    await self.record_lost.wait()
+
+    async def _register_once(self):
+        """Renew the record's lease, or write the record under a new one."""
+        if self.record_lease is None:
+            self.record_written = False
+            self.record_lease = await self.store.grant_lease(RECORD_LEASE_MS)
+        elif self.record_written:
+            await self.store.renew_lease(self.record_lease)
+            return
+        await self._write_record(self.key_prefix + self.table.own_name, self.record_lease)
+        self.record_written = True
 
     async def _write_record(self, key, lease):
         """Write the record, replacing that of an earlier incarnation."""
@@ -91,6 +122,12 @@
         if await self.store.put_if(key, record, revision, lease) is None:
             self.decisions.record("registration_raced", key=key, revision=revision)
 
+    def lists_peers(self):
+        """Return whether the store lists another daemon, or one is known from messages."""
+        own_key = self.key_prefix + self.table.own_name
+        listed = (k for k in self.watcher.own_items if k.startswith(self.key_prefix))
+        return bool(self.table.peers) or any(key != own_key for key in listed)
+
     def _listed_daemons(self):
         """Return the daemons listed in the store, as (name, address, zone)."""
         listed = []
@@ -99,7 +136,7 @@
                 continue
             try:
                 record = msgspec.json.decode(item.value, type=DaemonRecord)
-            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
                 self.decisions.record("daemon_record_unreadable", key=key, reason=str(error))
                 continue
             listed.append((key[len(self.key_prefix) :], record.address, record.zone))
@@ -130,6 +167,8 @@
         try:
             while True:
                 answered = await self._exchange_once(client, peer)
+                if answered and self._needs_state_of(peer):
+                    await self._fetch_state(client, peer)
                 if answered is not last_answered:
                     event = "peer_reached" if answered else "peer_lost"
                     self.decisions.record(event, peer=peer.name)
@@ -151,3 +190,21 @@
             self.decisions.record("digest_unreadable", peer=peer.name, reason=str(error))
             return False
         return True
+
+    def _needs_state_of(self, peer):
+        """Return whether this daemon has just started, or runs an older configuration."""
+        digest = self.table.peers[peer.name].digest if peer.name in self.table.peers else None
+        if digest is None:
+            return False
+        return not self.state_received or digest.config_version > self.config_version()
+
+    async def _fetch_state(self, client, peer):
+        """Take over what a peer knows and the store may have lost."""
+        try:
+            answer = await client.call("GET", STATE_PATH, b"", EXCHANGE_TIMEOUT_MS)
+            state = decode_state(answer.body)
+        except (ConnectionLostError, ValueError) as error:
+            self.decisions.record("peer_state_failed", peer=peer.name, reason=str(error))
+            return
+        self.state_received = True
+        self.apply_state(state, peer.name)
--- a/libraries/fleet/src/corianderhaven/fleet/_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peers.py
@@ -68,6 +68,8 @@
         self.make_digest = lambda: Digest(own_name, "", zone=zone)
         self.on_suspects = lambda suspects, daemon: None
         self.on_opened = lambda opened: None
+        self.on_leaving = lambda leaving, daemon: None
+        self.on_peer_state = lambda digest: None
         self.totals = {}
         self.totals_daemons = 0
         self.totals_ms = -1e12
@@ -94,7 +96,7 @@
         """
         try:
             message = msgspec.json.decode(body, type=PeerMessage)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             raise ValueError(str(error)) from None
         digest, now = message.digest, self.clock.now_ms()
         if digest.daemon == self.own_name:
@@ -104,6 +106,7 @@
             peer = self.peers[digest.daemon] = Peer(digest.daemon, digest.address, now)
         peer.zone, peer.last_heard_ms, peer.digest = digest.zone, now, digest
         peer.unreachable_since_ms = -1e12
+        self.on_peer_state(digest)
         self._notify(digest, peer.name)
         for summary in message.zones:
             self._store_summary(summary, peer, now)
@@ -222,6 +225,8 @@
             self.on_suspects(reported.suspects, sender)
         if reported.opened:
             self.on_opened(reported.opened)
+        if reported.leaving:
+            self.on_leaving(reported.leaving, sender)
 
     def _store_summary(self, summary, peer, now):
         self._notify(summary, peer.name)
@@ -265,6 +270,7 @@
         summary.store_reachable = summary.store_reachable or own.store_reachable
         merge_suspects(summary.suspects, own.suspects)
         summary.opened.update(own.opened)
+        summary.leaving.update(own.leaving)
         return summary
 
     def _summarize_direct_digests(self, requester=None):
@@ -282,6 +288,7 @@
             merge_heads(summary.heads, peer.digest.heads, age_ms)
             merge_suspects(summary.suspects, peer.digest.suspects, age_ms)
             summary.opened.update(peer.digest.opened)
+            summary.leaving.update(peer.digest.leaving)
             summary.age_ms = max(summary.age_ms, age_ms)
         summary.store_reachable = any(p.digest.store_reachable for p in valid)
         return summary
--- a/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
@@ -4,7 +4,7 @@
 
 from corianderhaven.common import MS_PER_S
 
-from ._interfaces import HistoryGoneError, StoreUnavailableError
+from ._interfaces import HistoryGoneError, StoreRestoredError, StoreUnavailableError
 
 WATCH_WAIT_MS = 500  # endpoints write more often; if nothing changes, all keys are listed
 MIN_POLL_INTERVAL_MS = 250.0  # bounds the delay of entries, which engines write every 1.2 s
@@ -53,6 +53,7 @@
         self.reachable_since_ms = 0.0
         self.watch_revision = None
         self.task = None
+        store.era.listeners.append(self._forget_position)
 
     def start(self):
         """Start watching."""
@@ -95,10 +96,18 @@
             except HistoryGoneError:
                 self.decisions.record("store_history_gone", after=self.watch_revision)
                 self.watch_revision = None
+            except StoreRestoredError as error:
+                self.decisions.record("store_restored", reason=str(error))
+                self._forget_position()
             except StoreUnavailableError as error:
                 self._record_failure(error)
                 await asyncio.sleep(RETRY_INTERVAL_MS / MS_PER_S)
 
+    def _forget_position(self):
+        """List the store anew: what it returned before may be gone, and written again later."""
+        self.watch_revision = None
+        self.directory.note_store_recovery()
+
     async def _poll_once(self):
         if self.watch_revision is None:
             await self._list_all()
@@ -126,12 +135,16 @@
             (
                 self._endpoint_id(item),
                 self.platform_format.decode_endpoint(self._endpoint_id(item), item.value),
-                item.revision,
+                self._position(item),
             )
             for item in endpoints
         )
         self.watch_revision = revision
 
+    def _position(self, item):
+        """Return the position of an item in the store's history, across restores."""
+        return (self.store.era.number, item.revision)
+
     def _endpoint_id(self, item):
         return item.key[len(self.platform_format.endpoint_prefix) :]
 
@@ -145,7 +158,7 @@
                 self.directory.remove(endpoint_id)
             else:
                 endpoint = self.platform_format.decode_endpoint(endpoint_id, item.value)
-                self.directory.update(endpoint_id, endpoint, item.revision)
+                self.directory.update(endpoint_id, endpoint, self._position(item))
         elif item.key.startswith(self.own_prefix):
             if item.value is None:
                 self.own_items.pop(item.key, None)
--- a/libraries/fleet/src/corianderhaven/fleet/tests/memory_fleet.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/memory_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import deque
 from dataclasses import replace
 
 from corianderhaven.common import DecisionLog
@@ -23,6 +24,7 @@
     ReplicaKeeper,
     ReplicaState,
     ServiceSpec,
+    StoreEra,
     StoreItem,
     StoreUnavailableError,
 )
@@ -30,6 +32,8 @@
 
 SERVICE = "pool"
 ENTRY_TTL_MS = 3_600.0
+COPY_INTERVAL_S = 0.05
+DIGEST_DELAY_S = 0.3
 KEEPER_KEY = "own/keeper"
 
 
@@ -92,6 +96,7 @@
             await asyncio.sleep(0.35)
             return OrderResult.UNKNOWN
         status = fleet.hosted.order(engine, body)
+        fleet.outdated_orders += status == 412
         fleet.publish(engine)
         return {
             200: OrderResult.DONE,
@@ -126,21 +131,31 @@
 class MemoryStore(MetadataStore):
     """Store interface of one daemon, backed by a `HostedStore`."""
 
-    def __init__(self, fleet, name):
+    def __init__(self, fleet, name, era):
+        super().__init__(era)
         self.fleet = fleet
         self.name = name
         self.hosted = fleet.store
 
-    async def _simulate_call(self):
-        await asyncio.sleep(self.fleet.store_answer_s)
+    async def _simulate_call(self, execute):
+        """Execute a call at the store, which may be restored before its answer arrives."""
+        sent_in = self.era.number
+        await asyncio.sleep(self.fleet.store_answer_s / 2)
         if self.fleet.store_down or self.name in self.fleet.daemons_without_store:
             await asyncio.sleep(0.5)
             raise StoreUnavailableError("the store is down")
+        result = execute()
+        answered_in = self.hosted.era
+        await asyncio.sleep(self.fleet.store_answer_s / 2)
+        self.check_era(sent_in, answered_in)
+        return result
 
     async def read(self, key):
-        await self._simulate_call()
-        item = self.hosted.items.get(key)
-        return StoreItem(key, item.value, item.revision, item.lease) if item else None
+        def execute():
+            item = self.hosted.items.get(key)
+            return StoreItem(key, item.value, item.revision, item.lease) if item else None
+
+        return await self._simulate_call(execute)
 
     async def list(self, prefix):
         raise NotImplementedError
@@ -149,25 +164,26 @@
         raise NotImplementedError
 
     async def put_if(self, key, value, revision, lease=0):
-        await self._simulate_call()
-        self.hosted.expire_leases()
-        item = self.hosted.items.get(key)
-        if (item.revision if item else 0) != revision:
-            return None
-        return self.hosted.put(key, value, lease)
+        def execute():
+            self.hosted.expire_leases()
+            if lease and lease not in self.hosted.leases:
+                raise LeaseEndedError(str(lease))
+            item = self.hosted.items.get(key)
+            if (item.revision if item else 0) != revision:
+                return None
+            return self.hosted.put(key, value, lease)
+
+        return await self._simulate_call(execute)
 
     async def grant_lease(self, ttl_ms):
-        await self._simulate_call()
-        return self.hosted.grant_lease(ttl_ms)
+        return await self._simulate_call(lambda: self.hosted.grant_lease(ttl_ms))
 
     async def renew_lease(self, lease):
-        await self._simulate_call()
-        if not self.hosted.renew_lease(lease):
+        if not await self._simulate_call(lambda: self.hosted.renew_lease(lease)):
             raise LeaseEndedError(str(lease))
 
     async def revoke_lease(self, lease):
-        await self._simulate_call()
-        self.hosted.end_lease(lease)
+        await self._simulate_call(lambda: self.hosted.end_lease(lease))
 
 
 class MemoryWatcher:
@@ -211,6 +227,11 @@
         self.requests_started = 0
         self.keepers = {}
         self.watchers = {}
+        self.eras = {}
+        self.entries = {}
+        self.copies = deque(maxlen=200)
+        self.overlaps = []
+        self.outdated_orders = 0
         self.directories = {}
         self.traffic = traffic
         for number in range(domains * per_domain):
@@ -237,8 +258,9 @@
         )
         settings = NodeSettings(name, "a", "", "", "", "", "")
         watcher = MemoryWatcher(self, name)
+        era = self.eras[name] = StoreEra(self.clock, decisions)
         lease = KeeperLease(
-            MemoryStore(self, name), watcher, KEEPER_KEY, b"", self.clock, decisions
+            MemoryStore(self, name, era), watcher, KEEPER_KEY, b"", self.clock, decisions
         )
         lease.outage_confirmed = lambda: self.outage_confirmed
         orders = MemoryOrders(self, name)
@@ -283,13 +305,56 @@
 
     def publish(self, engine):
         entry = self.endpoint_of(engine)
+        if not self.store_down and not engine.without_store:
+            self.entries[engine.id] = entry
         for name, directory in self.directories.items():
             if (
                 name not in self.daemons_without_store
                 and not self.store_down
                 and not engine.without_store
             ):
-                directory.update(engine.id, entry, self.store.revision)
+                directory.update(engine.id, entry, self.position())
+
+    def position(self):
+        """Return the position of the latest entry in the store's history."""
+        return (self.store.era, self.store.revision)
+
+    def restore_store(self, age_s):
+        """Restore the store from a copy of about `age_s` ago; daemons notice it a little later."""
+        steps = min(len(self.copies), max(1, round(age_s / COPY_INTERVAL_S)))
+        copy, entries = self.copies[-steps]
+        self.copies.clear()
+        self.store.restore(copy)
+        self.entries = dict(entries)
+        loop = asyncio.get_running_loop()
+        for name in self.directories:
+            loop.call_later(self.random.uniform(0.0, 1.0), self._list_restored, name)
+
+    def _list_restored(self, name):
+        """List the restored store, as a daemon does that sees a new era."""
+        if self.store_down or name in self.daemons_without_store or name not in self.directories:
+            return
+        self.eras[name].observe(self.store.era, "watch")
+        directory = self.directories[name]
+        directory.note_store_recovery()
+        directory.replace_all((i, entry, self.position()) for i, entry in self.entries.items())
+
+    def _exchange_digests(self):
+        """Tell all daemons the latest era and tenure that any of them knows."""
+        if not self.keepers:
+            return
+        era = max(e.number for e in self.eras.values())
+        tenure = max(k.lease.latest_tenure for k in self.keepers.values())
+        for name, keeper in self.keepers.items():
+            self.eras[name].observe(era, "peer")
+            keeper.lease.observe_tenure(tenure, "peer")
+
+    def _record_copy(self):
+        if not self.store_down:
+            self.copies.append((self.store.copy(), dict(self.entries)))
+        ordering = [n for n, k in self.keepers.items() if k.lease.may_order()]
+        if len(ordering) > 1:
+            self.overlaps.append((self.clock.now_ms(), ordering))
 
     async def _run_engines(self):
         """Publish changes, expire entries of silent engines and start requests, periodically."""
@@ -297,6 +362,9 @@
         while True:
             await asyncio.sleep(0.05)
             self.store.revision += 1
+            self._record_copy()
+            if self.keepers:
+                asyncio.get_running_loop().call_later(DIGEST_DELAY_S, self._exchange_digests)
             cut_off = self._list_after_outage(cut_off)
             all_cut_off = self.store_down or self.daemons_without_store >= set(self.directories)
             # Digests are valid for 600 ms.
@@ -306,6 +374,7 @@
                 if not engine.alive or engine.without_store:
                     silent_since_ms.setdefault(engine.id, now)
                     if now - silent_since_ms[engine.id] > ENTRY_TTL_MS and not self.store_down:
+                        self.entries.pop(engine.id, None)
                         for name, directory in self.directories.items():
                             if name not in self.daemons_without_store:
                                 directory.remove(engine.id)
@@ -327,7 +396,7 @@
             self.watchers[name].reachable_since_ms = self.clock.now_ms()
             directory.note_store_recovery()
             directory.replace_all(
-                (e.id, self.endpoint_of(e), self.store.revision)
+                (e.id, self.endpoint_of(e), self.position())
                 for e in self.hosted.engines.values()
                 if e.alive and not e.without_store
             )
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_keeper_model.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_keeper_model.py
@@ -243,8 +243,7 @@
         await asyncio.sleep(1)
         fleet.add_keeper("fresh")
         fleet.directories["fresh"].replace_all(
-            (e.id, fleet.endpoint_of(e), fleet.store.revision)
-            for e in fleet.hosted.engines.values()
+            (e.id, fleet.endpoint_of(e), fleet.position()) for e in fleet.hosted.engines.values()
         )
         await asyncio.sleep(6)
         kept = {
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_store_watcher.py
@@ -14,6 +14,7 @@
     MetadataStore,
     PlatformFormat,
     ReplicaState,
+    StoreEra,
     StoreItem,
     StoreUnavailableError,
     StoreWatcher,
@@ -38,7 +39,8 @@
 class Store(MetadataStore):
     """Reads from a `HostedStore`; a hook runs before each call."""
 
-    def __init__(self, hosted):
+    def __init__(self, hosted, era):
+        super().__init__(era)
         self.hosted = hosted
         self.before = lambda call: None
 
@@ -47,8 +49,10 @@
         return StoreItem(key, item.value, item.revision, item.lease) if item else None
 
     async def _simulate_call(self, call):
+        sent_in = self.era.number
         await asyncio.sleep(0.004)
         self.before(call)
+        self.check_era(sent_in, self.hosted.era)
 
     async def read(self, key):
         await self._simulate_call("read")
@@ -61,7 +65,9 @@
 
     async def watch(self, prefix, after, wait_ms):
         await self._simulate_call("watch")
+        sent_in = self.era.number
         events = await self.hosted.wait_for_events(prefix, after, wait_ms)
+        self.check_era(sent_in, self.hosted.era)
         if events is None:
             raise HistoryGoneError(prefix)
         items = [
@@ -94,7 +100,7 @@
         decisions = DecisionLog(clock)
         directory = EndpointDirectory(clock, decisions)
         active_config = ActiveConfig(Format().decode_config, decisions)
-        store = Store(hosted)
+        store = Store(hosted, StoreEra(clock, decisions))
         watcher = StoreWatcher(store, Format(), directory, active_config, clock, decisions)
         watcher.own_prefix = "own/"
         watcher.start()
--- a/libraries/gateway/src/corianderhaven/gateway/_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_admission.py
@@ -127,12 +127,15 @@
         Returns whether any replica of the model serves.
     capacity_per_ms : callable
         Returns how many requests per ms the replicas can accept from this daemon.
+    held_for_ms : callable
+        Returns how long all replicas want no requests from this daemon; 0.0 if any takes them.
     """
 
-    def __init__(self, clock, pick_endpoint, has_replica, capacity_per_ms):
+    def __init__(self, clock, pick_endpoint, has_replica, capacity_per_ms, held_for_ms=lambda: 0.0):
         self.clock = clock
         self.pick_endpoint = pick_endpoint
         self.has_replica = has_replica
+        self.held_for_ms = held_for_ms
         self.waiting = []
         self.rates = QueueRates(clock, capacity_per_ms)
         self.no_replica_since_ms = None
@@ -161,6 +164,9 @@
 
     def check_refusal(self, queued):
         """Return the `Refusal` of a request that can't be served, or None."""
+        held = self._check_held(queued)
+        if held is not None:
+            return held
         now = self.clock.now_ms()
         no_replica_ms = 0.0 if self.no_replica_since_ms is None else now - self.no_replica_since_ms
         if queued.resumed:
@@ -174,6 +180,16 @@
             return Refusal("can't be served in time", max(MIN_RETRY_AFTER_MS, wait_ms / 2))
         return None
 
+    def _check_held(self, queued):
+        """Return a `Refusal` if all replicas refuse for longer than the request can wait."""
+        held_ms = self.held_for_ms()
+        if not held_ms:
+            return None
+        too_late = self.clock.now_ms() + held_ms > queued.deadline_cutoff_ms
+        if too_late or (queued.resumed and held_ms > MAX_RESUMED_WAIT_MS):
+            return Refusal("all replicas refuse requests", held_ms)
+        return None
+
     async def acquire(self, queued):
         """Return an endpoint for the request, or a `Refusal`."""
         self.rates.record_arrival()
@@ -215,7 +231,7 @@
             return Refusal("no replica serves the model", NO_REPLICA_RETRY_AFTER_MS)
         if now > queued.goal_cutoff_ms:
             return self.check_refusal(queued)
-        return None
+        return self._check_held(queued)
 
     def _update_no_replica_since(self, now):
         if self.has_replica():
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -61,6 +61,7 @@
                 lambda queued: self._pick_head(service, engine, model.name, queued),
                 lambda: bool(self.replica_view.available_heads(service, model.name)),
                 lambda: self._capacity_per_ms(service, engine, model),
+                lambda: self.held_for_ms(self.replica_view.available_heads(service, model.name)),
             )
         return queue
 
@@ -83,6 +84,7 @@
 
     def _pick_head(self, service, engine, model, queued):
         heads = self.replica_view.available_heads(service, model)
+        heads = self.load_tracker.accepting(heads)
         heads = [h for h in heads if h.id not in queued.excluded] or heads
         limit = engine.slots + 1
         endpoint = choose_endpoint(
@@ -97,6 +99,10 @@
             self.load_tracker.entry(endpoint.id).own_in_flight += 1
         return endpoint
 
+    def held_for_ms(self, endpoints):
+        """Return how long none of the endpoints takes requests; 0.0 if one does or none exist."""
+        return min((self.load_tracker.held_for_ms(e) for e in endpoints), default=0.0)
+
     def _daemon_counts(self):
         """Return how many daemons, including this one, choose among the same endpoints."""
         return {
@@ -110,7 +116,8 @@
 
     def pick_plain_endpoint(self, context):
         """Return an endpoint of a service without an engine and count the request, or None."""
-        endpoints = [e for e in self.plain_endpoints(context) if e.id not in context.excluded]
+        accepting = self.load_tracker.accepting(self.plain_endpoints(context))
+        endpoints = [e for e in accepting if e.id not in context.excluded]
         endpoint = choose_endpoint(endpoints, self.load_tracker, self.zone, **self._daemon_counts())
         if endpoint is not None:
             self.load_tracker.entry(endpoint.id).own_in_flight += 1
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -61,6 +61,9 @@
         self.route_table = None
         self.on_suspicion = lambda head_id, reason: None
         self.on_request = lambda: None
+        self.on_leaving = lambda endpoint: None
+        self.joined = lambda: True
+        self.sender.on_leaving = lambda endpoint: self.on_leaving(endpoint)
         self.draining = False
         self.in_flight = 0
         self.tasks = []
@@ -134,7 +137,7 @@
 
     async def _handle(self, request, caller):
         metadata = self.wire.read_request(request)
-        if self.route_table is None or self.draining:
+        if self.route_table is None or self.draining or not self.joined():
             reason = "draining" if self.draining else "no configuration yet"
             await self._reject(request, caller, metadata, 503, reason)
             return
@@ -219,7 +222,9 @@
         while True:
             endpoint = self.dispatcher.pick_plain_endpoint(context)
             if endpoint is None:
-                await self._end_unserved(context, "no endpoint", PLAIN_RETRY_AFTER_MS)
+                held_ms = self.dispatcher.held_for_ms(self.dispatcher.plain_endpoints(context))
+                retry_after_ms = held_ms or PLAIN_RETRY_AFTER_MS
+                await self._end_unserved(context, "no endpoint", retry_after_ms)
                 return
             try:
                 result = await self.sender.send_buffered(
--- a/libraries/gateway/src/corianderhaven/gateway/_load_tracker.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_load_tracker.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 REPORTED_LOAD_MAX_AGE_MS = 1_500.0  # about the length of an answer: older load has drained
+MAX_HOLD_MS = 60_000.0  # no sound endpoint asks for more
 FAILURE_DECAY = 0.9  # weight of the previous failure rate when an answer is recorded
 FAILURE_HALF_LIFE_MS = 4_000.0  # an endpoint that receives no requests recovers
 
@@ -19,6 +20,10 @@
         Requests of other daemons at the time of the last load report.
     failure_rate : float
         Moving average of the fraction of failed answers.
+    held_until_ms : float
+        Time until which the endpoint wants no requests from this daemon.
+    held_incarnation : int
+        Start time of the incarnation that said so.
     """
 
     own_in_flight: int = 0
@@ -26,6 +31,8 @@
     reported_ms: float = -1e12
     failure_rate: float = 0.0
     last_result_ms: float = 0.0
+    held_until_ms: float = 0.0
+    held_incarnation: int = 0
     streams: set = field(default_factory=set)
 
 
@@ -70,6 +77,25 @@
         entry.others_in_flight = max(0.0, running + waiting - entry.own_in_flight)
         entry.reported_ms = self.clock.now_ms()
 
+    def hold(self, endpoint, duration_ms):
+        """Send nothing to an endpoint for a time that it asked for when it refused a request."""
+        entry = self.entry(endpoint.id)
+        until_ms = self.clock.now_ms() + min(duration_ms, MAX_HOLD_MS)
+        same = entry.held_incarnation == endpoint.started_ms
+        entry.held_until_ms = max(entry.held_until_ms, until_ms) if same else until_ms
+        entry.held_incarnation = endpoint.started_ms
+
+    def held_for_ms(self, endpoint):
+        """Return how long an endpoint still wants no requests; 0.0 if it takes them."""
+        entry = self.entries.get(endpoint.id)
+        if entry is None or entry.held_incarnation != endpoint.started_ms:
+            return 0.0
+        return max(0.0, entry.held_until_ms - self.clock.now_ms())
+
+    def accepting(self, endpoints):
+        """Return the endpoints that take requests now."""
+        return [e for e in endpoints if not self.held_for_ms(e)]
+
     def record_result(self, endpoint_id, failed):
         """Update an endpoint's failure rate with one answer."""
         entry = self.entry(endpoint_id)
@@ -88,5 +114,6 @@
     def prune(self, known_ids):
         """Drop endpoints that no longer exist and have no requests in flight."""
         for endpoint_id in [i for i in self.entries if i not in known_ids]:
-            if not self.entries[endpoint_id].own_in_flight:
+            entry = self.entries[endpoint_id]
+            if not entry.own_in_flight and entry.held_until_ms <= self.clock.now_ms():
                 del self.entries[endpoint_id]
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -37,6 +37,7 @@
         self.silence_detector = silence_detector
         self.clock = clock
         self.source_ip = source_ip
+        self.on_leaving = lambda endpoint: None
 
     async def send_buffered(self, context, endpoint, timeout_ms=None):
         """Send a request and forward the answer once it is complete."""
@@ -59,7 +60,8 @@
         finally:
             connection.close()
         result = self._classify_response(context, endpoint, head)
-        failed = result is not AttemptResult.COMPLETE and result is not AttemptResult.NOT_RUN
+        sound = result in (AttemptResult.COMPLETE, AttemptResult.NOT_RUN)
+        failed = not sound and not self.load_tracker.held_for_ms(endpoint)
         self.load_tracker.record_result(endpoint.id, failed)
         if result is AttemptResult.FAILED:
             context.error_response = (head.status, self.wire.caller_headers(head), body)
@@ -135,6 +137,10 @@
         response = self.wire.read_response(head)
         if response.load is not None:
             self.load_tracker.record_load(endpoint.id, response.load)
+        if response.leaving:
+            self.on_leaving(endpoint)
+        if response.retry_after_ms:
+            self.load_tracker.hold(endpoint, response.retry_after_ms)
         if response.request_id not in (None, context.metadata.request_id):
             return AttemptResult.BROKEN
         if response.not_run:
--- a/libraries/gateway/src/corianderhaven/gateway/_wire.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_wire.py
@@ -60,6 +60,10 @@
         Whether the endpoint states that it did not execute the request.
     load : tuple of int or None
         Running requests, waiting requests and slots.
+    leaving : bool
+        Whether the endpoint says that it leaves.
+    retry_after_ms : float or None
+        How long the endpoint, which refused the request, wants no other from this daemon.
     """
 
     request_id: str | None
@@ -67,6 +71,8 @@
     misdirected: bool
     not_run: bool
     load: tuple | None = None
+    leaving: bool = False
+    retry_after_ms: float | None = None
 
 
 class WireFormat(ABC):
--- a/libraries/soak/src/corianderhaven/soak/_fault_injector.py
+++ b/libraries/soak/src/corianderhaven/soak/_fault_injector.py
@@ -14,6 +14,7 @@
 # Minimum share of the misbehaving workers that are plain ones; these would otherwise rarely be
 # selected among the many engines.
 MIN_PLAIN_WORKER_SHARE = 0.4
+RESTORE_S = 0.3  # for which a store that is restored is away
 LEAVING_S = 1.0  # a leaving worker keeps serving for this long
 MISBEHAVIOURS = [
     {"shed": True},
@@ -25,6 +26,11 @@
     {"unframed": True},
     {"fail": True},
     {"slow_ms": 150.0},
+    {"shed": True, "shed_for_s": 1.0},
+    {"trickle_after": 3},
+    {"endless": "head"},
+    {"endless": "body"},
+    {"endless": "event"},
 ]
 
 
@@ -124,6 +130,21 @@
     async def store_forgets(self, fault):
         self.site.store.compact()
 
+    async def store_restored(self, fault):
+        """Let the store come back from a copy, after a moment in which it is away.
+
+        The operator and the workers write again what the copy lacks.
+        """
+        store = self.site.store
+        copy = store.copy()
+        await asyncio.sleep(fault.duration_s)
+        store.faults.away = True
+        await asyncio.sleep(RESTORE_S)
+        store.restore(copy)
+        store.faults.away = False
+        await asyncio.sleep(RESTORE_S)
+        publish_version(self.site)
+
     async def store_link_reset(self, fault):
         self._select(self.daemons, fault).store_link.reset()
 
@@ -165,6 +186,18 @@
         if engine.listed:
             self.site.kill(engine.id)
 
+    async def worker_says_leaving(self, fault):
+        """Let an engine say in its answers that it leaves, while its entry doesn't say so."""
+        engines = [w for w in self.site.workers.values() if w.service == ENGINE_SERVICE]
+        engine = self._select([w for w in engines if w.listed and not w.leaving], fault)
+        if engine is None:
+            return
+        engine.faults = WorkerFaults(server_leaving=True)
+        await self.site.add_engine(engine.zone, f"{engine.zone}-{next(self.worker_numbers)}")
+        await asyncio.sleep(LEAVING_S)
+        if engine.listed:
+            self.site.kill(engine.id)
+
     def _select_worker_link(self, fault):
         live = sorted(w.id for w in self.site.workers.values() if w.listed)
         return self.worker_links[self._select(live, fault)]
--- a/libraries/soak/src/corianderhaven/soak/_faults.py
+++ b/libraries/soak/src/corianderhaven/soak/_faults.py
@@ -15,6 +15,7 @@
     "store_slow": 2,
     "store_lost_answers": 2,
     "store_forgets": 2,
+    "store_restored": 2,
     "store_link_reset": 2,
     "store_link_silent": 2,
     "store_link_cut": 3,
@@ -25,6 +26,7 @@
     "worker_link_delay": 2,
     "worker_misbehaves": 6,
     "worker_leaves": 3,
+    "worker_says_leaving": 2,
     "caller_links_reset": 2,
     "config_change": 5,
 }
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -97,6 +97,7 @@
     leaving: bool = False
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     active: int = 0
+    refused_count: int = 0
 
 
 class HostingSite:
@@ -293,13 +294,19 @@
         if engine is not None and not engine.alive:
             await asyncio.sleep(3600.0)
         if request.target == b"/api/report" and engine is not None:
-            await caller.send_response(200, [], msgspec.json.encode(self.engines.report(engine)))
+            body = msgspec.json.encode(self.engines.report(engine))
+            await caller.send_response(200, self._leaving_header(worker), body)
         elif request.target == b"/api/order" and engine is not None:
             status = self.engines.order(engine, msgspec.json.decode(request.body))
-            await caller.send_response(status, [], b"")
+            await caller.send_response(status, self._leaving_header(worker), b"")
         elif request.header("corianderhaven-expect-instance") not in (None, worker.id):
             await caller.send_response(
-                421, [(b"corianderhaven-instance-id", worker.id.encode())], b""
+                421,
+                [
+                    (b"corianderhaven-instance-id", worker.id.encode()),
+                    *self._leaving_header(worker),
+                ],
+                b"",
             )
         else:
             worker.active += 1
@@ -308,6 +315,10 @@
             finally:
                 worker.active -= 1
 
+    def _leaving_header(self, worker):
+        leaving = worker.leaving or worker.faults.server_leaving
+        return [(b"server-leaving", b"1")] if leaving else []
+
     def _response_headers(self, worker, request):
         request_id = request.header("corianderhaven-attempt-id") or ""
         if worker.faults.other_id:
@@ -318,12 +329,17 @@
             (b"corianderhaven-attempt-id", request_id.encode()),
             (b"corianderhaven-server-stamp", stamp.encode()),
             (b"corianderhaven-instance-load", load.encode()),
+            *self._leaving_header(worker),
         ]
 
     async def _run(self, worker, request, caller):
         faults, engine = worker.faults, worker.engine
         not_run_headers = [(b"corianderhaven-not-executed", b"1")]
+        not_run_headers += self._leaving_header(worker)
         if faults.shed:
+            worker.refused_count += 1
+            if faults.shed_for_s is not None:
+                not_run_headers.append((b"retry-after", str(faults.shed_for_s).encode()))
             await caller.send_response(503, not_run_headers, b"")
             return
         if engine is not None:
--- a/libraries/standins/src/corianderhaven/standins/_hosting_store.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_store.py
@@ -58,6 +58,25 @@
         self.next_lease = 70_000
         self.changed = asyncio.Event()
         self.faults = StoreFaults()
+        self.era = 1
+
+    def copy(self):
+        """Return a copy of the contents, for `restore`."""
+        return (
+            dict(self.items),
+            self.revision,
+            deque(self.history),
+            dict(self.leases),
+            self.next_lease,
+        )
+
+    def restore(self, copy):
+        """Replace the contents by an earlier copy, as after a loss of the store."""
+        items, self.revision, history, leases, self.next_lease = copy
+        self.items, self.history, self.leases = dict(items), deque(history), dict(leases)
+        self.compacted_revision = min(self.compacted_revision, self.revision)
+        self.era += 1
+        self.changed.set()
 
     def put(self, key, value, lease=0):
         """Write an item and return its revision."""
@@ -126,8 +145,8 @@
         return 200, self.revision
 
     def events_since(self, prefix, after):
-        """Return the changes under `prefix` since `after`, or None if they were discarded."""
-        if after < self.compacted_revision:
+        """Return the changes under `prefix` since `after`, or None if they are not known."""
+        if after < self.compacted_revision or after > self.revision:
             return None
         return [e for e in self.history if e["revision"] > after and e["key"].startswith(prefix)]
 
--- a/libraries/standins/src/corianderhaven/standins/_hosting_store_api.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_store_api.py
@@ -27,15 +27,18 @@
         if faults.answer_ms:
             await asyncio.sleep(faults.answer_ms / MS_PER_S)
         if faults.away or peer in faults.away_for:
-            await caller.send_response(503, [], b"")
+            await caller.send_response(503, self._era_header(), b"")
             return
         status, body = await self._dispatch(request)
         if faults.lose_answers and request.method != b"GET":
             caller.abort_response()
             return
-        content = [(b"content-type", b"application/json")]
+        content = [(b"content-type", b"application/json"), *self._era_header()]
         await caller.send_response(status, content, msgspec.json.encode(body))
 
+    def _era_header(self):
+        return [(b"store-era", b"%d" % self.store.era)]
+
     async def _dispatch(self, request):
         url = urlsplit(request.target.decode())
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
