Keep connections to workers for requests that may be repeated

Ruled out: keeping them for single sends: a worker may forget a resting connection without notice, and a request that must not run twice can't be sent again. Change: ConnectionPool. A connection is kept when its answer was read whole, nothing follows it, nothing of the request is unsent and the worker doesn't leave; it serves the same incarnation only, for at most the declared Keep-Alive less 0.5 s and a learned rest. A request that gets no answer on it is sent again on a new one within the retry budget; an answer that bears another request's id counts as none.

--- a/libraries/gateway/src/corianderhaven/gateway/__init__.py
+++ b/libraries/gateway/src/corianderhaven/gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from ._admission import AdmissionQueue, QueuedRequest, Refusal, queue_order
 from ._choice import choose_endpoint
+from ._connection_pool import ConnectionPool, declared_idle_ms
 from ._event_stream import EventSplitter
 from ._gateway import Gateway
 from ._latency_estimator import LatencyEstimator
@@ -13,6 +14,8 @@
 from ._wire import AttemptMetadata, RequestMetadata, ResponseMetadata, WireFormat
 
 __all__ = [
+    "ConnectionPool",
+    "declared_idle_ms",
     "ActiveStream",
     "AdmissionQueue",
     "AttemptMetadata",
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -57,7 +57,11 @@
         )
         self.retry_budget = RetryBudget(clock, settings, peers.fleet_size)
         self.silence_detector = SilenceDetector(clock, peers)
-        self.sender = Sender(wire, self.load_tracker, self.silence_detector, clock, settings.ip)
+        self.sender = Sender(
+            wire, self.load_tracker, self.silence_detector, clock, decisions, settings.ip
+        )
+        self.sender.may_retry = lambda service: self.retry_budget.remaining(service) >= 1.0
+        self.sender.spend_retry = lambda service: self.retry_budget.try_spend(service)
         self.route_table = None
         self.on_suspicion = lambda head_id, reason: None
         self.on_request = lambda: None
@@ -82,6 +86,7 @@
         """Stop the periodic tasks."""
         for task in self.tasks:
             task.cancel()
+        self.sender.pool.close()
 
     async def handle(self, request, caller):
         """Handle one request and answer its caller."""
@@ -350,6 +355,7 @@
             known_ids = {endpoint.id for endpoint in self.directory.endpoints()}
             self.load_tracker.prune(known_ids)
             self.replica_view.prune(known_ids)
+            self.sender.pool.prune()
 
     async def _check_silence(self):
         while True:
--- a/libraries/gateway/src/corianderhaven/gateway/_metrics.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_metrics.py
@@ -23,3 +23,8 @@
 IN_FLIGHT = Gauge(PREFIX + "in_flight", "Requests being answered")
 SERVING_REPLICAS = Gauge(PREFIX + "serving_replicas", "Whole open replicas", ["model"])
 STRANDED_VMS = Gauge(PREFIX + "stranded_vms", "Live engine VMs that serve nothing", ["service"])
+CONNECTIONS = Counter(
+    "corianderhaven_gateway_connections_total",
+    "Requests sent to endpoints by the kind of connection.",
+    ["service", "connection"],
+)
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -4,21 +4,61 @@
 
 from corianderhaven.common import MS_PER_S, ClientConnection, ConnectionLostError
 
+from . import _metrics
+from ._connection_pool import ConnectionPool
 from ._event_stream import EventTooLargeError
 from ._request_context import AttemptResult
-from ._silence_detector import ActiveStream
+from ._silence_detector import FIRST_EVENT_FACTOR, FIRST_EVENT_SLACK_MS, ActiveStream
 from ._wire import AttemptMetadata
 
 # Twenty times the latency within a region. TCP resends a lost first packet only after a second,
 # but the first event of another endpoint must still arrive in time.
 CONNECT_TIMEOUT_MS = 60.0
 DEADLINE_SLACK_MS = 10.0  # the endpoint stops before this daemon does
+KEPT_HEAD_TIMEOUT_MS = 400.0  # several times the time of a plain service's answer
 RESUMED_PRIORITY = 0
 ON_TIME_PRIORITY = 2
 LATE_PRIORITY = 6
 MAX_PRIORITY = 9
 
 
+class Attempt:
+    """One attempt of a request at an endpoint, and the connection that it uses.
+
+    Parameters
+    ----------
+    context : RequestContext
+    endpoint : Endpoint
+    priority : int or None
+        Priority at the endpoint.
+    head_timeout_ms : float
+        Time after which a kept connection that brought no answer counts as dropped.
+    """
+
+    def __init__(self, context, endpoint, priority=None, head_timeout_ms=KEPT_HEAD_TIMEOUT_MS):
+        self.context = context
+        self.endpoint = endpoint
+        self.priority = priority
+        self.head_timeout_ms = head_timeout_ms
+        self.connection = None
+        self.stream = None
+
+    @property
+    def interrupted(self):
+        """Whether the silence detector closed the connection."""
+        return self.stream is not None and (self.stream.silent or self.stream.stalled)
+
+    def release(self):
+        """Return the connection, which then stays open."""
+        connection, self.connection = self.connection, None
+        return connection
+
+    def close(self):
+        """Close the connection."""
+        if self.connection is not None:
+            self.connection.close()
+
+
 class Sender:
     """Sends requests to endpoints and forwards their answers.
 
@@ -28,11 +68,25 @@
     load_tracker : LoadTracker
     silence_detector : SilenceDetector
     clock : Clock
+    decisions : DecisionLog
     source_ip : str or None
+
+    Attributes
+    ----------
+    may_retry : callable
+        Returns whether a request of a service may be sent once more now.
+    spend_retry : callable
+        Counts such a repetition; returns False when it is not allowed any more.
+    on_leaving : callable
+        Called with an `Endpoint` that says in an answer that it leaves.
     """
 
-    def __init__(self, wire, load_tracker, silence_detector, clock, source_ip=None):
+    def __init__(self, wire, load_tracker, silence_detector, clock, decisions, source_ip=None):
         self.wire = wire
+        self.decisions = decisions
+        self.pool = ConnectionPool(clock)
+        self.may_retry = lambda service: True
+        self.spend_retry = lambda service: True
         self.load_tracker = load_tracker
         self.silence_detector = silence_detector
         self.clock = clock
@@ -41,14 +95,14 @@
 
     async def send_buffered(self, context, endpoint, timeout_ms=None):
         """Send a request and forward the answer once it is complete."""
-        connection = await self._open(context, endpoint)
-        if connection is None:
-            return AttemptResult.NOT_SENT
+        attempt = Attempt(context, endpoint)
         try:
             async with asyncio.timeout(timeout_ms / MS_PER_S if timeout_ms else None):
-                await self._send(context, endpoint, connection)
-                head = await connection.read_head()
-                body = await connection.read_body()
+                head = await self._request_head(attempt)
+                if head is None:
+                    return AttemptResult.NOT_SENT
+                body = await attempt.connection.read_body()
+            self.pool.give_back(endpoint, attempt.release(), head)
         except TimeoutError:
             if self.clock.now_ms() >= context.deadline_ms:
                 raise
@@ -58,7 +112,7 @@
             self.load_tracker.record_result(endpoint.id, True)
             return AttemptResult.BROKEN
         finally:
-            connection.close()
+            attempt.close()
         result = self._classify_response(context, endpoint, head)
         sound = result in (AttemptResult.COMPLETE, AttemptResult.NOT_RUN)
         failed = not sound and not self.load_tracker.held_for_ms(endpoint)
@@ -72,45 +126,109 @@
 
     async def send_streaming(self, context, endpoint, estimator, late):
         """Send a request and forward the events of its answer as they arrive."""
-        connection = await self._open(context, endpoint)
-        if connection is None:
-            return AttemptResult.NOT_SENT
         running = self.load_tracker.occupancy(endpoint.id)
         predicted_ms = estimator.first_event_ms(context.metadata.prompt_tokens, running)
-        stream = ActiveStream(
+        first_event_ms = estimator.queue_wait_ms(running) + predicted_ms
+        attempt = Attempt(
+            context,
+            endpoint,
+            self._priority(context, late),
+            FIRST_EVENT_FACTOR * first_event_ms + FIRST_EVENT_SLACK_MS,
+        )
+        stream = attempt.stream = ActiveStream(
             endpoint.id,
             self.clock.now_ms(),
-            estimator.queue_wait_ms(running) + predicted_ms,
+            first_event_ms,
             estimator.max_event_interval_ms(running),
             context.can_fail_over(),
-            connection.close,
+            attempt.close,
         )
         self.silence_detector.add(stream)
         try:
-            await self._send(context, endpoint, connection, self._priority(context, late))
-            head = await connection.read_head()
+            head = await self._request_head(attempt)
+            if head is None:
+                return AttemptResult.NOT_SENT
             result = self._classify_response(context, endpoint, head)
             if result is AttemptResult.FAILED:
-                body = await connection.read_body()
+                body = await attempt.connection.read_body()
                 context.error_response = (head.status, self.wire.caller_headers(head), body)
             if result is not AttemptResult.COMPLETE:
                 return result
             if running < estimator.engine.slots:
                 estimator.record_first_event(predicted_ms, self.clock.now_ms() - stream.sent_ms)
-            return await self._forward_events(context, head, connection, stream)
+            result = await self._forward_events(context, head, attempt.connection, stream)
+            if result is AttemptResult.COMPLETE:
+                self.pool.give_back(endpoint, attempt.release(), head)
+            return result
         except (ConnectionLostError, EventTooLargeError):
             return AttemptResult.SILENT if stream.silent else AttemptResult.BROKEN
         finally:
             self.silence_detector.remove(stream)
-            connection.close()
+            attempt.close()
+
+    async def _request_head(self, attempt):
+        """Send the request and return the head of its answer; None if no connection was made.
 
-    async def _open(self, context, endpoint):
+        A kept connection may have been dropped, which only shows when a request on it gets no
+        answer. Such a request is sent again on a new connection if it may run more than once.
+        """
+        context, endpoint = attempt.context, attempt.endpoint
         context.attempts += 1
+        kept = self.pool.take(endpoint) if self._may_use_kept_connection(context) else None
+        if kept is not None:
+            head = await self._request_on_kept(attempt, kept)
+            if head is not None:
+                return head
         try:
-            return await ClientConnection.open(endpoint.address, CONNECT_TIMEOUT_MS, self.source_ip)
+            attempt.connection = await ClientConnection.open(
+                endpoint.address, CONNECT_TIMEOUT_MS, self.source_ip
+            )
         except ConnectionLostError:
             self.load_tracker.record_result(endpoint.id, True)
+            if kept is not None:
+                raise
             return None
+        _metrics.CONNECTIONS.labels(endpoint.service, "new").inc()
+        await self._send(attempt)
+        return await attempt.connection.read_head()
+
+    def _may_use_kept_connection(self, context):
+        """Return whether the request can be sent again if the kept connection was dropped."""
+        return context.can_fail_over() and self.may_retry(context.service.name)
+
+    async def _request_on_kept(self, attempt, kept):
+        """Return the head of the answer on a kept connection, or None to use a new one."""
+        endpoint = attempt.endpoint
+        attempt.connection = kept.connection
+        try:
+            async with asyncio.timeout(attempt.head_timeout_ms / MS_PER_S):
+                await self._send(attempt)
+                head = await kept.connection.read_head()
+            # A late copy of an earlier answer bears the id of another request.
+            if self.wire.read_response(head).request_id == attempt.context.metadata.request_id:
+                self.pool.record_good(endpoint, kept)
+                _metrics.CONNECTIONS.labels(endpoint.service, "kept").inc()
+                return head
+            reason = "answer of another request"
+        except TimeoutError:
+            reason = "no answer"
+        except ConnectionLostError as error:
+            if attempt.interrupted:
+                raise
+            reason = str(error)
+        attempt.close()
+        rest_ms = round(self.clock.now_ms() - kept.since_ms)
+        self.pool.record_dropped(endpoint, kept)
+        self.decisions.record(
+            "kept_connection_lost",
+            request=attempt.context.metadata.request_id,
+            endpoint=endpoint.id,
+            since_use_ms=rest_ms,
+            reason=reason,
+        )
+        if not self.spend_retry(attempt.context.service.name):
+            raise ConnectionLostError(reason)
+        return None
 
     def _priority(self, context, late):
         if context.head_forwarded:
@@ -118,19 +236,20 @@
         base = LATE_PRIORITY if late else ON_TIME_PRIORITY
         return min(MAX_PRIORITY, base + context.priority)
 
-    async def _send(self, context, endpoint, connection, priority=None):
+    async def _send(self, attempt):
+        context, endpoint = attempt.context, attempt.endpoint
         remaining_ms = context.deadline_ms - self.clock.now_ms() - DEADLINE_SLACK_MS
         metadata = AttemptMetadata(
             endpoint.id,
             context.account.name if context.account else None,
             max(1.0, remaining_ms),
-            priority,
+            attempt.priority,
             context.splitter.last_event_id,
         )
         headers = self.wire.endpoint_headers(context.request, metadata)
         context.possible_executions += 1
         request = context.request
-        await connection.send(request.method, request.target, headers, request.body)
+        await attempt.connection.send(request.method, request.target, headers, request.body)
 
     def _classify_response(self, context, endpoint, head):
         """Return the result that a response's status and headers indicate."""
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -53,6 +53,10 @@
         Say in all answers that the worker leaves, while its entry doesn't.
     shed_for_s : float or None
         With `shed`, the seconds for which the worker wants no further requests.
+    drop_idle : bool
+        Reset a connection when a second request comes on it, without running it.
+    late_copy_ms : float or None
+        Send a second copy of a plain answer after this time.
     """
 
     shed: bool = False
@@ -68,6 +72,8 @@
     endless: str = ""
     server_leaving: bool = False
     shed_for_s: float | None = None
+    drop_idle: bool = False
+    late_copy_ms: float | None = None
 
 
 @dataclass
@@ -80,6 +86,7 @@
     headers: dict
     body: bytes
     after: str | None = None
+    connection: int = 0
 
 
 @dataclass
@@ -98,6 +105,7 @@
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     active: int = 0
     refused_count: int = 0
+    used_connections: set = field(default_factory=set)
 
 
 class HostingSite:
@@ -299,6 +307,8 @@
         elif request.target == b"/api/order" and engine is not None:
             status = self.engines.order(engine, msgspec.json.decode(request.body))
             await caller.send_response(status, self._leaving_header(worker), b"")
+        elif worker.faults.drop_idle and caller in worker.used_connections:
+            caller.close()
         elif request.header("corianderhaven-expect-instance") not in (None, worker.id):
             await caller.send_response(
                 421,
@@ -310,6 +320,7 @@
             )
         else:
             worker.active += 1
+            worker.used_connections.add(caller)
             try:
                 await self._run(worker, request, caller)
             finally:
@@ -351,7 +362,7 @@
                     await caller.send_response(503, not_run_headers, b"")
                     return
                 await asyncio.sleep(STATE_POLL_MS / MS_PER_S)
-        self._record_run(worker, request)
+        self._record_run(worker, request, caller)
         await asyncio.sleep((self.token_ms + faults.slow_ms) / MS_PER_S)
         if faults.lose_answer:
             caller.close()
@@ -378,7 +389,7 @@
             await caller.write(ENDLESS_BLOCK)
             await asyncio.sleep(0)
 
-    def _record_run(self, worker, request):
+    def _record_run(self, worker, request, caller):
         headers = {k.decode(): v.decode("latin-1") for k, v in request.headers}
         self.runs.append(
             RequestRun(
@@ -388,6 +399,7 @@
                 headers,
                 request.body,
                 headers.get("last-event-id"),
+                id(caller),
             )
         )
 
@@ -400,6 +412,12 @@
             caller.abort_response()
             return
         await caller.send_response(200, headers, body)
+        if worker.faults.late_copy_ms is not None:
+            lines = [b"HTTP/1.1 200 OK"] + [k + b": " + v for k, v in headers]
+            lines += [b"content-length: %d" % len(body), b"", body]
+            asyncio.get_running_loop().call_later(
+                worker.faults.late_copy_ms / MS_PER_S, caller.transport.write, b"\r\n".join(lines)
+            )
         if worker.faults.extra:
             await caller.write(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra")
 
