Two daemons of a zone follow the store, the others get what changed from them

Ruled out: paged serializable reads at a fixed pace by all: 16 pages each. Change: the first two daemons of a zone by name, and the keeper, follow the store; the others get changes since a position, or everything, with the exchange of digests, from the one of the two that answers. A daemon without a fresh feed for 1.5 to 2.25 s (0.5 s if it stands in as hub) follows itself, and stops when one before it by name does. Only followers campaign; a daemon that doesn't follow reports the store as out of reach, as it could not win the lease. Counters of an entry are no change.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import math
+import random
 import signal
 
 import msgspec
@@ -21,6 +22,8 @@
     STATE_PATH,
     ActiveConfig,
     EndpointDirectory,
+    FeedReader,
+    FeedWriter,
     KeeperLease,
     PeerExchange,
     PeerState,
@@ -47,6 +50,9 @@
 IDLE_TIMEOUT_FACTOR = 1.2  # callers may reuse a connection for most of the idle timeout
 DRAIN_POLL_MS = 20.0
 LEAVING_ANNOUNCE_MS = 3_000.0  # several exchanges between any two daemons
+SETTLED_MS = 700.0  # all daemons that start together have registered by then
+HUB_FOLLOW_AFTER_MS = 500.0  # several exchanges with the hubs that are missing
+FOLLOW_AFTER_MS = 1_500.0  # a hub has been replaced by the next one twice by then
 JOIN_TIMEOUT_MS = 1_500.0  # peers that the store lists may all be gone
 OPENED_ANNOUNCE_MS = 3_000.0  # by then every daemon has read the head's own entry
 RELOADABLE_SETTINGS = ("grace_ms", "stall_ms", "retry_ratio", "retry_slack", "retry_window_ms")
@@ -196,6 +202,21 @@
             return True
         return self.clock.now_ms() - self.started_ms > JOIN_TIMEOUT_MS
 
+    def _should_follow(self):
+        """Return whether this daemon reads the store itself: as keeper, hub, or left alone."""
+        if self.lease.tenure is not None:
+            return True
+        if self.peers.is_first_hub():
+            # While all daemons start at once, each finds itself the first of its zone.
+            settled = self.clock.now_ms() - self.started_ms >= SETTLED_MS
+            return settled or (bool(self.watcher.own_items) and not self.settings.first_start)
+        limit_ms = HUB_FOLLOW_AFTER_MS if self.peers.is_hub() else self.follow_after_ms
+        return self.feed_reader.stale_for_ms() > limit_ms
+
+    def _needs_peers(self):
+        """Return whether the store is asked for the daemons, as no follower tells of them."""
+        return self.feed_reader.follower is None or not self.directory.synced
+
     def _create_components(self):
         settings = self.settings
         platform_format = HostingFormat()
@@ -235,7 +256,18 @@
         )
         self.peers = PeerTable(settings.name, self.clock, settings.zone)
         self.peers.make_digest = self._make_digest
-        self.watcher.daemon_count = self.peers.fleet_size
+        self.watcher.daemon_count = self.peers.hub_count
+        self.watcher.should_follow = self._should_follow
+        self.watcher.needs_peers = self._needs_peers
+        self.watcher.may_retry_soon = self.peers.is_hub
+        self.feed_writer = FeedWriter(self.directory, self.watcher, self.clock)
+        self.feed_reader = FeedReader(
+            self.directory, self.watcher, settings.name, self.clock, self.decisions
+        )
+        self.peers.make_feed_request = self.feed_reader.request
+        self.peers.answer_feed = self.feed_writer.answer
+        self.peers.on_feed = self.feed_reader.apply
+        self.follow_after_ms = FOLLOW_AFTER_MS * random.uniform(1.0, 1.5)
         self.watcher.use_min_interval = lambda: self.lease.tenure is not None
         self.gateway = Gateway(
             settings,
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_kept_connections.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_kept_connections.py
@@ -6,11 +6,13 @@
 import pytest
 
 from corianderhaven.daemon.tests.hosted_site import (
+    heads,
     hosted_site,
     send_draft,
     send_request,
     workers,
 )
+from corianderhaven.standins import HostedModel
 
 
 def run_scenario(scenario, **fields):
@@ -93,3 +95,21 @@
         assert answer.event_ids == list(range(1, site.events + 1))
 
     run_scenario(scenario)
+
+
+def test_stream_on_a_kept_connection_leaves_a_head_that_lost_its_member():
+    """A request that gets no answer on a kept connection goes to another head, not the same."""
+
+    async def scenario(site, daemon):
+        for _ in range(8):
+            assert (await send_draft(daemon, "large")).complete
+        serving = heads(site, "large")
+        assert len(serving) >= 2
+        site.kill(serving[0].engine.group.members[1])
+        for _ in range(6):
+            answer = await send_draft(daemon, "large")
+            assert (answer.status, answer.complete) == (200, True)
+            assert answer.event_ids == list(range(1, site.events + 1))
+
+    models = [HostedModel("large", 2, 400.0, 100.0, share=1.0)]
+    run_scenario(scenario, site_fields={"models": models, "token_ms": 30.0})
--- a/libraries/fleet/src/corianderhaven/fleet/__init__.py
+++ b/libraries/fleet/src/corianderhaven/fleet/__init__.py
@@ -3,6 +3,7 @@
 from ._active_config import ActiveConfig
 from ._digests import DIGEST_PATH, Digest, HeadDigest, PeerMessage, ZoneSummary
 from ._directory import EndpointDirectory
+from ._feed import Feed, FeedReader, FeedRequest, FeedWriter
 from ._formation import Dissolve, Form, FormationPlanner, Stage, Standby, Vm, find_failed
 from ._interfaces import (
     EngineOrders,
@@ -51,6 +52,10 @@
     "EngineOrders",
     "EngineReport",
     "EngineSpec",
+    "Feed",
+    "FeedReader",
+    "FeedRequest",
+    "FeedWriter",
     "FleetConfig",
     "Form",
     "FormationPlanner",
--- a/libraries/fleet/src/corianderhaven/fleet/_digests.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_digests.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from ._feed import Feed, FeedRequest
+
 DIGEST_PATH = "/peer/digest"
 
 
@@ -99,11 +101,21 @@
     )
 
 
-class PeerMessage(msgspec.Struct):
-    """Request or response of an exchange between two daemons."""
+class PeerMessage(msgspec.Struct, omit_defaults=True):
+    """Request or response of an exchange between two daemons.
+
+    Parameters
+    ----------
+    feed_request : FeedRequest or None
+        Asks the receiver for changes in the store.
+    feed : Feed or None
+        Answer to such a request.
+    """
 
     digest: Digest
     zones: list[ZoneSummary] = []
+    feed_request: FeedRequest | None = None
+    feed: Feed | None = None
 
 
 def merge_heads(total, heads, age_ms=0.0):
--- a/libraries/fleet/src/corianderhaven/fleet/_directory.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_directory.py
@@ -67,6 +67,13 @@
     ----------
     clock : Clock
     decisions : DecisionLog
+
+    Attributes
+    ----------
+    version : int
+        Rises when anything changes that routing or the keeper uses.
+    on_change : callable
+        Called with the id of an endpoint that changed, came or went.
     """
 
     def __init__(self, clock, decisions: DecisionLog):
@@ -78,6 +85,7 @@
         self.synced = False
         self.store_recovered_ms = None
         self.departed = {}
+        self.on_change = lambda endpoint_id: None
 
     def endpoints(self, service=None):
         """Return the endpoints that have not expired, of one service or of all."""
@@ -111,14 +119,25 @@
         for key in [key for key in self.records if key not in present]:
             self.remove(key)
         self.synced = True
-        self._mark_changed()
+
+    def apply_peer_entry(self, endpoint, revision):
+        """Apply what a daemon that follows the store knows of an endpoint."""
+        self._replace_if_newer(endpoint.id, endpoint, revision)
+
+    def drop(self, key):
+        """Remove an endpoint that a daemon that follows the store has removed."""
+        record = self.records.pop(key, None)
+        if record is not None:
+            self._note_departed(record.endpoint, record.endpoint.leaving)
+            self.decisions.record("endpoint_gone", endpoint=key, source="peer")
+            self._mark_changed(key)
 
     def update(self, key, endpoint, revision):
         """Apply one entry; `endpoint` is None if the entry names no usable endpoint."""
         if endpoint is None:
             if self.records.pop(key, None) is not None:
                 self.decisions.record("endpoint_unreadable", endpoint=key, revision=revision)
-                self._mark_changed()
+                self._mark_changed(key)
             return
         known = self.records.get(key)
         if known is not None and revision <= known.revision:
@@ -143,7 +162,7 @@
         self.records[key] = EndpointRecord(endpoint, self.clock.now_ms(), revision)
         if known is None or known.endpoint != endpoint:
             self._log_change(known, endpoint, revision)
-            self._mark_changed()
+            self._mark_changed(key)
 
     def update_from_report(self, endpoint_id, report):
         """Apply the state that an engine returned when queried."""
@@ -184,7 +203,7 @@
         record.endpoint = replace(record.endpoint, leaving=True)
         self._note_departed(record.endpoint, True)
         self.decisions.record("endpoint_leaving", endpoint=endpoint_id, source=source)
-        self._mark_changed()
+        self._mark_changed(endpoint_id)
 
     def recently_leaving(self, within_ms):
         """Return the start times of endpoints that said within `within_ms` that they leave."""
@@ -256,7 +275,7 @@
         self.decisions.record(
             "endpoint_gone", endpoint=key, last_told_ms=round(now - record.updated_ms)
         )
-        self._mark_changed()
+        self._mark_changed(key)
 
     def remove_expired(self):
         """Remove the records that were not written again in time after a store outage."""
@@ -270,8 +289,7 @@
             endpoint = self.records.pop(key).endpoint
             self._note_departed(endpoint, endpoint.leaving)
             self.decisions.record("endpoint_lapsed", endpoint=key)
-        if expired:
-            self._mark_changed()
+            self._mark_changed(key)
 
     def _log_change(self, known, endpoint, revision):
         old = known.endpoint if known else None
@@ -290,8 +308,9 @@
             rank=member.rank if member else None,
         )
 
-    def _mark_changed(self):
+    def _mark_changed(self, key):
         self.version += 1
+        self.on_change(key)
         self.changed.set()
 
 
--- /dev/null
+++ b/libraries/fleet/src/corianderhaven/fleet/_feed.py
@@ -0,0 +1,274 @@
+"""Contents of the store, passed on by the daemons that follow it to the others of their zone.
+
+Answers the load of a large fleet: each endpoint writes its entry every second or so, and if every
+daemon read every entry, reading would cost it more than its requests. The followers of a zone are
+its hubs; the others get only what changed, with the exchange of digests.
+"""
+
+import itertools
+from collections import deque
+
+import msgspec
+
+from corianderhaven.common import new_id
+
+from ._interfaces import StoreItem
+from ._types import Endpoint, Membership, ReplicaState
+
+LOG_LENGTH = 4_000  # changes of many seconds; a reader that missed more gets everything
+MAX_FEED_AGE_MS = 1_500.0  # of the follower's last answer from the store
+SWITCH_MS = 700.0  # three exchanges; then the reader asks its other follower
+
+
+class FeedRequest(msgspec.Struct, array_like=True):
+    """Position up to which a reader has the feed of one follower.
+
+    Parameters
+    ----------
+    contents : bool
+        Whether changes are wanted, or only the age of the follower's knowledge.
+    """
+
+    source: str = ""
+    position: int = -1
+    contents: bool = True
+
+
+class EndpointRow(msgspec.Struct, array_like=True):
+    """Endpoint with the position of its entry in the store's history."""
+
+    era: int
+    revision: int
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool
+    entry_number: int
+    started_ms: int
+    domain: str
+    models: tuple[str, ...]
+    staged: tuple[str, ...]
+    membership: tuple[str, int, int, str] | None
+    warmup_remaining_ms: float
+
+
+class Feed(msgspec.Struct):
+    """Changes since the position of a request, or everything.
+
+    Parameters
+    ----------
+    source : str
+        Life of the follower; positions of another one mean nothing.
+    age_ms : float
+        Time since the follower's last answer from the store; negative if it reaches none.
+    full : bool
+        Whether everything is included, so that what is not is gone.
+    removed : list of str
+        Endpoints that are gone.
+    items : dict of str to (int, bytes)
+        Items that the daemons keep in the store, by key, with their revisions; empty if removed.
+    """
+
+    source: str
+    position: int
+    age_ms: float
+    full: bool = False
+    endpoints: list[EndpointRow] = []
+    removed: list[str] = []
+    items: dict[str, tuple[int, bytes]] = {}
+
+
+class FeedWriter:
+    """Change log of a follower's directory and of the daemons' own items.
+
+    Parameters
+    ----------
+    directory : EndpointDirectory
+    watcher : StoreWatcher
+    clock : Clock
+    """
+
+    def __init__(self, directory, watcher, clock):
+        self.directory = directory
+        self.watcher = watcher
+        self.clock = clock
+        self.source = new_id("feed")
+        self.position = 0
+        self.changes = deque(maxlen=LOG_LENGTH)
+        directory.on_change = self.record_endpoint
+        watcher.on_own_change = self.record_item
+
+    def record_endpoint(self, endpoint_id):
+        """Record a change of an endpoint."""
+        self._record((endpoint_id, True))
+
+    def record_item(self, key):
+        """Record a change of an item that the daemons keep."""
+        self._record((key, False))
+
+    def _record(self, change):
+        self.position += 1
+        self.changes.append((self.position, change))
+
+    def answer(self, request):
+        """Return the `Feed` for a request; None while this daemon doesn't follow the store."""
+        if not self.watcher.following or not self.directory.synced:
+            return None
+        feed = Feed(self.source, self.position, round(self.watcher.success_age_ms()))
+        if not request.contents:
+            return feed
+        oldest = self.changes[0][0] if self.changes else self.position + 1
+        if request.source != self.source or not oldest - 1 <= request.position <= self.position:
+            feed.full = True
+            feed.endpoints = [_row(record) for record in self.directory.records.values()]
+            feed.items = {k: (i.revision, i.value) for k, i in self.watcher.own_items.items()}
+            return feed
+        recent = itertools.takewhile(lambda c: c[0] > request.position, reversed(self.changes))
+        for name, is_endpoint in {change for _, change in recent}:
+            self._add_change(feed, name, is_endpoint)
+        return feed
+
+    def _add_change(self, feed, name, is_endpoint):
+        if not is_endpoint:
+            item = self.watcher.own_items.get(name)
+            feed.items[name] = (item.revision, item.value) if item is not None else (0, b"")
+        elif name in self.directory.records:
+            feed.endpoints.append(_row(self.directory.records[name]))
+        else:
+            feed.removed.append(name)
+
+
+class FeedReader:
+    """Takes the feed of one of the followers of the zone.
+
+    Parameters
+    ----------
+    directory : EndpointDirectory
+    watcher : StoreWatcher
+    own_name : str
+    clock : Clock
+    decisions : DecisionLog
+    """
+
+    def __init__(self, directory, watcher, own_name, clock, decisions):
+        self.own_name = own_name
+        self.directory = directory
+        self.watcher = watcher
+        self.clock = clock
+        self.decisions = decisions
+        self.follower = None
+        self.source = ""
+        self.position = -1
+        self.received_ms = clock.now_ms()
+        self.fresh_ms = clock.now_ms()
+
+    def request(self, peer_name):
+        """Return the `FeedRequest` for a follower, or None if another one is asked.
+
+        A daemon that follows the store itself asks those before it by name whether they do, so
+        that of several that have begun to follow the first one goes on.
+        """
+        if self.watcher.following:
+            self.follower = None
+            return FeedRequest(contents=False) if peer_name < self.own_name else None
+        now = self.clock.now_ms()
+        if self.follower is None or now - self.received_ms > SWITCH_MS:
+            self._switch(peer_name)
+        if peer_name != self.follower:
+            return None
+        return FeedRequest(self.source, self.position)
+
+    def _switch(self, peer_name):
+        if peer_name != self.follower:
+            self.decisions.record("feed_follower", peer=peer_name, previous=self.follower)
+        self.follower, self.received_ms = peer_name, self.clock.now_ms()
+        self.source, self.position = "", -1
+
+    def stale_for_ms(self):
+        """Return the time since this daemon had the contents of the store from a follower."""
+        return self.clock.now_ms() - self.fresh_ms
+
+    def apply(self, feed, peer_name):
+        """Apply a feed; one that doesn't continue from this reader's position is ignored."""
+        now = self.clock.now_ms()
+        is_fresh = 0.0 <= feed.age_ms <= MAX_FEED_AGE_MS
+        if self.watcher.following:
+            self.fresh_ms = now if is_fresh else self.fresh_ms
+            return
+        if peer_name != self.follower:
+            return
+        if not feed.full and feed.source != self.source:
+            return
+        self.received_ms = now
+        if is_fresh:
+            self.fresh_ms = now
+        self.source, self.position = feed.source, feed.position
+        self._apply_endpoints(feed)
+        self._apply_items(feed)
+
+    def _apply_endpoints(self, feed):
+        removed = feed.removed
+        if feed.full:
+            listed = {row.id for row in feed.endpoints}
+            removed = [i for i in self.directory.records if i not in listed]
+        for row in feed.endpoints:
+            self.directory.apply_peer_entry(_endpoint(row), (row.era, row.revision))
+        for endpoint_id in removed:
+            self.directory.drop(endpoint_id)
+        self.directory.synced = True
+
+    def _apply_items(self, feed):
+        items = {} if feed.full else dict(self.watcher.own_items)
+        for key, (revision, value) in feed.items.items():
+            if revision:
+                items[key] = StoreItem(key, value, revision)
+            else:
+                items.pop(key, None)
+        if feed.full or feed.items:
+            self.watcher.set_own_items(items)
+
+
+def _row(record):
+    endpoint, member = record.endpoint, record.endpoint.membership
+    era, revision = record.revision
+    return EndpointRow(
+        era,
+        revision,
+        endpoint.id,
+        endpoint.service,
+        endpoint.address,
+        endpoint.zone,
+        endpoint.slots,
+        endpoint.leaving,
+        endpoint.entry_number,
+        endpoint.started_ms,
+        endpoint.domain,
+        endpoint.models,
+        endpoint.staged,
+        (member.replica, member.generation, member.rank, str(member.state)) if member else None,
+        endpoint.warmup_remaining_ms,
+    )
+
+
+def _endpoint(row):
+    membership = None
+    if row.membership is not None:
+        replica, generation, rank, state = row.membership
+        membership = Membership(replica, generation, rank, ReplicaState(state))
+    return Endpoint(
+        id=row.id,
+        service=row.service,
+        address=row.address,
+        zone=row.zone,
+        slots=row.slots,
+        leaving=row.leaving,
+        entry_number=row.entry_number,
+        started_ms=row.started_ms,
+        domain=row.domain,
+        models=row.models,
+        staged=row.staged,
+        membership=membership,
+        warmup_remaining_ms=row.warmup_remaining_ms,
+    )
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
@@ -143,7 +143,9 @@
         self.valid_until_ms = sent_ms + LEASE_MS
 
     async def _campaign(self):
-        if not self.watcher.store_reachable or self.key in self.watcher.own_items:
+        absent = self.key not in self.watcher.own_items
+        # Only daemons that follow the store know whether there is a keeper.
+        if not (self.watcher.following and self.watcher.store_reachable and absent):
             self.watcher.own_changed.clear()
             try:
                 async with asyncio.timeout(RENEWAL_INTERVAL_MS / MS_PER_S):
--- a/libraries/fleet/src/corianderhaven/fleet/_peer_exchange.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peer_exchange.py
@@ -144,8 +144,7 @@
 
     async def _update_exchanges(self):
         while True:
-            if self.watcher.store_reachable:
-                self.table.set_listed_daemons(self._listed_daemons())
+            self.table.set_listed_daemons(self._listed_daemons())
             targets = {(p.name, p.address): p for p in self.table.targets()}
             for target in [t for t in self.exchanges if t not in targets]:
                 self.exchanges.pop(target).cancel()
--- a/libraries/fleet/src/corianderhaven/fleet/_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peers.py
@@ -7,6 +7,7 @@
 message is replaced by the next one, and outdated messages are ignored.
 """
 
+from collections import Counter
 from dataclasses import dataclass
 
 import msgspec
@@ -38,6 +39,7 @@
     digest: Digest | None = None
     listed: bool = False
     unreachable_since_ms: float = -1e12
+    feed_request: object = None
 
 
 @dataclass(frozen=True)
@@ -70,6 +72,9 @@
         self.on_opened = lambda opened: None
         self.on_leaving = lambda leaving, daemon: None
         self.on_peer_state = lambda digest: None
+        self.make_feed_request = lambda peer_name: None
+        self.answer_feed = lambda request: None
+        self.on_feed = lambda feed, peer_name: None
         self.totals = {}
         self.totals_daemons = 0
         self.totals_ms = -1e12
@@ -110,16 +115,23 @@
         self._notify(digest, peer.name)
         for summary in message.zones:
             self._store_summary(summary, peer, now)
+        peer.feed_request = message.feed_request
+        if message.feed is not None:
+            self.on_feed(message.feed, peer.name)
         return peer
 
     def message_to(self, peer):
         """Return the message body for a peer; only hubs include zone summaries."""
         zones = self._summaries_for(peer) if self.is_hub() else []
-        return msgspec.json.encode(PeerMessage(self._digest_for(peer), zones))
+        request = self.make_feed_request(peer.name) if peer.zone == self.zone else None
+        return msgspec.json.encode(PeerMessage(self._digest_for(peer), zones, request))
 
     def response_to(self, peer):
         """Return the response body for a peer, which considers this daemon a hub."""
-        return msgspec.json.encode(PeerMessage(self._digest_for(peer), self._summaries_for(peer)))
+        request, peer.feed_request = peer.feed_request, None
+        feed = self.answer_feed(request) if request is not None else None
+        message = PeerMessage(self._digest_for(peer), self._summaries_for(peer), feed=feed)
+        return msgspec.json.encode(message)
 
     def targets(self):
         """Drop expired peers and return the peers to exchange digests with."""
@@ -142,6 +154,12 @@
         """Return the number of known daemons in this zone, including this one."""
         return 1 + sum(p.zone == self.zone for p in self.peers.values())
 
+    def hub_count(self):
+        """Return the number of hubs in all zones."""
+        sizes = Counter(p.zone for p in self.peers.values())
+        sizes[self.zone] += 1
+        return sum(min(size, HUBS_PER_ZONE) for size in sizes.values())
+
     def hubs(self, zone):
         """Return the known hubs of a zone; None stands for this daemon."""
         now = self.clock.now_ms()
@@ -158,6 +176,11 @@
         """Return whether this daemon is a hub of its zone."""
         return None in self.hubs(self.zone)
 
+    def is_first_hub(self):
+        """Return whether this daemon is a hub of its zone even when all daemons are reachable."""
+        names = [p.name for p in self.peers.values() if p.zone == self.zone]
+        return sum(name < self.own_name for name in names) < HUBS_PER_ZONE
+
     def mark_unreachable(self, peer):
         """Record that a peer is unreachable, so that another daemon replaces it as hub."""
         peer.unreachable_since_ms = self.clock.now_ms()
--- a/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
@@ -1,6 +1,7 @@
 """Watches the store for endpoints, the configuration and the daemons' own keys."""
 
 import asyncio
+import random
 
 from corianderhaven.common import MS_PER_S
 
@@ -11,6 +12,9 @@
 POLL_INTERVAL_MS_PER_DAEMON = 60.0  # about 16 calls per second from all daemons of a site
 MAX_POLL_INTERVAL_MS = 1_000.0  # a configuration must be active within 2 s of its write
 RETRY_INTERVAL_MS = 150.0  # about seven calls per second and daemon while the store is down
+READER_RETRY_INTERVAL_MS = 1_000.0  # of daemons whose followers don't reach the store either
+DISCOVERY_INTERVAL_MS = 250.0
+STAND_BY_CHECK_MS = 50.0
 OUTAGE_MS = 400.0  # leases of three heartbeats survive shorter outages
 
 
@@ -32,6 +36,16 @@
         Returns the number of daemons that share the store.
     use_min_interval : callable
         Returns whether to poll at the shortest interval, as the keeper does.
+    should_follow : callable
+        Returns whether this daemon reads all entries from the store itself.
+    needs_peers : callable
+        Returns whether this daemon, while it doesn't follow, lists the daemons in the store.
+    may_retry_soon : callable
+        Returns whether few daemons follow, so that all may retry often during an outage.
+    on_own_change : callable
+        Called with the key of one of the daemons' items that changed.
+    following : bool
+        Whether the directory is kept up from the store itself.
     own_items : dict of str to StoreItem
         Items under `own_prefix`, where the daemons keep their own records.
     """
@@ -45,6 +59,11 @@
         self.decisions = decisions
         self.daemon_count = lambda: 1
         self.use_min_interval = lambda: False
+        self.should_follow = lambda: True
+        self.needs_peers = lambda: False
+        self.may_retry_soon = lambda: True
+        self.on_own_change = lambda key: None
+        self.following = False
         self.own_items = {}
         self.own_prefix = ""
         self.own_changed = asyncio.Event()
@@ -69,6 +88,10 @@
         """Whether the latest call succeeded."""
         return self.failing_since_ms is None and self.last_success_ms is not None
 
+    def success_age_ms(self):
+        """Return the time since the store last answered; negative if it fails to."""
+        return self.clock.now_ms() - self.last_success_ms if self.store_reachable else -1.0
+
     def outage_ms(self):
         """Return the duration of the current store outage; 0.0 if the store is reachable."""
         if self.failing_since_ms is None:
@@ -91,7 +114,13 @@
     async def _run(self):
         while True:
             try:
+                if not self.should_follow():
+                    await self._stand_by()
+                    continue
                 await self._poll_once()
+                if not self.following:
+                    self.following = True
+                    self.decisions.record("store_following_begun")
                 await asyncio.sleep(self.poll_interval_ms() / MS_PER_S)
             except HistoryGoneError:
                 self.decisions.record("store_history_gone", after=self.watch_revision)
@@ -101,7 +130,35 @@
                 self._forget_position()
             except StoreUnavailableError as error:
                 self._record_failure(error)
-                await asyncio.sleep(RETRY_INTERVAL_MS / MS_PER_S)
+                await asyncio.sleep(self._retry_interval_ms() / MS_PER_S)
+
+    def _retry_interval_ms(self):
+        if self.may_retry_soon():
+            return RETRY_INTERVAL_MS
+        return READER_RETRY_INTERVAL_MS * random.uniform(0.75, 1.25)
+
+    async def _stand_by(self):
+        """Leave the store to the followers; list only the daemons, while none is known."""
+        if self.following:
+            self.decisions.record("store_following_ended")
+            self.following = False
+            self.watch_revision = self.last_success_ms = self.failing_since_ms = None
+        if self.needs_peers():
+            own, _ = await self.store.list(self.own_prefix)
+            self.set_own_items({item.key: item for item in own})
+            await asyncio.sleep(DISCOVERY_INTERVAL_MS / MS_PER_S)
+        else:
+            await asyncio.sleep(STAND_BY_CHECK_MS / MS_PER_S)
+
+    def set_own_items(self, items):
+        """Replace the daemons' items and report those that changed."""
+        keys = items.keys() | self.own_items.keys()
+        changed = [key for key in keys if items.get(key) != self.own_items.get(key)]
+        self.own_items = items
+        for key in changed:
+            self.on_own_change(key)
+        if changed:
+            self.own_changed.set()
 
     def _forget_position(self):
         """List the store anew: what it returned before may be gone, and written again later."""
@@ -129,8 +186,7 @@
         self._record_success()
         if config is not None:
             self._apply(config)
-        self.own_items = {item.key: item for item in own}
-        self.own_changed.set()
+        self.set_own_items({item.key: item for item in own})
         self.directory.replace_all(
             (
                 self._endpoint_id(item),
@@ -164,6 +220,7 @@
                 self.own_items.pop(item.key, None)
             else:
                 self.own_items[item.key] = item
+            self.on_own_change(item.key)
             self.own_changed.set()
 
     def _record_failure(self, error):
--- a/libraries/fleet/src/corianderhaven/fleet/_types.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_types.py
@@ -36,6 +36,8 @@
 class Endpoint:
     """State that one incarnation of an endpoint reported about itself.
 
+    Two are equal if nothing differs that routing or the keeper uses.
+
     Parameters
     ----------
     id : str
@@ -58,13 +60,13 @@
     zone: str
     slots: int
     leaving: bool
-    entry_number: int = 0
+    entry_number: int = field(default=0, compare=False)
     started_ms: int = 0
     domain: str = ""
     models: tuple = ()
     staged: tuple = ()
     membership: Membership | None = None
-    warmup_remaining_ms: float = 0.0
+    warmup_remaining_ms: float = field(default=0.0, compare=False)
 
 
 @dataclass(frozen=True)
--- a/libraries/fleet/src/corianderhaven/fleet/tests/memory_fleet.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/memory_fleet.py
@@ -192,6 +192,7 @@
     def __init__(self, fleet, name):
         self.fleet = fleet
         self.name = name
+        self.following = True
         self.own_changed = asyncio.Event()
         self.reachable_since_ms = 0.0
 
--- /dev/null
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_feed.py
@@ -0,0 +1,190 @@
+"""Tests of the feed from the daemons that follow the store to the others of their zone."""
+
+import random
+from dataclasses import replace
+
+import msgspec
+import pytest
+
+from corianderhaven.common import DecisionLog, ManualClock
+from corianderhaven.fleet import (
+    EndpointDirectory,
+    Feed,
+    FeedReader,
+    FeedRequest,
+    FeedWriter,
+    ReplicaState,
+    StoreItem,
+)
+from corianderhaven.fleet.tests.memory_fleet import endpoint, member
+
+
+class WatcherFake:
+    """Store watcher of which the test decides what it read, and when."""
+
+    def __init__(self, clock, following):
+        self.clock = clock
+        self.following = following
+        self.own_items = {}
+        self.read_ms = clock.now_ms()
+        self.on_own_change = lambda key: None
+
+    def success_age_ms(self):
+        return self.clock.now_ms() - self.read_ms if self.read_ms is not None else -1.0
+
+    def set_own_items(self, items):
+        changed = {
+            k for k in items.keys() | self.own_items if items.get(k) != self.own_items.get(k)
+        }
+        self.own_items = items
+        for key in changed:
+            self.on_own_change(key)
+
+
+def make_side(clock, following, name):
+    decisions = DecisionLog(clock)
+    directory = EndpointDirectory(clock, decisions)
+    directory.synced = following
+    watcher = WatcherFake(clock, following)
+    if following:
+        return FeedWriter(directory, watcher, clock)
+    return FeedReader(directory, watcher, name, clock, decisions)
+
+
+def exchange(writer, reader, name="a"):
+    """Let a reader ask a follower once, over the wire; returns the feed or None."""
+    request = reader.request(name)
+    if request is None:
+        return None
+    feed = writer.answer(msgspec.json.decode(msgspec.json.encode(request), type=FeedRequest))
+    if feed is None:
+        return None
+    feed = msgspec.json.decode(msgspec.json.encode(feed), type=Feed)
+    reader.apply(feed, name)
+    return feed
+
+
+def contents(side):
+    return {k: (r.endpoint, r.revision) for k, r in side.directory.records.items()}
+
+
+def make_pair():
+    clock = ManualClock()
+    return clock, make_side(clock, True, "a"), make_side(clock, False, "c")
+
+
+def test_reader_gets_everything_once_and_then_changes_only():
+    _, writer, reader = make_pair()
+    for number in range(20):
+        writer.directory.update(f"e{number}", endpoint(number, entry_number=1), (1, number + 1))
+    writer.watcher.set_own_items({"own/x": StoreItem("own/x", b"v", 7)})
+    assert exchange(writer, reader).full
+    assert contents(reader) == contents(writer)
+    assert reader.watcher.own_items["own/x"].value == b"v"
+    writer.directory.update("e3", endpoint(3, entry_number=2), (1, 40))  # nothing that matters
+    feed = exchange(writer, reader)
+    assert (feed.full, feed.endpoints, feed.removed) == (False, [], [])
+    head = member(endpoint(4, entry_number=3), "m.1.2", 0, ReplicaState.OPEN)
+    writer.directory.update("e4", head, (1, 41))
+    writer.directory.remove("e5")
+    writer.watcher.set_own_items({})
+    feed = exchange(writer, reader)
+    assert ([row.id for row in feed.endpoints], feed.removed) == (["e4"], ["e5"])
+    assert reader.directory.get("e4").membership == head.membership
+    assert reader.directory.get("e5") is None
+    assert reader.watcher.own_items == {}
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_readers_agree_with_their_follower_whatever_is_lost(seed):
+    """Follows random changes, lost answers, restarts of followers and switches between two."""
+    rng = random.Random(seed)
+    clock = ManualClock()
+    writers = {"a": make_side(clock, True, "a"), "b": make_side(clock, True, "b")}
+    reader = make_side(clock, False, "c")
+    revision, numbers = 1, {}
+    for _ in range(300):
+        clock.advance_ms(rng.uniform(20.0, 300.0))
+        revision += 1
+        action = rng.choice(["write", "write", "write", "remove", "lose", "restart", "silent"])
+        key = rng.randrange(12)
+        if action == "write":
+            numbers[key] = numbers.get(key, 0) + 1
+            state = rng.choice([None, ReplicaState.READY, ReplicaState.OPEN])
+            entry = endpoint(key, entry_number=numbers[key], started_ms=1)
+            if state is not None:
+                entry = member(entry, f"m.{numbers[key]}.1", 0, state, generation=numbers[key])
+            for writer in writers.values():
+                writer.directory.update(f"e{key}", entry, (1, revision))
+        elif action == "remove":
+            for writer in writers.values():
+                writer.directory.remove(f"e{key}")
+        elif action == "restart":
+            name = rng.choice("ab")
+            old, writers[name] = writers[name], make_side(clock, True, name)
+            for record in old.directory.records.values():
+                writers[name].directory.update(record.endpoint.id, record.endpoint, record.revision)
+        elif action == "lose":
+            request = reader.request("a")
+            if request is not None:
+                writers["a"].answer(request)
+        silent = rng.choice("ab") if action == "silent" else None
+        for name in "ab":
+            if name != silent:
+                exchange(writers[name], reader, name)
+    clock.advance_ms(1_000.0)
+    for name in "ab":
+        exchange(writers[name], reader, name)
+    assert {k: e for k, (e, _) in contents(reader).items()} == {
+        k: e for k, (e, _) in contents(writers["a"]).items()
+    }
+
+
+def test_follower_that_loses_the_store_makes_its_readers_stale():
+    clock, writer, reader = make_pair()
+    exchange(writer, reader)
+    clock.advance_ms(500.0)
+    exchange(writer, reader)
+    assert reader.stale_for_ms() == 0.0
+    writer.watcher.read_ms = None
+    for _ in range(10):
+        clock.advance_ms(200.0)
+        exchange(writer, reader)
+    assert reader.stale_for_ms() == 2_000.0
+    writer.watcher.read_ms = clock.now_ms()
+    exchange(writer, reader)
+    assert reader.stale_for_ms() == 0.0
+
+
+def test_daemon_that_does_not_follow_gives_no_feed():
+    _, writer, reader = make_pair()
+    writer.watcher.following = False
+    assert exchange(writer, reader) is None
+
+
+def test_of_two_that_began_to_follow_the_first_goes_on():
+    clock = ManualClock()
+    first, second = make_side(clock, True, "c"), make_side(clock, True, "d")
+    reader_of_first = make_side(clock, False, "c")
+    reader_of_second = make_side(clock, False, "d")
+    for reader, writer in ((reader_of_first, first), (reader_of_second, second)):
+        reader.watcher = writer.watcher
+    clock.advance_ms(3_000.0)
+    first.watcher.read_ms = second.watcher.read_ms = clock.now_ms()
+    assert exchange(second, reader_of_first, "d") is None
+    feed = exchange(first, reader_of_second, "c")
+    assert (feed.full, feed.endpoints) == (False, [])
+    assert reader_of_first.stale_for_ms() == 3_000.0
+    assert reader_of_second.stale_for_ms() == 0.0
+
+
+def test_leaving_word_is_not_undone_by_a_feed():
+    _, writer, reader = make_pair()
+    writer.directory.update("e1", endpoint(1, started_ms=5, entry_number=2), (1, 4))
+    exchange(writer, reader)
+    reader.directory.mark_leaving("e1", 5, "answer")
+    changed = replace(endpoint(1, started_ms=5, entry_number=3), staged=("m",))
+    writer.directory.update("e1", changed, (1, 9))
+    exchange(writer, reader)
+    assert reader.directory.get("e1").staged == ("m",)
+    assert reader.directory.get("e1").leaving
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -293,7 +293,7 @@
         if context.head_forwarded:
             context.outcome = f"broken_off: {reason}"
             context.caller.abort_response()
-        elif context.possible_executions == 0:
+        elif not context.may_have_run:
             await self._refuse(context, reason, retry_after_ms)
         elif context.error_response is not None:
             status, headers, body = context.error_response
@@ -315,7 +315,7 @@
         elif context.caller.head_sent:
             context.outcome = "broken_off: deadline while answering"
             context.caller.abort_response()
-        elif context.possible_executions:
+        elif context.may_have_run:
             context.outcome = "unknown: deadline"
             await context.caller.send_response(504, [], b"")
         else:
--- a/libraries/gateway/src/corianderhaven/gateway/_request_context.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_context.py
@@ -1,5 +1,6 @@
 """State of one request while it is handled."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -32,8 +33,8 @@
     ----------
     deadline_ms : float
         Monotonic time by which the final answer must be sent.
-    possible_executions : int
-        Attempts that no endpoint reported as not executed.
+    possible_runs : Counter
+        Times that each endpoint may have run the request, by endpoint id.
     head_forwarded : bool
         Whether the status and headers of a streamed answer were sent to the caller.
     error_response : tuple or None
@@ -52,7 +53,7 @@
     caller: object
     deadline_ms: float
     attempts: int = 0
-    possible_executions: int = 0
+    possible_runs: Counter = field(default_factory=Counter)
     head_forwarded: bool = False
     error_response: tuple | None = None
     excluded: set = field(default_factory=set)
@@ -76,6 +77,16 @@
             return self.account.priority
         return self.route.priority
 
+    @property
+    def may_have_run(self):
+        """Whether any endpoint may have run the request."""
+        return bool(+self.possible_runs)
+
+    @property
+    def endpoints_used(self):
+        """Number of endpoints that may have run the request."""
+        return len(+self.possible_runs)
+
     def record_forwarded(self, now_ms):
         """Record that an event was forwarded to the caller."""
         if self.first_event_ms is None:
@@ -89,10 +100,10 @@
 
         If not, an attempt is never ended because its endpoint is silent.
         """
-        return self.route.retryable and self.possible_executions + 1 < self.route.max_endpoints
+        return self.route.retryable and self.endpoints_used + 1 < self.route.max_endpoints
 
     def can_retry(self, result):
         """Return whether another endpoint may get the request after `result`."""
         if result in (AttemptResult.NOT_SENT, AttemptResult.NOT_RUN, AttemptResult.MISDIRECTED):
             return True
-        return self.route.retryable and self.possible_executions < self.route.max_endpoints
+        return self.route.retryable and self.endpoints_used < self.route.max_endpoints
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -42,12 +42,19 @@
         self.head_timeout_ms = head_timeout_ms
         self.connection = None
         self.stream = None
+        self.sent_ms = 0.0
 
     @property
     def interrupted(self):
         """Whether the silence detector closed the connection."""
         return self.stream is not None and (self.stream.silent or self.stream.stalled)
 
+    def mark_kept(self, kept, sent_ms):
+        """Set whether the request waits on a kept connection, and when it was sent."""
+        self.sent_ms = sent_ms
+        if self.stream is not None:
+            self.stream.on_kept_connection, self.stream.sent_ms = kept, sent_ms
+
     def release(self):
         """Return the connection, which then stays open."""
         connection, self.connection = self.connection, None
@@ -169,8 +176,9 @@
     async def _request_head(self, attempt):
         """Send the request and return the head of its answer; None if no connection was made.
 
-        A kept connection may have been dropped, which only shows when a request on it gets no
-        answer. Such a request is sent again on a new connection if it may run more than once.
+        A kept connection may have been dropped, which only shows when a request on it breaks it.
+        Such a request, which may run more than once, is sent again on a new connection. One that
+        merely gets no answer goes to another endpoint: the fault may be this one's.
         """
         context, endpoint = attempt.context, attempt.endpoint
         context.attempts += 1
@@ -200,23 +208,26 @@
         """Return the head of the answer on a kept connection, or None to use a new one."""
         endpoint = attempt.endpoint
         attempt.connection = kept.connection
+        attempt.mark_kept(True, self.clock.now_ms())
         try:
             async with asyncio.timeout(attempt.head_timeout_ms / MS_PER_S):
                 await self._send(attempt)
                 head = await kept.connection.read_head()
             # A late copy of an earlier answer bears the id of another request.
             if self.wire.read_response(head).request_id == attempt.context.metadata.request_id:
+                attempt.mark_kept(False, attempt.sent_ms)
                 self.pool.record_good(endpoint, kept)
                 _metrics.CONNECTIONS.labels(endpoint.service, "kept").inc()
                 return head
             reason = "answer of another request"
         except TimeoutError:
-            reason = "no answer"
+            reason = None
         except ConnectionLostError as error:
             if attempt.interrupted:
                 raise
             reason = str(error)
         attempt.close()
+        attempt.mark_kept(False, self.clock.now_ms())
         rest_ms = round(self.clock.now_ms() - kept.since_ms)
         self.pool.record_dropped(endpoint, kept)
         self.decisions.record(
@@ -224,10 +235,10 @@
             request=attempt.context.metadata.request_id,
             endpoint=endpoint.id,
             since_use_ms=rest_ms,
-            reason=reason,
+            reason=reason or "no answer",
         )
-        if not self.spend_retry(attempt.context.service.name):
-            raise ConnectionLostError(reason)
+        if reason is None or not self.spend_retry(attempt.context.service.name):
+            raise ConnectionLostError(reason or "no answer")
         return None
 
     def _priority(self, context, late):
@@ -247,7 +258,7 @@
             context.splitter.last_event_id,
         )
         headers = self.wire.endpoint_headers(context.request, metadata)
-        context.possible_executions += 1
+        context.possible_runs[endpoint.id] += 1
         request = context.request
         await attempt.connection.send(request.method, request.target, headers, request.body)
 
@@ -263,7 +274,7 @@
         if response.request_id not in (None, context.metadata.request_id):
             return AttemptResult.BROKEN
         if response.not_run:
-            context.possible_executions -= 1
+            context.possible_runs[endpoint.id] -= 1
             return AttemptResult.MISDIRECTED if response.misdirected else AttemptResult.NOT_RUN
         if not 200 <= head.status < 300:
             return AttemptResult.FAILED
--- a/libraries/gateway/src/corianderhaven/gateway/_silence_detector.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_silence_detector.py
@@ -37,6 +37,9 @@
         Whether it was interrupted because it alone made no progress.
     caller_blocked : bool
         Whether an event waits until the caller reads; the endpoint is not to blame then.
+    on_kept_connection : bool
+        Whether it waits for an answer on a connection that may have been dropped, which tells
+        nothing of the head.
     """
 
     head_id: str
@@ -49,6 +52,7 @@
     silent: bool = False
     stalled: bool = False
     caller_blocked: bool = False
+    on_kept_connection: bool = False
 
 
 @dataclass
@@ -154,4 +158,5 @@
             now - max(s.sent_ms, activity.last_activity_ms)
             > FIRST_EVENT_FACTOR * s.expected_first_event_ms + FIRST_EVENT_SLACK_MS
             for s in activity.streams
+            if not s.on_kept_connection
         )
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -362,7 +362,8 @@
                     await caller.send_response(503, not_run_headers, b"")
                     return
                 await asyncio.sleep(STATE_POLL_MS / MS_PER_S)
-        self._record_run(worker, request, caller)
+        self._record_run(worker, request)
+        self.runs[-1].connection = id(caller)
         await asyncio.sleep((self.token_ms + faults.slow_ms) / MS_PER_S)
         if faults.lose_answer:
             caller.close()
@@ -389,7 +390,7 @@
             await caller.write(ENDLESS_BLOCK)
             await asyncio.sleep(0)
 
-    def _record_run(self, worker, request, caller):
+    def _record_run(self, worker, request):
         headers = {k.decode(): v.decode("latin-1") for k, v in request.headers}
         self.runs.append(
             RequestRun(
@@ -399,7 +400,6 @@
                 headers,
                 request.body,
                 headers.get("last-event-id"),
-                id(caller),
             )
         )
 
