Let a new keeper use survivors and spares at once; hold heads that late orders may open

Domains of 8 hold two replicas of 4, so survivors wait for those of the next loss; a keeper elected at 18.8 s took survivors, which kept a membership without head, for members of a head out of reach: 2.5 s until the loss counted, 6.5 s until such a head must be broken, and held every staged VM without membership for 6.5 s. Change: survivors are ordered to leave once their head has left; the directory keeps since when an endpoint is in no replica, and a new keeper holds it only up to that time plus the stall.

--- a/libraries/fleet/src/corianderhaven/fleet/_directory.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_directory.py
@@ -48,12 +48,15 @@
     expires_ms : float or None
         Time at which the record is dropped because its entry is missing after a store outage;
         None if the entry is not missing.
+    unassigned_since_ms : float
+        Time since which this daemon has known the incarnation to be in no replica.
     """
 
     endpoint: Endpoint
     updated_ms: float
     revision: int
     expires_ms: float | None = None
+    unassigned_since_ms: float = 0.0
 
 
 class EndpointDirectory:
@@ -159,7 +162,14 @@
                 endpoint = replace(endpoint, leaving=True)
         if endpoint.leaving:
             self._note_departed(endpoint, True)
-        self.records[key] = EndpointRecord(endpoint, self.clock.now_ms(), revision)
+        now = self.clock.now_ms()
+        self.records[key] = EndpointRecord(endpoint, now, revision)
+        was_unassigned = (
+            known is not None
+            and known.endpoint.membership is None
+            and known.endpoint.started_ms == endpoint.started_ms
+        )
+        self.records[key].unassigned_since_ms = known.unassigned_since_ms if was_unassigned else now
         if known is None or known.endpoint != endpoint:
             self._log_change(known, endpoint, revision)
             self._mark_changed(key)
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper.py
@@ -143,11 +143,15 @@
             self._hold_former_members()
 
     def _hold_former_members(self):
-        """Hold endpoints whose heads may still be stalled since the previous tenure."""
-        until = self.clock.now_ms() + self.settings.stall_ms + STALL_MARGIN_MS
+        """Hold endpoints whose heads may still be stalled since the previous tenure.
+
+        One that this daemon has known to be in no replica for longer than a head stalls is free.
+        """
+        stall_ms = self.settings.stall_ms + STALL_MARGIN_MS
         for endpoint in self.directory.endpoints():
             if endpoint.membership is None and endpoint.staged:
-                self.replica_tasks.keeper_state.held_until_ms[endpoint.id] = until
+                since_ms = self.directory.records[endpoint.id].unassigned_since_ms
+                self.replica_tasks.keeper_state.held_until_ms[endpoint.id] = since_ms + stall_ms
 
     def _reconcile(self, service):
         endpoints = self.directory.endpoints(service.name)
--- a/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
@@ -11,6 +11,7 @@
 from ._replicas import replica_name
 from ._types import ReplicaState
 
+LATE_ORDER_MS = 15_000.0  # engines carry out orders some seconds late, if they don't answer
 STALL_MARGIN_MS = 500.0  # added to the time after which a head without members breaks
 OPEN_REPORT_TIMEOUT_MS = 3_000.0  # time for the head to report that it is open
 READY_MARGIN_MS = 4_000.0  # added to the expected duration of a load
@@ -50,6 +51,9 @@
         Last replica of each endpoint, even if the endpoint has lost its membership.
     last_models : dict of str to (int, str)
         Start time (the incarnation) of each endpoint and the model of its last replica.
+    join_unanswered, open_unanswered : set of (str, int)
+        Replicas whose head may still carry out an order that it didn't answer. After both, it may
+        be open again although it has left.
     active_loads : int
         Number of loads in progress.
     load_starts_ms : list of float
@@ -67,6 +71,8 @@
     broken_by_ms: dict = field(default_factory=dict)
     last_replicas: dict = field(default_factory=dict)
     last_models: dict = field(default_factory=dict)
+    join_unanswered: set = field(default_factory=set)
+    open_unanswered: set = field(default_factory=set)
     active_loads: int = 0
     load_starts_ms: list = field(default_factory=list)
 
@@ -231,12 +237,13 @@
             return False
 
         async def join(endpoint):
-            return await self.sender.send(
-                "join",
-                endpoint,
-                key[0],
-                lambda: self.orders.join(endpoint, *key, action.model, ids),
-            )
+            async def send_join():
+                result = await self.orders.join(endpoint, *key, action.model, ids)
+                if result is OrderResult.UNKNOWN and endpoint.id == ids[0]:
+                    self.keeper_state.join_unanswered.add(key)
+                return result
+
+            return await self.sender.send("join", endpoint, key[0], send_join)
 
         results = await asyncio.gather(*(join(e) for e in action.members))
         for endpoint, result in zip(action.members, results, strict=True):
@@ -248,7 +255,14 @@
         head = self.directory.get(ids[0])
         if head is None:
             return False
-        result = await self.sender.send("open", head, key[0], lambda: self.orders.open(head, *key))
+
+        async def send_open():
+            result = await self.orders.open(head, *key)
+            if result is OrderResult.UNKNOWN:
+                self.keeper_state.open_unanswered.add(key)
+            return result
+
+        result = await self.sender.send("open", head, key[0], send_open)
         if result not in (*ACCEPTED, OrderResult.UNKNOWN):
             return False
         return await self._wait_states(ids[:1], key, ReplicaState.OPEN, OPEN_REPORT_TIMEOUT_MS)
@@ -330,13 +344,29 @@
             if action.graceful:
                 await self._close_gracefully(replica.head, key)
             if replica.state is ReplicaState.BROKEN or await self._head_left(replica, key):
+                if key in keeper_state.join_unanswered & keeper_state.open_unanswered:
+                    self._hold(replica.members.values(), LATE_ORDER_MS)
                 keeper_state.released.add(key)
+                await self._release_survivors(replica, key)
             else:
                 await self._release_without_head(replica, key)
         finally:
             keeper_state.dissolving.discard(key)
             keeper_state.last_dissolve_ms[key] = self.clock.now_ms()
 
+    async def _release_survivors(self, replica, key):
+        """Let the other members leave too, so that a later keeper sees that they are free.
+
+        It would take them for members whose head it doesn't reach, and wait until that must be
+        broken.
+        """
+        survivors = [
+            e
+            for rank, e in replica.members.items()
+            if rank != 0 and not e.leaving and e.id not in self.sender.unresponsive
+        ]
+        await asyncio.gather(*(self.sender.leave(e, key) for e in survivors))
+
     async def _head_left(self, replica, key):
         head = replica.head
         if head is None or head.id in self.sender.unresponsive:
@@ -372,7 +402,10 @@
         until = self.clock.now_ms() + self.settings.stall_ms + STALL_MARGIN_MS
         self.keeper_state.broken_by_ms.setdefault(key, until)
 
-    def _hold(self, endpoints):
-        until = self.clock.now_ms() + self.settings.stall_ms + STALL_MARGIN_MS
+    def _hold(self, endpoints, duration_ms=None):
+        """Hold endpoints, by default until a head that lacks members must be broken."""
+        if duration_ms is None:
+            duration_ms = self.settings.stall_ms + STALL_MARGIN_MS
+        until = self.clock.now_ms() + duration_ms
         for endpoint in endpoints:
             self.keeper_state.held_until_ms[endpoint.id] = until
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_keeper_model.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_keeper_model.py
@@ -284,3 +284,35 @@
     assert groups == [None] * 30
     assert used_later
     assert violations == []
+
+
+def test_new_holder_uses_survivors_of_an_earlier_loss_at_once():
+    """Each change of the keeper stopped repair with them until an absent head must be broken."""
+
+    async def simulate(clock):
+        fleet = MemoryFleet(clock, domains=1, per_domain=8)
+        for engine in fleet.hosted.engines.values():
+            engine.staged = ["large"]
+        await asyncio.sleep(8)
+        assert fleet.open_replicas("large") == 2
+        lose_member(fleet)
+        await asyncio.sleep(6)  # longer than a head stalls
+        assert fleet.open_replicas("large") == 1
+        first = fleet.lease_holder()
+        first.close()
+        first.lease.close()
+        name = next(n for n, k in fleet.keepers.items() if k is first)
+        del fleet.keepers[name], fleet.directories[name]
+        await asyncio.sleep(2.8)  # until the lease has lapsed
+        lose_member(fleet)
+        await asyncio.sleep(2.5)
+        return fleet.open_replicas("large"), fleet.hosted.violations
+
+    assert run_in_virtual_time(simulate) == (1, [])
+
+
+def lose_member(fleet):
+    """Kill a member of an open replica, and let the keeper suspect the replica."""
+    head = next(e for e in fleet.hosted.engines.values() if fleet.hosted.accepts_requests(e))
+    fleet.hosted.kill(head.group.members[2])
+    fleet.lease_holder().suspect(head.id, "test")
