Queue of waiting requests in logarithmic time

Ruled out: checking late requests in turns: decisions would differ from the plain queue's. Change: WaitingRequests keeps classes sorted by cut-off and counts by rank; a freed slot only assigns, and ends at the first request that may go anywhere and finds nothing; capacity is worked out at most every 20 ms. A request whose deadline cut-off precedes its goal's is late from the deadline's on. Conclusion: fair shares between client accounts inside a class are not built yet.

--- a/libraries/gateway/src/corianderhaven/gateway/__init__.py
+++ b/libraries/gateway/src/corianderhaven/gateway/__init__.py
@@ -11,6 +11,7 @@
 from ._retry_budget import RetryBudget
 from ._routes import RouteTable
 from ._silence_detector import ActiveStream, SilenceDetector
+from ._waiting_requests import WaitingRequests
 from ._wire import AttemptMetadata, RequestMetadata, ResponseMetadata, WireFormat
 
 __all__ = [
@@ -31,6 +32,7 @@
     "RetryBudget",
     "RouteTable",
     "SilenceDetector",
+    "WaitingRequests",
     "WireFormat",
     "choose_endpoint",
     "queue_order",
--- a/libraries/gateway/src/corianderhaven/gateway/_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_admission.py
@@ -9,11 +9,14 @@
 
 from corianderhaven.common import MS_PER_S
 
+from ._waiting_requests import WaitingRequests
+
 MAX_WAIT_WITHOUT_REPLICA_MS = 350.0  # about the time to form a replica of staged VMs
 MAX_RESUMED_WAIT_MS = 1_500.0  # callers abandon a stream after a pause of two seconds
 RATE_WINDOW_MS = 3_000.0  # for the rates of arrivals and dispatches; holds about ten of each
 OVERLOAD_RATIO = 1.25  # of arrivals to throughput; exceeds random variation of ten arrivals
 MIN_SPARE_RATIO = 0.1  # of the throughput, left to late requests unless overloaded
+CAPACITY_CACHE_MS = 20.0  # less than the interval of checks
 MIN_RETRY_AFTER_MS = 300.0
 OVERLOAD_RETRY_AFTER_MS = 1_200.0  # most of a typical answer: slots are freed by then
 NO_REPLICA_RETRY_AFTER_MS = 1_000.0
@@ -29,7 +32,7 @@
     priority : int
         Priority of its account or route; 0 is first.
     goal_cutoff_ms : float
-        Latest time to send it for an answer within its goal.
+        Latest time to send it for an answer within its goal; not after `deadline_cutoff_ms`.
     deadline_cutoff_ms : float
         Latest time to send it for an answer before its deadline.
     resumed : bool
@@ -82,6 +85,8 @@
         self.started_ms = clock.now_ms()
         self.arrivals = deque()
         self.dispatches = deque()
+        self.capacity = 0.0
+        self.capacity_from_ms = -1e12
 
     def record_arrival(self):
         """Count a request that arrived."""
@@ -94,7 +99,14 @@
     def throughput_per_ms(self):
         """Return the recent rate of dispatches, or the replicas' capacity if higher."""
         recent = max(1, self._count(self.dispatches)) / self._window_ms()
-        return max(recent, self.capacity_per_ms())
+        return max(recent, self._recent_capacity_per_ms())
+
+    def _recent_capacity_per_ms(self):
+        """Return the replicas' capacity, which takes a walk over all heads to work out."""
+        now = self.clock.now_ms()
+        if now - self.capacity_from_ms >= CAPACITY_CACHE_MS:
+            self.capacity, self.capacity_from_ms = self.capacity_per_ms(), now
+        return self.capacity
 
     def spare_throughput_per_ms(self):
         """Return the throughput that arrivals leave to late requests; 0.0 in overload."""
@@ -136,7 +148,7 @@
         self.pick_endpoint = pick_endpoint
         self.has_replica = has_replica
         self.held_for_ms = held_for_ms
-        self.waiting = []
+        self.waiting = WaitingRequests()
         self.rates = QueueRates(clock, capacity_per_ms)
         self.no_replica_since_ms = None
 
@@ -147,20 +159,14 @@
         gets only the throughput that those leave.
         """
         now = self.clock.now_ms()
-        key = queue_order(queued, now)
-        ahead = sum(other is not queued and queue_order(other, now) < key for other in self.waiting)
-        wait_ms = ahead / self.rates.throughput_per_ms()
+        self.waiting.advance(now)
+        wait_ms = self.waiting.ahead_of(queued, now) / self.rates.throughput_per_ms()
         if now + wait_ms <= queued.goal_cutoff_ms:
             return wait_ms
         spare = self.rates.spare_throughput_per_ms()
-        late_ahead = sum(
-            other is not queued and other.arrived_ms <= queued.arrived_ms
-            for other in self.waiting
-            if now > other.goal_cutoff_ms
-        )
         if not spare:
             return None
-        return max(wait_ms, late_ahead / spare)
+        return max(wait_ms, self.waiting.late_ahead_of(queued) / spare)
 
     def check_refusal(self, queued):
         """Return the `Refusal` of a request that can't be served, or None."""
@@ -193,6 +199,7 @@
     async def acquire(self, queued):
         """Return an endpoint for the request, or a `Refusal`."""
         self.rates.record_arrival()
+        self._update_no_replica_since(self.clock.now_ms())
         endpoint = None if self.waiting else self.pick_endpoint(queued)
         if endpoint is not None:
             self.rates.record_dispatch()
@@ -201,28 +208,51 @@
         if refusal is not None:
             return refusal
         queued.decision = asyncio.get_running_loop().create_future()
-        self.waiting.append(queued)
-        self.dispatch()
+        self.waiting.add(queued, self.clock.now_ms())
+        self.assign()
         try:
             return await queued.decision
         finally:
             if queued in self.waiting:
                 self.waiting.remove(queued)
 
-    def dispatch(self):
-        """Assign free endpoints to queued requests in order, and refuse expired ones."""
-        now = self.clock.now_ms()
-        self._update_no_replica_since(now)
-        for queued in sorted(self.waiting, key=lambda q: queue_order(q, now)):
+    def assign(self):
+        """Assign free endpoints to waiting requests in order.
+
+        Ends at the first request that may go to any endpoint and finds none.
+        """
+        self.waiting.advance(self.clock.now_ms())
+        for queued in self.waiting.in_order():
             if queued.decision.done():
                 continue
             endpoint = self.pick_endpoint(queued)
             if endpoint is not None:
                 self.rates.record_dispatch()
-            refusal = None if endpoint is not None else self._check_expired(queued, now)
-            if endpoint is not None or refusal is not None:
-                queued.decision.set_result(endpoint or refusal)
-                self.waiting.remove(queued)
+                self._decide(queued, endpoint)
+            elif not queued.excluded:
+                return
+
+    def dispatch(self):
+        """Assign free endpoints to waiting requests, and refuse those that can't be served."""
+        now = self.clock.now_ms()
+        self._update_no_replica_since(now)
+        self.assign()
+        any_refused = self.no_replica_since_ms is not None or self.held_for_ms() > 0.0
+        for queued in list(self.waiting.in_order()) if any_refused else self._expirable(now):
+            if queued.decision.done():
+                continue
+            refusal = self._check_expired(queued, now)
+            if refusal is not None:
+                self._decide(queued, refusal)
+
+    def _expirable(self, now):
+        """Return the requests that time alone may have made impossible to serve."""
+        self.waiting.advance(now)
+        return self.waiting.late()
+
+    def _decide(self, queued, decision):
+        queued.decision.set_result(decision)
+        self.waiting.remove(queued)
 
     def _check_expired(self, queued, now):
         if now > queued.deadline_cutoff_ms:
@@ -251,5 +281,5 @@
     while True:
         await asyncio.sleep(QUEUE_CHECK_INTERVAL_MS / MS_PER_S)
         for queue in list(queues.values()):
-            if queue.waiting:
+            if queue.waiting or queue.no_replica_since_ms is not None:
                 queue.dispatch()
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -41,11 +41,13 @@
             metadata.max_output_tokens or 1e9, engine.typical_answer_tokens
         )
         min_answer_ms = first_event_ms + estimator.decode_ms(tokens, running) * MIN_ANSWER_FRACTION
+        deadline_cutoff_ms = context.deadline_ms - min_answer_ms
+        goal_ms = route.goal_ms or DEFAULT_GOAL_MS
         return QueuedRequest(
             priority=context.priority,
             arrived_ms=self.clock.now_ms(),
-            goal_cutoff_ms=context.started_ms + (route.goal_ms or DEFAULT_GOAL_MS) - first_event_ms,
-            deadline_cutoff_ms=context.deadline_ms - min_answer_ms,
+            goal_cutoff_ms=min(context.started_ms + goal_ms - first_event_ms, deadline_cutoff_ms),
+            deadline_cutoff_ms=deadline_cutoff_ms,
             # The caller has already waited for an endpoint, and may have part of the answer.
             resumed=context.attempts > 0,
             excluded=context.excluded,
@@ -127,4 +129,4 @@
         """Remove a request that has ended from its endpoint's count."""
         self.load_tracker.entry(endpoint.id).own_in_flight -= 1
         if queue is not None and queue.waiting:
-            queue.dispatch()
+            queue.assign()
