Work out the sums of digests once for many askers

Cause: the load of other daemons was summed anew every 20 ms, whether a message had come or not (the check for silent heads asks each 20 ms), over all heads of all zones; a hub summed its zone anew for each member at each exchange, some 70 times a second with 15 members. Change: sums are made again only after a message, at most every 20 to 50 ms by the size of the zone; a hub makes one sum and takes each member's own part off; own streams are asked before the peers' digests.

--- a/libraries/fleet/src/corianderhaven/fleet/_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peers.py
@@ -14,6 +14,7 @@
 
 from ._digests import (
     Digest,
+    HeadDigest,
     PeerMessage,
     ZoneSummary,
     merge_heads,
@@ -25,6 +26,9 @@
 PEER_EXPIRY_MS = 10_000.0  # a silent peer is dropped then, unless the store lists it
 HUBS_PER_ZONE = 2  # one can fail without interrupting the exchange in its zone
 TOTALS_CACHE_MS = 20.0  # a fifth of the shortest exchange interval
+TOTALS_MAX_AGE_MS = 100.0  # digests expire while no message arrives
+CACHE_MS_PER_DAEMON = 3.0  # keeps a hub's work independent of the number of its members
+MAX_CACHE_MS = 50.0
 UNREACHABLE_MS = 1_000.0  # time until an unreachable daemon may be a hub again
 
 
@@ -50,6 +54,37 @@
     made_ms: float
 
 
+@dataclass(frozen=True)
+class DirectSummary:
+    """Sum of the digests of a zone's other daemons, with these digests by daemon."""
+
+    summary: ZoneSummary
+    digests: dict
+    computed_ms: float
+
+    def without(self, daemon):
+        """Return a copy without the requests, suspicions and reports of one daemon."""
+        digest = self.digests.get(daemon)
+        others = [d for name, d in self.digests.items() if name != daemon]
+        summary = msgspec.structs.replace(
+            self.summary,
+            heads={i: HeadDigest(h.own, h.sign_age_ms) for i, h in self.summary.heads.items()},
+            suspects=dict(self.summary.suspects),
+            opened=dict(self.summary.opened),
+            leaving=dict(self.summary.leaving),
+        )
+        if digest is None:
+            return summary
+        summary.daemons -= 1
+        summary.store_reachable = any(other.store_reachable for other in others)
+        for head_id, reported in digest.heads.items():
+            summary.heads[head_id].own -= reported.own
+        own_suspects = digest.suspects.keys() - {i for other in others for i in other.suspects}
+        for head_id in own_suspects:
+            del summary.suspects[head_id]
+        return summary
+
+
 class PeerTable:
     """The other daemons, their digests and the zone summaries.
 
@@ -78,6 +113,8 @@
         self.totals = {}
         self.totals_daemons = 0
         self.totals_ms = -1e12
+        self.totals_outdated = True
+        self.direct = None
 
     def set_listed_daemons(self, records):
         """Apply the list of daemons in the store, as (name, address, zone)."""
@@ -87,9 +124,9 @@
             peer = self.peers.get(name)
             if peer is None or peer.address != address:
                 self.peers[name] = Peer(name, address, now, zone, listed=True)
+                self.totals_outdated = True
         for peer in self.peers.values():
             peer.listed = peer.name in listed
-        self.totals_ms = -1e12
 
     def receive(self, body):
         """Apply a message and return its sender, or None if this daemon sent it.
@@ -111,6 +148,7 @@
             peer = self.peers[digest.daemon] = Peer(digest.daemon, digest.address, now)
         peer.zone, peer.last_heard_ms, peer.digest = digest.zone, now, digest
         peer.unreachable_since_ms = -1e12
+        self.totals_outdated = True
         self.on_peer_state(digest)
         self._notify(digest, peer.name)
         for summary in message.zones:
@@ -285,8 +323,17 @@
         )
 
     def _zone_summary(self, requester=None):
-        """Summarize this zone, including this daemon and excluding the requester."""
-        summary = self._summarize_direct_digests(requester)
+        """Summarize this zone, including this daemon and excluding the requester.
+
+        The sum over all members is computed once for several requesters, and each one's own part
+        is taken off.
+        """
+        now = self.clock.now_ms()
+        if self.direct is None or now - self.direct.computed_ms >= self._cache_ms():
+            digests = {p.name: p.digest for p in self._valid_members()}
+            self.direct = DirectSummary(self._summarize_direct_digests(), digests, now)
+        summary = self.direct.without(requester)
+        summary.made_ms = now - self.direct.computed_ms
         own = self.make_digest()
         merge_heads(summary.heads, own.heads)
         summary.daemons += 1
@@ -296,16 +343,23 @@
         summary.leaving.update(own.leaving)
         return summary
 
-    def _summarize_direct_digests(self, requester=None):
-        """Summarize the valid digests received directly from daemons of this zone."""
+    def _valid_members(self):
+        """Return the other daemons of this zone whose digests are valid."""
         now = self.clock.now_ms()
-        members = [p for p in self.peers.values() if p.zone == self.zone and p.name != requester]
-        valid = [
+        return [
             p
-            for p in members
-            if p.digest is not None and now - p.last_heard_ms < DIGEST_VALIDITY_MS
+            for p in self.peers.values()
+            if p.zone == self.zone
+            and p.digest is not None
+            and now - p.last_heard_ms < DIGEST_VALIDITY_MS
         ]
-        summary = ZoneSummary(self.zone, len(valid), len(valid) == len(members), False)
+
+    def _summarize_direct_digests(self):
+        """Summarize the valid digests received directly from daemons of this zone."""
+        now = self.clock.now_ms()
+        valid = self._valid_members()
+        members = sum(p.zone == self.zone for p in self.peers.values())
+        summary = ZoneSummary(self.zone, len(valid), len(valid) == members, False)
         for peer in valid:
             age_ms = now - peer.last_heard_ms
             merge_heads(summary.heads, peer.digest.heads, age_ms)
@@ -330,10 +384,15 @@
             reported[self.zone] = direct
         return list(reported.values())
 
+    def _cache_ms(self):
+        return min(max(TOTALS_CACHE_MS, CACHE_MS_PER_DAEMON * self.zone_size()), MAX_CACHE_MS)
+
     def _current_totals(self):
-        """Return the requests per head of all zones, cached for `TOTALS_CACHE_MS`."""
+        """Return the requests per head of all zones, as of the latest messages."""
         now = self.clock.now_ms()
-        if now - self.totals_ms >= TOTALS_CACHE_MS:
+        max_age_ms = self._cache_ms() if self.totals_outdated else TOTALS_MAX_AGE_MS
+        if now - self.totals_ms >= max_age_ms:
+            self.totals_outdated = False
             self.totals, self.totals_daemons = {}, 0
             for summary in self._valid_summaries():
                 merge_heads(self.totals, summary.heads)
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_zone_hubs.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_zone_hubs.py
@@ -1,9 +1,13 @@
 """Tests of the exchange of state between zones through hubs."""
 
+import random
+from collections import Counter
+
+import msgspec
 import pytest
 
 from corianderhaven.common import ManualClock
-from corianderhaven.fleet import Digest, HeadDigest, PeerTable
+from corianderhaven.fleet import Digest, HeadDigest, PeerMessage, PeerTable
 
 EXCHANGE_INTERVAL_MS = 100.0
 
@@ -185,3 +189,46 @@
         assert table.all_peers_reporting()
         table.last_activity_ms(f"h{number}")
     assert len(summaries) <= 1
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_summary_for_a_member_is_the_sum_of_all_others(seed):
+    """It is worked out from one sum for all members, less what the member itself reported."""
+    rng = random.Random(seed)
+    clock = ManualClock()
+    hub = PeerTable("a", clock, "z")
+    hub.make_digest = lambda: Digest("a", "127.0.0.1:1", {"h1": HeadDigest(2, 5.0)}, zone="z")
+    digests = {}
+    for _ in range(40):
+        clock.advance_ms(rng.uniform(0.0, 30.0))
+        name = f"m{rng.randrange(6)}"
+        heads = {f"h{n}": HeadDigest(rng.randrange(1, 9), 3.0) for n in rng.sample(range(8), 3)}
+        suspects = {f"h{n}": 10.0 for n in rng.sample(range(8), 1) if rng.random() < 0.3}
+        digests[name] = Digest(name, f"127.0.0.1:{name[1:]}", heads, suspects, zone="z")
+        peer = hub.receive(msgspec.json.encode(PeerMessage(digests[name])))
+        hub.direct = None  # as after the time for which the sum is kept
+        answer = msgspec.json.decode(hub.response_to(peer), type=PeerMessage)
+        summary = next(s for s in answer.zones if s.zone == "z")
+        others = [d for n, d in digests.items() if n != name]
+        expected = Counter({"h1": 2})
+        for digest in others:
+            expected.update({i: h.own for i, h in digest.heads.items()})
+        assert {i: h.own for i, h in summary.heads.items() if h.own} == dict(expected)
+        assert summary.suspects.keys() == {i for d in others for i in d.suspects}
+        assert summary.daemons == len(others) + 1
+        assert summary.complete
+
+
+def test_sum_of_a_zone_is_worked_out_once_for_many_members():
+    clock = ManualClock()
+    hub = PeerTable("a", clock, "z")
+    peers = [
+        hub.receive(msgspec.json.encode(PeerMessage(Digest(f"m{n}", f"127.0.0.1:{n}", zone="z"))))
+        for n in range(30)
+    ]
+    sums = []
+    for peer in peers:
+        hub.response_to(peer)
+        sums.append(hub.direct)
+        clock.advance_ms(1.0)
+    assert len({id(direct) for direct in sums}) <= 2
--- a/libraries/gateway/src/corianderhaven/gateway/_silence_detector.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_silence_detector.py
@@ -140,10 +140,10 @@
 
     def is_active(self, head_id, within_ms):
         """Return whether any daemon observed activity of a head within `within_ms`."""
-        seen_ms = self.peers.last_activity_ms(head_id)
-        if seen_ms is not None and self.clock.now_ms() - seen_ms <= within_ms:
+        if 0.0 <= self.last_activity_age_ms(head_id) <= within_ms:
             return True
-        return 0.0 <= self.last_activity_age_ms(head_id) <= within_ms
+        seen_ms = self.peers.last_activity_ms(head_id)
+        return seen_ms is not None and self.clock.now_ms() - seen_ms <= within_ms
 
     def _is_silent(self, head_id, activity):
         now = self.clock.now_ms()
