--- a/libraries/cli/src/corianderhaven/cli/_load_command.py
+++ b/libraries/cli/src/corianderhaven/cli/_load_command.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections import Counter
 from pathlib import Path
 
 import msgspec
@@ -101,11 +102,11 @@
             raise SettingsError(f"no stand-in has the fault target {planned.target!r}")
 
     def _fetch_executions(self):
-        executions = {}
+        executions = Counter()
         for address in self.controls:
             by_service = _call_control(address, "GET", "/executions")["executions"]
             for counts in by_service.values():
-                executions.update(counts)
+                executions.update(counts)  # adds the counts of processes that ran the same one
         return executions
 
 
--- a/libraries/common/src/corianderhaven/common/_async_server.py
+++ b/libraries/common/src/corianderhaven/common/_async_server.py
@@ -1,14 +1,17 @@
 """Asyncio HTTP/1.1 server."""
 
 import asyncio
+import contextlib
 from dataclasses import dataclass
 
 import h11
+from loguru import logger
 
 from ._async_connection import Connection, ConnectionLostError, split_address
 from ._clock import MS_PER_S
 
 LISTEN_BACKLOG = 1024  # for a burst of connections between two event loop iterations
+BAD_GATEWAY = 502
 REQUEST_TIMEOUT = 408
 HEADERS_TOO_LARGE = 431
 BODY_TOO_LARGE = 413
@@ -96,10 +99,20 @@
                 pass
         except (ConnectionLostError, CallerDisconnectedError, asyncio.CancelledError):
             pass  # the caller has disconnected; a handler that was running has logged it
+        except Exception:
+            logger.exception("request handler failed")
+            await self._answer_failure()
         finally:
             if self.transport is not None and not self.lost:
                 self.transport.close()
 
+    async def _answer_failure(self):
+        """Tell the caller that its request failed, which may have been carried out."""
+        if self.head_sent or self.lost:
+            return
+        with contextlib.suppress(CallerDisconnectedError, h11.LocalProtocolError):
+            await self.send_response(BAD_GATEWAY, [(b"connection", b"close")], b"")
+
     async def _serve_request(self):
         limits = self.server.limits
         request = await self._read_request(limits)
--- a/libraries/common/src/corianderhaven/common/_logging.py
+++ b/libraries/common/src/corianderhaven/common/_logging.py
@@ -2,6 +2,7 @@
 
 import sys
 import threading
+import traceback
 from collections import deque
 
 import msgspec
@@ -18,7 +19,16 @@
         "event": record["message"],
         **record["extra"],
     }
-    sys.stderr.write(msgspec.json.encode(line, enc_hook=str).decode() + "\n")
+    text = msgspec.json.encode(_with_traceback(line, record), enc_hook=str).decode()
+    sys.stderr.write(text + "\n")
+
+
+def _with_traceback(line, record):
+    """Add the traceback of a logged exception to its line."""
+    exception = record["exception"]
+    if exception is not None:
+        line["traceback"] = "".join(traceback.format_exception(*exception))
+    return line
 
 
 def _format_text(record):
@@ -46,7 +56,7 @@
             "event": record["message"],
             **record["extra"],
         }
-        writer.write(msgspec.json.encode(line, enc_hook=str) + b"\n")
+        writer.write(msgspec.json.encode(_with_traceback(line, record), enc_hook=str) + b"\n")
 
     logger.remove()
     logger.add(sink, level=level, format="{message}", catch=True)
--- a/libraries/common/src/corianderhaven/common/tests/test_async_http.py
+++ b/libraries/common/src/corianderhaven/common/tests/test_async_http.py
@@ -11,6 +11,8 @@
     Clock,
     ConnectionLostError,
     ServerLimits,
+    SettingsError,
+    check_address,
 )
 
 
@@ -228,3 +230,22 @@
         assert (b"connection", b"close") in response.headers
 
     run_scenario(scenario)
+
+
+def test_unexpected_error_in_a_handler_is_answered_and_ends_only_its_connection():
+    async def fail_once(request, caller):
+        if request.target == b"/fail":
+            raise ZeroDivisionError("unexpected")
+        await caller.send_response(200, [], b"")
+
+    async def scenario(server):
+        assert (await AsyncHttpClient(server.address).call("GET", "/fail")).status == 502
+        assert (await AsyncHttpClient(server.address).call("GET", "/")).status == 200
+
+    run_scenario(scenario, fail_once)
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:²", "127.0.0.1:99999", "127.0.0.1:", "host:1"])
+def test_invalid_address_is_a_settings_error(address):
+    with pytest.raises(SettingsError):
+        check_address("peers", address)
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
@@ -222,6 +222,26 @@
     run_scenario(scenario, site_fields={"events": 30, "token_ms": 60.0})
 
 
+def test_replica_that_breaks_its_streams_gets_fewer_of_them():
+    """Only failed connections counted as failures, so a head that broke streams kept its share."""
+
+    async def scenario(site, daemon):
+        serving = heads(site, "small")
+        assert len(serving) >= 2
+        faulty = serving[0]
+        faulty.faults.cut_after = 0
+        for _ in range(16):
+            assert (await send_draft(daemon, "small")).complete
+        assert daemon.gateway.load_tracker.failure_rate(faulty.id) > 0.0
+        before = len(site.runs)
+        for _ in range(24):
+            assert (await send_draft(daemon, "small")).complete
+        at_faulty = sum(run.worker == faulty.id for run in site.runs[before:])
+        assert at_faulty < 24 / len(serving) / 2
+
+    run_scenario(scenario)
+
+
 def test_disconnected_caller_ends_the_work_immediately():
     async def scenario(site, daemon):
         connection = await ClientConnection.open(daemon.callers_server.address, 1000)
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper.py
@@ -115,7 +115,7 @@
                 continue
             for service in config.services.values():
                 if service.engine is not None:
-                    self._reconcile(service)
+                    self._reconcile_or_log(service)
             await asyncio.sleep(BATCH_INTERVAL_MS / MS_PER_S)
 
     def _update_tenure(self):
@@ -153,6 +153,13 @@
                 since_ms = self.directory.records[endpoint.id].unassigned_since_ms
                 self.replica_tasks.keeper_state.held_until_ms[endpoint.id] = since_ms + stall_ms
 
+    def _reconcile_or_log(self, service):
+        """Reconcile a service; an unexpected error must not end the repair of the others."""
+        try:
+            self._reconcile(service)
+        except Exception as error:
+            self.decisions.record("keeper_failed", service=service.name, reason=repr(error))
+
     def _reconcile(self, service):
         endpoints = self.directory.endpoints(service.name)
         engine, keeper_state = service.engine, self.replica_tasks.keeper_state
@@ -229,7 +236,7 @@
                     self.confirmed_until_ms[endpoint.id] = now + CONFIRMATION_MS
                     self.replica_tasks.spawn(self._probe_member(endpoint, key))
                     confirmed.append(endpoint)
-                elif until > 0.0:
+                else:
                     confirmed.append(endpoint)
         return [replace(e, leaving=False) for e in confirmed]
 
--- a/libraries/fleet/src/corianderhaven/fleet/_peer_exchange.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peer_exchange.py
@@ -149,6 +149,11 @@
             for target in [t for t in self.exchanges if t not in targets]:
                 self.exchanges.pop(target).cancel()
             for target, peer in targets.items():
+                exchange = self.exchanges.get(target)
+                if exchange is not None and exchange.done():
+                    reason = repr(exchange.exception())
+                    self.decisions.record("peer_exchange_failed", peer=peer.name, reason=reason)
+                    del self.exchanges[target]
                 if target not in self.exchanges:
                     self.decisions.record("peer_found", peer=peer.name, address=peer.address)
                     self.exchanges[target] = asyncio.get_running_loop().create_task(
--- a/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
@@ -173,7 +173,7 @@
         self._record_success()
         self.watch_revision = revision
         for item in items:
-            self._apply(item)
+            self._apply_or_log(item)
         self.directory.remove_expired()
         if not items and self.directory.records:
             self.watch_revision = None  # no endpoint has written: the watch may be stuck
@@ -185,7 +185,7 @@
         endpoints, _ = await self.store.list(self.platform_format.endpoint_prefix)
         self._record_success()
         if config is not None:
-            self._apply(config)
+            self._apply_or_log(config)
         self.set_own_items({item.key: item for item in own})
         self.directory.replace_all(
             (
@@ -204,6 +204,15 @@
     def _endpoint_id(self, item):
         return item.key[len(self.platform_format.endpoint_prefix) :]
 
+    def _apply_or_log(self, item):
+        """Apply one item; one that can't be applied must not keep the others from it."""
+        try:
+            self._apply(item)
+        except Exception as error:
+            self.decisions.record(
+                "item_rejected", key=item.key, revision=item.revision, reason=repr(error)
+            )
+
     def _apply(self, item):
         if item.key == self.platform_format.config_key:
             if item.value is not None:
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_store_watcher.py
@@ -11,7 +11,10 @@
     EngineReport,
     FleetConfig,
     HistoryGoneError,
+    LeaseEndedError,
     MetadataStore,
+    PeerExchange,
+    PeerTable,
     PlatformFormat,
     ReplicaState,
     StoreEra,
@@ -298,3 +301,66 @@
     newer = directory_with(member(endpoint(1, started_ms=7), "m.1.3", 0, generation=13))
     newer.update_from_keeper("e1", "m.1.2", 12, 7)
     assert newer.get("e1").membership.replica == "m.1.3"
+
+
+def test_record_is_written_after_its_first_write_failed():
+    """Only its lease was renewed from then on, and no peer ever found the daemon."""
+
+    async def simulate(clock):
+        hosted = HostedStore(clock)
+        decisions = DecisionLog(clock)
+        store = RecordStore(hosted, StoreEra(clock, decisions))
+        table = PeerTable("own", clock, "a")
+        watcher = StoreWatcher(
+            store,
+            Format(),
+            EndpointDirectory(clock, decisions),
+            ActiveConfig(Format().decode_config, decisions),
+            clock,
+            decisions,
+        )
+        exchange = PeerExchange(table, store, watcher, "own/daemons/", "x:1", decisions, None)
+        exchange.start()
+        await asyncio.sleep(6.0)
+        exchange.close()
+        return sorted(hosted.items)
+
+    assert run_in_virtual_time(simulate) == ["own/daemons/own"]
+
+
+class RecordStore(Store):
+    """Store whose first write fails."""
+
+    failures = 1
+
+    async def put_if(self, key, value, revision, lease=0):
+        if self.failures:
+            self.failures -= 1
+            raise StoreUnavailableError("the store is down")
+        return self.hosted.put(key, value, lease)
+
+    async def grant_lease(self, ttl_ms):
+        return self.hosted.grant_lease(ttl_ms)
+
+    async def renew_lease(self, lease):
+        if not self.hosted.renew_lease(lease):
+            raise LeaseEndedError(str(lease))
+
+
+def test_item_that_can_not_be_applied_does_not_keep_others_out():
+    async def scenario(hosted, store, watcher):
+        update = watcher.directory.update
+
+        def fail_for_one(endpoint_id, endpoint_, revision):
+            if endpoint_id == "e5":
+                raise ZeroDivisionError("unexpected")
+            update(endpoint_id, endpoint_, revision)
+
+        watcher.directory.update = fail_for_one
+        hosted.put("servers/e5", b"ready")
+        hosted.put("servers/e6", b"ready")
+        await asyncio.sleep(0.6)
+        assert known_ids(watcher) == ["e1", "e2", "e6"]
+        assert not watcher.task.done()
+
+    watch(scenario)
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -16,6 +16,7 @@
 CONNECT_TIMEOUT_MS = 60.0
 DEADLINE_SLACK_MS = 10.0  # the endpoint stops before this daemon does
 KEPT_HEAD_TIMEOUT_MS = 400.0  # several times the time of a plain service's answer
+GATEWAY_TIMEOUT = 504
 RESUMED_PRIORITY = 0
 ON_TIME_PRIORITY = 2
 LATE_PRIORITY = 6
@@ -159,15 +160,20 @@
             if result is AttemptResult.FAILED:
                 body = await attempt.connection.read_body()
                 context.error_response = (head.status, self.wire.caller_headers(head), body)
+                # At the deadline, the caller's time was too short, not the endpoint at fault.
+                if head.status != GATEWAY_TIMEOUT:
+                    self.load_tracker.record_result(endpoint.id, True)
             if result is not AttemptResult.COMPLETE:
                 return result
             if running < estimator.engine.slots:
                 estimator.record_first_event(predicted_ms, self.clock.now_ms() - stream.sent_ms)
             result = await self._forward_events(context, head, attempt.connection, stream)
+            self.load_tracker.record_result(endpoint.id, result is not AttemptResult.COMPLETE)
             if result is AttemptResult.COMPLETE:
                 self.pool.give_back(endpoint, attempt.release(), head)
             return result
         except (ConnectionLostError, EventTooLargeError):
+            self.load_tracker.record_result(endpoint.id, True)
             return AttemptResult.SILENT if stream.silent else AttemptResult.BROKEN
         finally:
             self.silence_detector.remove(stream)
--- a/libraries/standins/src/corianderhaven/standins/_local_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_local_site.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -187,7 +188,7 @@
         for address in self.control_addresses.values():
             answer = JsonClient(address, 5_000.0).json("GET", "/executions")
             for service, counts in answer["executions"].items():
-                found.setdefault(service, {}).update(counts)
+                found.setdefault(service, Counter()).update(counts)
         return found
 
     def wait_http(self, address, path, timeout_s=START_TIMEOUT_S):
