--- a/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
@@ -14,6 +14,7 @@
 RETRY_INTERVAL_MS = 150.0  # about seven calls per second and daemon while the store is down
 READER_RETRY_INTERVAL_MS = 1_000.0  # of daemons whose followers don't reach the store either
 DISCOVERY_INTERVAL_MS = 250.0
+FOUND_INTERVAL_MS = 80.0  # about one exchange, by which a follower has told the rest
 STAND_BY_CHECK_MS = 50.0
 OUTAGE_MS = 400.0  # leases of three heartbeats survive shorter outages
 
@@ -146,7 +147,9 @@
         if self.needs_peers():
             own, _ = await self.store.list(self.own_prefix)
             self.set_own_items({item.key: item for item in own})
-            await asyncio.sleep(DISCOVERY_INTERVAL_MS / MS_PER_S)
+            found = bool(self.own_items)
+            interval_ms = DISCOVERY_INTERVAL_MS if not found else FOUND_INTERVAL_MS
+            await asyncio.sleep(interval_ms / MS_PER_S)
         else:
             await asyncio.sleep(STAND_BY_CHECK_MS / MS_PER_S)
 
