Wait longer on a kept connection for a stream's first event

In a burst a head's first event is late, and a request on a kept connection was then sent again elsewhere. Ruled out: more refusals by the new queue: same decisions by its property test. Change: one second, or four times the expected first event, if longer.

--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -8,13 +8,16 @@
 from ._connection_pool import ConnectionPool
 from ._event_stream import EventTooLargeError
 from ._request_context import AttemptResult
-from ._silence_detector import FIRST_EVENT_FACTOR, FIRST_EVENT_SLACK_MS, ActiveStream
+from ._silence_detector import ActiveStream
 from ._wire import AttemptMetadata
 
 # Twenty times the latency within a region. TCP resends a lost first packet only after a second,
 # but the first event of another endpoint must still arrive in time.
 CONNECT_TIMEOUT_MS = 60.0
 DEADLINE_SLACK_MS = 10.0  # the endpoint stops before this daemon does
+# A head under a burst answers late too; a request sent again would add to its load.
+KEPT_STREAM_TIMEOUT_MS = 1_000.0
+KEPT_STREAM_FACTOR = 4.0
 KEPT_HEAD_TIMEOUT_MS = 400.0  # several times the time of a plain service's answer
 GATEWAY_TIMEOUT = 504
 RESUMED_PRIORITY = 0
@@ -141,7 +144,7 @@
             context,
             endpoint,
             self._priority(context, late),
-            FIRST_EVENT_FACTOR * first_event_ms + FIRST_EVENT_SLACK_MS,
+            max(KEPT_STREAM_TIMEOUT_MS, KEPT_STREAM_FACTOR * first_event_ms),
         )
         stream = attempt.stream = ActiveStream(
             endpoint.id,
