--- a/libraries/fleet/src/corianderhaven/fleet/_digests.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_digests.py
@@ -1,5 +1,7 @@
 """Messages between daemons: requests in flight, activity and suspected failures of heads."""
 
+from dataclasses import dataclass
+
 import msgspec
 
 from ._feed import Feed, FeedRequest
@@ -137,3 +139,34 @@
     for head_id, suspected_age_ms in suspects.items():
         current_age_ms = round(suspected_age_ms + age_ms)
         total[head_id] = min(total.get(head_id, current_age_ms), current_age_ms)
+
+
+@dataclass(frozen=True)
+class DirectSummary:
+    """Sum of the digests of a zone's other daemons, with these digests by daemon."""
+
+    summary: ZoneSummary
+    digests: dict
+    computed_ms: float
+
+    def without(self, daemon):
+        """Return a copy without the requests, suspicions and reports of one daemon."""
+        digest = self.digests.get(daemon)
+        others = [d for name, d in self.digests.items() if name != daemon]
+        summary = msgspec.structs.replace(
+            self.summary,
+            heads={i: HeadDigest(h.own, h.sign_age_ms) for i, h in self.summary.heads.items()},
+            suspects=dict(self.summary.suspects),
+            opened=dict(self.summary.opened),
+            leaving=dict(self.summary.leaving),
+        )
+        if digest is None:
+            return summary
+        summary.daemons -= 1
+        summary.store_reachable = any(other.store_reachable for other in others)
+        for head_id, reported in digest.heads.items():
+            summary.heads[head_id].own -= reported.own
+        own_suspects = digest.suspects.keys() - {i for other in others for i in other.suspects}
+        for head_id in own_suspects:
+            del summary.suspects[head_id]
+        return summary
--- a/libraries/fleet/src/corianderhaven/fleet/_feed.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_feed.py
@@ -60,7 +60,7 @@
     Parameters
     ----------
     source : str
-        Life of the follower; positions of another one mean nothing.
+        Incarnation of the follower; positions in the feed of another one mean nothing.
     age_ms : float
         Time since the follower's last answer from the store; negative if it reaches none.
     full : bool
--- a/libraries/fleet/src/corianderhaven/fleet/_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peers.py
@@ -14,7 +14,7 @@
 
 from ._digests import (
     Digest,
-    HeadDigest,
+    DirectSummary,
     PeerMessage,
     ZoneSummary,
     merge_heads,
@@ -54,37 +54,6 @@
     made_ms: float
 
 
-@dataclass(frozen=True)
-class DirectSummary:
-    """Sum of the digests of a zone's other daemons, with these digests by daemon."""
-
-    summary: ZoneSummary
-    digests: dict
-    computed_ms: float
-
-    def without(self, daemon):
-        """Return a copy without the requests, suspicions and reports of one daemon."""
-        digest = self.digests.get(daemon)
-        others = [d for name, d in self.digests.items() if name != daemon]
-        summary = msgspec.structs.replace(
-            self.summary,
-            heads={i: HeadDigest(h.own, h.sign_age_ms) for i, h in self.summary.heads.items()},
-            suspects=dict(self.summary.suspects),
-            opened=dict(self.summary.opened),
-            leaving=dict(self.summary.leaving),
-        )
-        if digest is None:
-            return summary
-        summary.daemons -= 1
-        summary.store_reachable = any(other.store_reachable for other in others)
-        for head_id, reported in digest.heads.items():
-            summary.heads[head_id].own -= reported.own
-        own_suspects = digest.suspects.keys() - {i for other in others for i in other.suspects}
-        for head_id in own_suspects:
-            del summary.suspects[head_id]
-        return summary
-
-
 class PeerTable:
     """The other daemons, their digests and the zone summaries.
 
