Let the test of a second outage fail on the fault that it names

Cause: it called the queue's check itself between the outages; the fault was that nobody does while nothing waits, so it passed without the change too. Change: the periodic check runs between the outages. Before: passes with the condition of the old loop. The whole suite was not run again: only this test changed.

--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_waiting_requests.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_waiting_requests.py
@@ -15,6 +15,7 @@
     WaitingRequests,
     queue_order,
 )
+from corianderhaven.gateway._admission import dispatch_periodically
 
 ACTIONS = st.lists(
     st.tuples(
@@ -139,7 +140,9 @@
         queue.dispatch()
         assert isinstance(await first, Refusal)
         serving[0] = True
-        queue.dispatch()
+        checks = asyncio.create_task(dispatch_periodically({"model": queue}, clock))
+        await asyncio.sleep(0.12)  # two checks, while nothing waits
+        checks.cancel()
         clock.advance_ms(5_000.0)
         serving[0] = False
         queued = QueuedRequest(1, clock.now_ms(), clock.now_ms() + 400.0, clock.now_ms() + 5_000.0)
