--- a/libraries/fleet/src/corianderhaven/fleet/_directory.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_directory.py
@@ -310,6 +310,8 @@
             "endpoint_told",
             endpoint=endpoint.id,
             revision=revision,
+            started_ms=endpoint.started_ms,
+            address=endpoint.address,
             leaving=endpoint.leaving,
             domain=endpoint.domain,
             staged=endpoint.staged,
