Reproduce the replica that counts one endpoint twice (red)

A spare ends, the keeper finds it silent, and a new endpoint starts at its address while the entry of the first is still listed.

--- a/libraries/standins/src/corianderhaven/standins/_hosting_engine.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_engine.py
@@ -124,10 +124,9 @@
         """Return whether an engine runs requests now; record violations if its group is partial."""
         if not engine.alive or self.state(engine) != "open":
             return False
-        if engine.group.stalled_since_ms is not None:
-            return False
+        # A head that has never seen a member begins requests before it notices that it lacks one.
         self._check_group_whole(engine)
-        return True
+        return engine.group.stalled_since_ms is None
 
     def order(self, engine, body):
         """Apply an order and return the HTTP status of the answer."""
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -19,6 +19,8 @@
 PLAIN_SERVICE = "ledger"
 ENDLESS_BLOCK = b"\x17 bytes without end " * 1_000
 TRICKLE_INTERVAL_MS = 20.0
+INCARNATIONS_PER_WORKER = 1_000  # keeps the start times of different workers apart
+ANY_ADDRESS = "127.0.0.1:0"
 
 
 @dataclass
@@ -170,23 +172,24 @@
         for server in self.servers:
             server.close()
 
-    async def add_engine(self, zone, name):
-        """Add an empty engine VM."""
-        worker = await self._add_worker(f"e-{name}", ENGINE_SERVICE, zone)
+    async def add_engine(self, zone, name, address=ANY_ADDRESS):
+        """Add an empty engine VM, at the address of one that has ended if `address` is given."""
+        worker = await self._add_worker(f"e-{name}", ENGINE_SERVICE, zone, address)
+        started_ms = len(self.workers) * INCARNATIONS_PER_WORKER
         worker.engine = self.engines.add(
-            HostedEngine(worker.id, zone, f"domain-{zone}", worker.address)
+            HostedEngine(worker.id, zone, f"domain-{zone}", worker.address, started_ms=started_ms)
         )
         return worker
 
-    def kill(self, worker_id):
-        """Make a worker unresponsive; its entry is deleted after three heartbeats."""
+    def kill(self, worker_id, entry_lifetime_ms=3 * HEARTBEAT_MS):
+        """Make a worker unresponsive; its entry is deleted after `entry_lifetime_ms`."""
         worker = self.workers[worker_id]
         worker.server.close()
         if worker.engine is not None:
             self.engines.kill(worker_id)
         worker.listed = False
         loop = asyncio.get_running_loop()
-        loop.call_later(3 * HEARTBEAT_MS / MS_PER_S, self.store.delete, f"servers/{worker_id}")
+        loop.call_later(entry_lifetime_ms / MS_PER_S, self.store.delete, f"servers/{worker_id}")
 
     def publish_config(self):
         """Write the next version of the configuration and return its number."""
@@ -243,13 +246,13 @@
             },
         }
 
-    async def _add_worker(self, worker_id, service, zone):
+    async def _add_worker(self, worker_id, service, zone, address=ANY_ADDRESS):
         worker = HostedWorker(worker_id, service, zone)
 
         async def answer(request, caller):
             await self._answer_worker(worker, request, caller)
 
-        worker.server = AsyncHttpServer("127.0.0.1:0", answer, self.clock)
+        worker.server = AsyncHttpServer(address, answer, self.clock)
         await worker.server.start()
         worker.address = await self.wrap_address(worker_id, worker.server.address)
         self.servers.append(worker.server)
@@ -304,12 +307,16 @@
         if request.target == b"/api/report" and engine is not None:
             body = msgspec.json.encode(self.engines.report(engine))
             await caller.send_response(200, self._leaving_header(worker), body)
-        elif request.target == b"/api/order" and engine is not None:
+        elif (
+            request.target == b"/api/order"
+            and engine is not None
+            and self._is_meant(worker, request)
+        ):
             status = self.engines.order(engine, msgspec.json.decode(request.body))
             await caller.send_response(status, self._leaving_header(worker), b"")
         elif worker.faults.drop_idle and caller in worker.used_connections:
             caller.close()
-        elif request.header("corianderhaven-expect-instance") not in (None, worker.id):
+        elif not self._is_meant(worker, request):
             await caller.send_response(
                 421,
                 [
@@ -326,6 +333,10 @@
             finally:
                 worker.active -= 1
 
+    def _is_meant(self, worker, request):
+        """Return whether a request expects this worker, or none in particular."""
+        return request.header("corianderhaven-expect-instance") in (None, worker.id)
+
     def _leaving_header(self, worker):
         leaving = worker.leaving or worker.faults.server_leaving
         return [(b"server-leaving", b"1")] if leaving else []
