--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -149,9 +149,14 @@
         self.source_ip = source_ip
         self.idle = []
 
-    async def call(self, method, target, body=b"", timeout_ms=1_000.0):
+    async def call(self, method, target, body=b"", timeout_ms=1_000.0, headers=()):
         """Send one request without retries and return the `BufferedResponse`.
 
+        Parameters
+        ----------
+        headers : sequence of (str, str)
+            Headers beside those that describe the body.
+
         Raises
         ------
         ConnectionLostError
@@ -159,17 +164,17 @@
         """
         try:
             async with asyncio.timeout(timeout_ms / MS_PER_S):
-                return await self._exchange(method, target, body, timeout_ms)
+                return await self._exchange(method, target, body, timeout_ms, headers)
         except TimeoutError:
             raise ConnectionLostError(f"{method} {target} timed out") from None
 
-    async def _exchange(self, method, target, body, timeout_ms):
+    async def _exchange(self, method, target, body, timeout_ms, extra_headers):
         connection = self._pop_idle_connection()
         if connection is None:
             connection = await ClientConnection.open(self.address, timeout_ms, self.source_ip)
         reusable = False
         try:
-            headers = [("host", self.address), ("content-length", str(len(body)))]
+            headers = [("host", self.address), ("content-length", str(len(body))), *extra_headers]
             if body:
                 headers.append(("content-type", "application/json"))
             await connection.send(method, target, headers, body)
--- a/libraries/fleet/src/corianderhaven/fleet/_directory.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_directory.py
@@ -88,6 +88,8 @@
         self.synced = False
         self.store_recovered_ms = None
         self.departed = {}
+        # Endpoints whose present incarnation is known from a report, but from no entry.
+        self.reported_restarts = set()
         self.on_change = lambda endpoint_id: None
 
     def endpoints(self, service=None):
@@ -126,6 +128,7 @@
     def apply_peer_entry(self, endpoint, revision):
         """Apply what a daemon that follows the store knows of an endpoint."""
         self._replace_if_newer(endpoint.id, endpoint, revision)
+        self._drop_misattributed(endpoint)
 
     def drop(self, key):
         """Remove an endpoint that a daemon that follows the store has removed."""
@@ -149,6 +152,19 @@
                 known.expires_ms = None
             return
         self._replace_if_newer(key, endpoint, revision)
+        self._drop_misattributed(endpoint)
+
+    def _drop_misattributed(self, endpoint):
+        """Drop an ended endpoint that a report of this one, at its address, seemed to restart."""
+        self.reported_restarts.discard(endpoint.id)
+        self.reported_restarts &= self.records.keys()
+        for other_id in list(self.reported_restarts):
+            other = self.records[other_id].endpoint
+            if _incarnation_at(other) == _incarnation_at(endpoint):
+                self.reported_restarts.discard(other_id)
+                del self.records[other_id]
+                self.decisions.record("endpoint_gone", endpoint=other_id, address_of=endpoint.id)
+                self._mark_changed(other_id)
 
     def _replace_if_newer(self, key, endpoint, revision):
         known = self.records.get(key)
@@ -175,10 +191,19 @@
             self._mark_changed(key)
 
     def update_from_report(self, endpoint_id, report):
-        """Apply the state that an engine returned when queried."""
+        """Apply the state that an engine returned when queried.
+
+        Returns False if the report is that of another endpoint, which has the address now.
+        """
         record = self.records.get(endpoint_id)
         if record is None:
-            return
+            return True
+        restarted = report.started_ms != record.endpoint.started_ms
+        if restarted or endpoint_id in self.reported_restarts:
+            owner = self._find_at_address(record.endpoint.address, report.started_ms)
+            if owner not in (None, endpoint_id):
+                self.decisions.record("address_reused", endpoint=endpoint_id, by=owner)
+                return False
         endpoint = replace(
             record.endpoint,
             started_ms=report.started_ms,
@@ -186,6 +211,21 @@
             membership=report.membership,
         )
         self._replace_if_newer(endpoint_id, endpoint, record.revision)
+        if restarted:
+            self.reported_restarts.add(endpoint_id)
+        return True
+
+    def _find_at_address(self, address, started_ms):
+        """Return the id of the endpoint at an address that started then by its entry, or None."""
+        return next(
+            (
+                endpoint_id
+                for endpoint_id, record in self.records.items()
+                if _incarnation_at(record.endpoint) == (address, started_ms)
+                and endpoint_id not in self.reported_restarts
+            ),
+            None,
+        )
 
     def update_from_keeper(self, endpoint_id, replica, generation, started_ms):
         """Apply a report of the keeper that it opened a replica with this endpoint as head."""
@@ -326,6 +366,11 @@
         self.changed.set()
 
 
+def _incarnation_at(endpoint):
+    """Return what identifies an incarnation without the endpoint's id."""
+    return (endpoint.address, endpoint.started_ms)
+
+
 def _logged_fields(endpoint):
     """Return the fields whose changes are logged."""
     return (
--- a/libraries/fleet/src/corianderhaven/fleet/_order_sender.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_order_sender.py
@@ -70,10 +70,9 @@
         if result in ACCEPTED:
             return True
         report = await self.orders.report(endpoint, PROBE_TIMEOUT_MS)
-        if report is None:
+        if report is None or not self.directory.update_from_report(endpoint.id, report):
             self.mark_unresponsive(endpoint.id)
             return False
-        self.directory.update_from_report(endpoint.id, report)
         member = report.membership
         return member is None or (member.replica, member.generation) != key
 
@@ -91,8 +90,7 @@
             ]
             for done in asyncio.as_completed(attempts):
                 report = await done
-                if report is not None:
-                    self.directory.update_from_report(endpoint.id, report)
+                if report is not None and self.directory.update_from_report(endpoint.id, report):
                     self.unresponsive.pop(endpoint.id, None)
                     return report
             self.mark_unresponsive(endpoint.id)
--- a/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
@@ -189,7 +189,8 @@
 
         results = await asyncio.gather(*(join(e) for e in action.members))
         for endpoint, result in zip(action.members, results, strict=True):
-            if result is OrderResult.UNKNOWN:
+            # One that refuses isn't the endpoint that was meant, or can't carry out orders.
+            if result in (OrderResult.UNKNOWN, OrderResult.REFUSED):
                 self.sender.mark_unresponsive(endpoint.id)
         return all(result in ACCEPTED for result in results)
 
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_store_watcher.py
@@ -1,6 +1,7 @@
 """Tests of the store watcher, the endpoint directory and their behavior in store outages."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -288,6 +289,40 @@
     assert directory.get("e1").membership.replica == "m.1.2"
 
 
+def report_of(started_ms):
+    return EngineReport(started_ms, False, ("m",), None, 0, 0, 1.0)
+
+
+def test_report_of_the_next_endpoint_at_an_address_is_not_that_of_the_ended_one():
+    """A replica counted one endpoint twice, as its own and under the ended one's id."""
+    ended = endpoint(1, started_ms=7)
+    directory = directory_with(ended)
+    directory.update("e2", replace(endpoint(2, started_ms=9), address=ended.address), 4)
+    assert not directory.update_from_report("e1", report_of(9))
+    assert directory.get("e1").started_ms == 7
+    assert directory.update_from_report("e2", report_of(9))
+    assert directory.get("e2").staged == ("m",)
+
+
+def test_entry_shows_whose_report_seemed_to_be_a_restart():
+    """The report comes before the entry of the endpoint that has the address now."""
+    ended = endpoint(1, started_ms=7)
+    directory = directory_with(ended)
+    assert directory.update_from_report("e1", report_of(9))  # a restart, as far as is known
+    directory.update("e2", replace(endpoint(2, started_ms=9), address=ended.address), 4)
+    assert directory.get("e1") is None
+    assert directory.update_from_report("e2", report_of(9))
+
+
+def test_restart_under_the_same_id_and_address_is_known_from_the_report():
+    directory = directory_with(endpoint(1, started_ms=7))
+    assert directory.update_from_report("e1", report_of(9))
+    assert directory.get("e1").started_ms == 9
+    directory.update("e1", endpoint(1, started_ms=9), 4)
+    assert directory.reported_restarts == set()
+    assert directory.update_from_report("e1", report_of(9))
+
+
 def test_opened_head_is_known_from_the_keeper_before_its_entry():
     directory = directory_with(endpoint(1, started_ms=7))
     directory.update_from_keeper("e1", "m.1.2", 12, 7)
