Don't take another endpoint's words in an answer for those of the ended one

The answer says which endpoint it is; only that one's words are used now. The test is red with the old condition ('assert not True' on leaving), green with it.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_reused_address.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_reused_address.py
@@ -2,7 +2,12 @@
 
 import asyncio
 
-from corianderhaven.daemon.tests.hosted_site import hosted_site, send_draft, wait_until
+from corianderhaven.daemon.tests.hosted_site import (
+    hosted_site,
+    send_draft,
+    send_request,
+    wait_until,
+)
 from corianderhaven.fleet._order_sender import UNRESPONSIVE_MS
 from corianderhaven.standins import HostedModel
 
@@ -56,3 +61,20 @@
     if group is None:
         return False
     return site.engines.state(site.workers[group.members[0]].engine) == "open"
+
+
+def test_word_of_the_next_endpoint_at_an_address_is_not_taken_for_the_ended_one_s():
+    """A 421 says that another endpoint answers; what else it says concerns that one."""
+
+    async def run():
+        async with hosted_site() as (site, daemons):
+            site.kill("s-0", ENTRY_LIFETIME_MS)
+            address = site.workers["s-0"].address
+            other = await site.add_plain_worker("s-other", address)
+            other.listed, other.faults.server_leaving = False, True
+            for _ in range(6):
+                assert (await send_request(daemons[0], "/status/1")).status == 200
+            assert other.misdirected_count > 0
+            assert not daemons[0].directory.get("s-0").leaving
+
+    asyncio.run(run())
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -274,12 +274,8 @@
     def _classify_response(self, context, endpoint, head):
         """Return the result that a response's status and headers indicate."""
         response = self.wire.read_response(head)
-        if response.load is not None:
-            self.load_tracker.record_load(endpoint.id, response.load)
-        if response.leaving:
-            self.on_leaving(endpoint)
-        if response.retry_after_ms:
-            self.load_tracker.hold(endpoint, response.retry_after_ms)
+        if response.endpoint_id in (None, endpoint.id):
+            self._record_statements(endpoint, response)
         if response.request_id not in (None, context.metadata.request_id):
             return AttemptResult.BROKEN
         if response.not_run:
@@ -291,6 +287,15 @@
             return AttemptResult.BROKEN
         return AttemptResult.COMPLETE
 
+    def _record_statements(self, endpoint, response):
+        """Record what an endpoint says of itself in an answer."""
+        if response.load is not None:
+            self.load_tracker.record_load(endpoint.id, response.load)
+        if response.leaving:
+            self.on_leaving(endpoint)
+        if response.retry_after_ms:
+            self.load_tracker.hold(endpoint, response.retry_after_ms)
+
     async def _forward_events(self, context, head, connection, stream):
         if not context.head_forwarded:
             await context.caller.send_head(head.status, self.wire.caller_headers(head))
--- a/libraries/gateway/src/corianderhaven/gateway/_wire.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_wire.py
@@ -64,6 +64,8 @@
         Whether the endpoint says that it leaves.
     retry_after_ms : float or None
         How long the endpoint, which refused the request, wants no other from this daemon.
+    endpoint_id : str or None
+        The endpoint that answers, if it says so.
     """
 
     request_id: str | None
@@ -73,6 +75,7 @@
     load: tuple | None = None
     leaving: bool = False
     retry_after_ms: float | None = None
+    endpoint_id: str | None = None
 
 
 class WireFormat(ABC):
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -107,6 +107,7 @@
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     active: int = 0
     refused_count: int = 0
+    misdirected_count: int = 0
     used_connections: set = field(default_factory=set)
 
 
@@ -159,7 +160,7 @@
         for zone, number in itertools.product(self.zones, range(self.domain_size)):
             await self.add_engine(zone, f"{zone}-{number}")
         for number in range(self.plain_workers):
-            await self._add_worker(f"s-{number}", PLAIN_SERVICE, self.zones[0])
+            await self.add_plain_worker(f"s-{number}")
         self.publish_config()
         loop = asyncio.get_running_loop()
         self.tasks.append(loop.create_task(self._publish_entries()))
@@ -172,6 +173,10 @@
         for server in self.servers:
             server.close()
 
+    async def add_plain_worker(self, worker_id, address=ANY_ADDRESS):
+        """Add a worker of the plain service, like `add_engine`."""
+        return await self._add_worker(worker_id, PLAIN_SERVICE, self.zones[0], address)
+
     async def add_engine(self, zone, name, address=ANY_ADDRESS):
         """Add an empty engine VM, at the address of one that has ended if `address` is given."""
         worker = await self._add_worker(f"e-{name}", ENGINE_SERVICE, zone, address)
@@ -317,6 +322,7 @@
         elif worker.faults.drop_idle and caller in worker.used_connections:
             caller.close()
         elif not self._is_meant(worker, request):
+            worker.misdirected_count += 1
             await caller.send_response(
                 421,
                 [
