--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -24,6 +24,7 @@
 NOT_RUN_RETRY_AFTER_MS = 400.0
 RETRY_AT_GOAL_FRACTION = 0.7  # of the goal; leaves time for another endpoint's typical answer
 RECENT_ACTIVITY_MS = 250.0  # longer than an event interval with prefill, or a digest's delivery
+MAX_LOGGED_PARTS = 8
 PRUNE_INTERVAL_MS = 5_000.0  # few endpoints come and go in it; an entry takes about 100 bytes
 
 
@@ -267,6 +268,8 @@
             endpoint=endpoint.id,
             result=result.value,
             last_event=context.splitter.last_event_id,
+            events=context.attempt_events,
+            parts=context.metadata.shared_parts[:MAX_LOGGED_PARTS],
             budget=round(self.retry_budget.remaining(context.service.name), 1),
         )
         context.excluded.add(endpoint.id)
--- a/libraries/gateway/src/corianderhaven/gateway/_request_context.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_context.py
@@ -43,6 +43,8 @@
         Time in the admission queue.
     longest_pause_ms : float
         Longest time between two forwarded events.
+    attempt_events : int
+        Events that the endpoint of the present attempt has sent.
     """
 
     request: object
@@ -64,6 +66,7 @@
     longest_pause_ms: float = 0.0
     last_forwarded_ms: float | None = None
     attempt_results: list = field(default_factory=list)
+    attempt_events: int = 0
 
     @property
     def started_ms(self):
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -191,6 +191,7 @@
         """
         context, endpoint = attempt.context, attempt.endpoint
         context.attempts += 1
+        context.attempt_events = 0
         kept = self.pool.take(endpoint) if self._may_use_kept_connection(context) else None
         if kept is not None:
             head = await self._request_on_kept(attempt, kept)
@@ -306,6 +307,7 @@
             data_events = context.splitter.data_event_count
             events = context.splitter.feed(chunk)
             if context.splitter.data_event_count > data_events:
+                context.attempt_events += context.splitter.data_event_count - data_events
                 self.silence_detector.record_activity(stream)
             if events:
                 context.record_forwarded(self.clock.now_ms())
--- a/libraries/gateway/src/corianderhaven/gateway/_wire.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_wire.py
@@ -20,6 +20,8 @@
         The caller's estimate of the answer's length in tokens.
     last_event_id : str or None
         Event after which the caller resumes a stream.
+    shared_parts : tuple of str
+        Ids of the parts of the prompt that other requests may hold as well.
     """
 
     request_id: str
@@ -30,6 +32,7 @@
     max_output_tokens: int = 0
     length_hint: int | None = None
     last_event_id: str | None = None
+    shared_parts: tuple = ()
 
 
 @dataclass
