Let a prompt part crash engines of the hosting stand-in

Change: an engine of the hosting stand-in ends when it is about to write the first event of a request with a part of `crashing_parts` before its last one: all its connections are cut, its port refuses, its group is lost, and after `crash_restart_ms` it starts again at its address, under the same ID or (`new_id_after_crash`) a new one, whose old entry expires as usual. The site counts the ends and each request with such a part that reached a worker.

--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -4,6 +4,7 @@
 import itertools
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 import msgspec
 
@@ -14,6 +15,7 @@
 from ._hosting_store_api import HostedStoreApi
 
 HEARTBEAT_MS = 150.0
+ENTRY_LIFETIME_MS = 3 * HEARTBEAT_MS  # an entry is deleted after three heartbeats of silence
 STATE_POLL_MS = 10.0
 ENGINE_SERVICE = "draft-pool"
 PLAIN_SERVICE = "ledger"
@@ -89,6 +91,23 @@
     connection: int = 0
 
 
+class ArrivalWithPart(NamedTuple):
+    """A request that reached a worker and holds a crashing part; `request_id` is the caller's."""
+
+    at_ms: float
+    request_id: str
+    worker: str
+    part: str
+
+
+class WorkerEnd(NamedTuple):
+    """The end of a worker under a crashing part."""
+
+    at_ms: float
+    worker: str
+    part: str
+
+
 @dataclass
 class HostedWorker:
     """A worker's listener and the address that the worker advertises."""
@@ -106,6 +125,7 @@
     active: int = 0
     refused_count: int = 0
     used_connections: set = field(default_factory=set)
+    expiry: object = None
 
 
 class HostingSite:
@@ -124,6 +144,19 @@
         Factor by which loads, stalls and joins are faster than on the platform.
     events : int
         Number of events in a stream.
+
+    Attributes
+    ----------
+    crashing_parts : set of str
+        IDs of prompt parts, in lower case. An engine ends when it is about to write the first
+        event of a request with one of them before its last part.
+    crash_restart_ms : float
+        Time from such an end until the engine starts again at the same address.
+    new_id_after_crash : bool
+        Whether the engine then has a new ID; the entry of the old one expires as usual.
+    ended_workers : list of WorkerEnd
+    arrivals_with_part : list of ArrivalWithPart
+        Requests with a crashing part that reached a worker, whatever it answered.
     """
 
     def __init__(
@@ -146,6 +179,11 @@
         self.wrap_address = _keep_address
         self.keys = {"team-a": ["key-a"], "team-b": ["key-b"]}
         self.routes = default_routes()
+        self.crashing_parts = set()
+        self.crash_restart_ms = 3_000.0
+        self.new_id_after_crash = False
+        self.ended_workers = []
+        self.arrivals_with_part = []
 
     async def start(self):
         """Start the store, the workers and their heartbeats."""
@@ -186,7 +224,9 @@
             self.engines.kill(worker_id)
         worker.listed = False
         loop = asyncio.get_running_loop()
-        loop.call_later(3 * HEARTBEAT_MS / MS_PER_S, self.store.delete, f"servers/{worker_id}")
+        worker.expiry = loop.call_later(
+            ENTRY_LIFETIME_MS / MS_PER_S, self.store.delete, f"servers/{worker_id}"
+        )
 
     def publish_config(self):
         """Write the next version of the configuration and return its number."""
@@ -245,16 +285,74 @@
 
     async def _add_worker(self, worker_id, service, zone):
         worker = HostedWorker(worker_id, service, zone)
+        await self._listen(worker, "127.0.0.1:0")
+        worker.address = await self.wrap_address(worker_id, worker.server.address)
+        self.workers[worker_id] = worker
+        return worker
 
+    async def _listen(self, worker, address):
         async def answer(request, caller):
             await self._answer_worker(worker, request, caller)
 
-        worker.server = AsyncHttpServer("127.0.0.1:0", answer, self.clock)
+        worker.server = AsyncHttpServer(address, answer, self.clock)
         await worker.server.start()
-        worker.address = await self.wrap_address(worker_id, worker.server.address)
         self.servers.append(worker.server)
-        self.workers[worker_id] = worker
-        return worker
+
+    def _parts_that_crash(self, request):
+        """Return the crashing parts of a request; its last part is its own and never crashes."""
+        entries = (request.header("corianderhaven-prompt-prefix") or "").split(",")[:-1]
+        parts = [entry.partition(":")[0].strip().lower() for entry in entries]
+        return [part for part in parts if part in self.crashing_parts]
+
+    def _record_arrival(self, worker, request):
+        request_id = request.header("corianderhaven-attempt-id") or ""
+        for part in self._parts_that_crash(request):
+            self.arrivals_with_part.append(
+                ArrivalWithPart(self.clock.now_ms(), request_id, worker.id, part)
+            )
+
+    def _crash(self, worker, part):
+        """End an engine as a crash does, and start it again after `crash_restart_ms`."""
+        if not worker.engine.alive:
+            return  # another request of the same instant has ended it
+        self.ended_workers.append(WorkerEnd(self.clock.now_ms(), worker.id, part))
+        self.kill(worker.id)
+        worker.engine.group = None
+        self.tasks.append(asyncio.get_running_loop().create_task(self._restart(worker)))
+
+    async def _restart(self, worker):
+        await asyncio.sleep(self.crash_restart_ms / MS_PER_S)
+        address = worker.server.address
+        if self.new_id_after_crash:
+            worker = self._add_successor(worker)
+        else:
+            worker.expiry.cancel()
+            self.engines.restart(worker.id)
+        while True:
+            try:
+                await self._listen(worker, address)
+                break
+            except OSError:  # an outgoing connection may hold the port for a moment
+                await asyncio.sleep(STATE_POLL_MS / MS_PER_S)
+        worker.listed = True
+
+    def _add_successor(self, worker):
+        """Add an engine with a new ID on the host of an ended one."""
+        old = worker.engine
+        successor = HostedWorker(new_id(worker.id), worker.service, worker.zone, listed=False)
+        successor.address = worker.address
+        successor.engine = self.engines.add(
+            HostedEngine(
+                successor.id,
+                old.zone,
+                old.domain,
+                old.address,
+                started_ms=old.started_ms + 1,
+                staged=list(self.engines.staged(old)),
+            )
+        )
+        self.workers[successor.id] = successor
+        return successor
 
     async def _publish_entries(self):
         published = {}
@@ -299,6 +397,7 @@
 
     async def _answer_worker(self, worker, request, caller):
         engine = worker.engine
+        self._record_arrival(worker, request)
         if engine is not None and not engine.alive:
             await asyncio.sleep(3600.0)
         if request.target == b"/api/report" and engine is not None:
@@ -422,6 +521,9 @@
             await caller.write(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra")
 
     async def _stream_events(self, worker, request, caller):
+        if parts := self._parts_that_crash(request):
+            self._crash(worker, parts[0])
+            return
         first = int(request.header("last-event-id") or 0) + 1
         headers = [
             *self._response_headers(worker, request),
