Give a restarted engine of the stand-in a short new ID

Cause: each new ID contained the one before; after some crashes in a row, keys of the store would exceed their 200 bytes. Change: the new ID doesn't depend on the old one. Tests: the three tests of the stand-in's fault pass.

--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -339,7 +339,7 @@
     def _add_successor(self, worker):
         """Add an engine with a new ID on the host of an ended one."""
         old = worker.engine
-        successor = HostedWorker(new_id(worker.id), worker.service, worker.zone, listed=False)
+        successor = HostedWorker(new_id("e"), worker.service, worker.zone, listed=False)
         successor.address = worker.address
         successor.engine = self.engines.add(
             HostedEngine(
