Soak: a prompt part that crashes engines

Cause: the soak had no fault in which a request ends the engines that it reaches. Change: `prompt_part_crashes_engines`: for its duration a tenth of the drafts hold a new part that ends each engine about to write on it; all drafts now name parts of their prompts, the first of which they share. An engine that starts again no longer leaves. Behind the soak's link proxy a dead engine's port accepts and resets instead of refusing. No invariant bounds the sends: daemons of the soak are killed and cut off from each other meanwhile. Tests: libraries/soak and the tests of the stand-in's fault pass (35).

--- a/libraries/soak/src/corianderhaven/soak/_callers.py
+++ b/libraries/soak/src/corianderhaven/soak/_callers.py
@@ -15,6 +15,9 @@
 MEAN_PAUSE_S = 0.15  # between two requests of one caller
 VERSION_LAGS = [0, 0, 3]  # consecutive configuration versions differ by 3
 ABANDON_PROBABILITY = 0.04  # that a caller disconnects before the response
+CRASHING_PROBABILITY = 0.1  # that a draft holds a crashing part while there is one
+SHARED_PART = "5c1e07a2"
+SOUND_PARTS = ["91bd3f06", "e4402b7d", "38f2c6aa"]
 KIND_WEIGHTS = {"draft": 5, "issue": 3, "status": 2, "version": 1}
 
 _request_numbers = itertools.count(1)
@@ -113,9 +116,18 @@
             headers += [
                 ("corianderhaven-model", self.rng.choice(["small", "large"])),
                 ("corianderhaven-token-count", "100,40"),
+                ("corianderhaven-prompt-prefix", self._prompt_prefix(attempt)),
             ]
         return headers
 
+    def _prompt_prefix(self, attempt):
+        """Return parts of which other drafts share the first ones, and a last one of its own."""
+        parts = SOUND_PARTS
+        if self.site.crashing_parts and self.rng.random() < CRASHING_PROBABILITY:
+            parts = sorted(self.site.crashing_parts)
+        own = attempt.id.rpartition("-")[2]
+        return f"{SHARED_PART}:40,{self.rng.choice(parts)}:40,{own}:20"
+
     def _drop_connection(self):
         if self.connection is not None:
             self.connection.close()
--- a/libraries/soak/src/corianderhaven/soak/_fault_injector.py
+++ b/libraries/soak/src/corianderhaven/soak/_fault_injector.py
@@ -57,6 +57,7 @@
         self.invariants = invariants
         self.on_drained = on_drained
         self.worker_numbers = itertools.count(100)
+        self.part_numbers = itertools.count(0xC0000000)
         self.busy_daemons = set()
         self.active_count = 0
         self.started_count = 0
@@ -226,6 +227,13 @@
         await asyncio.sleep(fault.duration_s)
         worker.faults = WorkerFaults()
 
+    async def prompt_part_crashes_engines(self, fault):
+        """Let some drafts hold a new part that ends each engine that writes on it."""
+        part = f"{next(self.part_numbers):x}"
+        self.site.crashing_parts.add(part)
+        await asyncio.sleep(fault.duration_s)
+        self.site.crashing_parts.discard(part)
+
     async def caller_links_reset(self, fault):
         self._select(self.daemons, fault).caller_link.reset()
 
--- a/libraries/soak/src/corianderhaven/soak/_faults.py
+++ b/libraries/soak/src/corianderhaven/soak/_faults.py
@@ -29,6 +29,7 @@
     "worker_says_leaving": 2,
     "caller_links_reset": 2,
     "config_change": 5,
+    "prompt_part_crashes_engines": 2,
 }
 
 
--- a/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
+++ b/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
@@ -8,9 +8,11 @@
 from corianderhaven.common import ClientConnection, ConnectionLostError
 from corianderhaven.soak import (
     Attempt,
+    Fault,
     InvariantChecker,
     LinkProxy,
     SoakRun,
+    _soak_run,
     main,
     plan_faults,
 )
@@ -247,3 +249,16 @@
 
     assert all(callable(getattr(FaultInjector, kind)) for kind in FAULT_WEIGHTS)
     assert all(WorkerFaults(**fields) != WorkerFaults() for fields in MISBEHAVIOURS)
+
+
+def test_part_that_crashes_engines_reaches_workers_while_the_fault_lasts(tmp_path, monkeypatch):
+    """Engines that end and start again, and the part that ended them, leave all kinds served."""
+    faults = [Fault("prompt_part_crashes_engines", 0.5, 2.0, 0.0)]
+    monkeypatch.setattr(_soak_run, "plan_faults", lambda seed, seconds: faults)
+    run = SoakRun(7, 4.0, 3, str(tmp_path))
+    report = asyncio.run(run.run())
+    assert report.breaches == []
+    assert report.recovered_s is not None
+    assert report.faults == {"prompt_part_crashes_engines": 1}
+    assert run.site.ended_workers
+    assert run.site.crashing_parts == set()
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -327,6 +327,7 @@
             worker = self._add_successor(worker)
         else:
             worker.expiry.cancel()
+            worker.leaving = False
             self.engines.restart(worker.id)
         while True:
             try:
