Add the record of crash evidence by part that daemons exchange

Change: PartRecord holds the ages of ends by incarnation and of the last sound answer; merge_parts keeps the oldest age of an end and the youngest of an answer. Digest and ZoneSummary don't carry it yet.

--- a/libraries/fleet/src/corianderhaven/fleet/__init__.py
+++ b/libraries/fleet/src/corianderhaven/fleet/__init__.py
@@ -1,7 +1,15 @@
 """Endpoint discovery, exchange of state between daemons, and replica management."""
 
 from ._active_config import ActiveConfig
-from ._digests import DIGEST_PATH, Digest, HeadDigest, PeerMessage, ZoneSummary
+from ._digests import (
+    DIGEST_PATH,
+    Digest,
+    HeadDigest,
+    PartRecord,
+    PeerMessage,
+    ZoneSummary,
+    merge_parts,
+)
 from ._directory import EndpointDirectory
 from ._feed import Feed, FeedReader, FeedRequest, FeedWriter
 from ._formation import Dissolve, Form, FormationPlanner, Stage, Standby, Vm, find_failed
@@ -68,6 +76,7 @@
     "ModelSpec",
     "NodeSettings",
     "OrderResult",
+    "PartRecord",
     "PeerExchange",
     "PeerMessage",
     "PeerState",
@@ -91,6 +100,7 @@
     "ZoneSummary",
     "find_failed",
     "group_replicas",
+    "merge_parts",
     "model_of",
     "replica_name",
     "is_serving",
--- a/libraries/fleet/src/corianderhaven/fleet/_digests.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_digests.py
@@ -1,5 +1,6 @@
 """Messages between daemons: requests in flight, activity and suspected failures of heads."""
 
+import math
 from dataclasses import dataclass
 
 import msgspec
@@ -24,6 +25,22 @@
     sign_age_ms: float = -1.0
 
 
+class PartRecord(msgspec.Struct, array_like=True):
+    """Evidence on whether a part of a prompt ends the endpoints that answer it.
+
+    Parameters
+    ----------
+    ends : dict of str to float
+        Incarnations of endpoints that ended while an answer on the part was in its opening phase,
+        with the ages of these ends in ms.
+    cleared_age_ms : float
+        Time since a sound answer on the part began; negative if none is known.
+    """
+
+    ends: dict[str, float] = {}
+    cleared_age_ms: float = -1
+
+
 class Digest(msgspec.Struct):
     """State that a daemon reports about itself.
 
@@ -141,6 +158,28 @@
         total[head_id] = min(total.get(head_id, current_age_ms), current_age_ms)
 
 
+def merge_parts(total, parts, age_ms=0.0):
+    """Add evidence about parts to `total`: the oldest age of each end, the last sound answer.
+
+    Parameters
+    ----------
+    total, parts : dict of str to PartRecord
+        `parts` is left unchanged.
+    age_ms : float
+        Time since `parts` was received.
+    """
+    for part, reported in parts.items():
+        known = total.setdefault(part, PartRecord({}))
+        # Rounded down: an end must not get older with each exchange.
+        for incarnation, ended_age_ms in reported.ends.items():
+            current_age_ms = math.floor(ended_age_ms + age_ms)
+            known.ends[incarnation] = max(known.ends.get(incarnation, 0), current_age_ms)
+        if reported.cleared_age_ms >= 0.0:
+            cleared_age_ms = math.floor(reported.cleared_age_ms + age_ms)
+            if not 0.0 <= known.cleared_age_ms <= cleared_age_ms:
+                known.cleared_age_ms = cleared_age_ms
+
+
 @dataclass(frozen=True)
 class DirectSummary:
     """Sum of the digests of a zone's other daemons, with these digests by daemon."""
