Add a ledger of parts of prompts that end endpoints

Cause: a request whose prompt ends endpoints is sent again and again, by each daemon for itself. Change: CrashLedger counts ended incarnations by part, clears parts by sound answers, merges the evidence of peers, and decides whether an attempt may be sent, resumed, or is the fleet's one trial. Beyond the count: ends at one moment count as three at most, so that a lost rack proves nothing; a part whose ends another one explains isn't proven. Both are tried by one daemon at a time meanwhile. Nothing calls the ledger yet.

--- a/libraries/gateway/src/corianderhaven/gateway/__init__.py
+++ b/libraries/gateway/src/corianderhaven/gateway/__init__.py
@@ -3,6 +3,7 @@
 from ._admission import AdmissionQueue, QueuedRequest, Refusal, queue_order
 from ._choice import choose_endpoint
 from ._connection_pool import ConnectionPool, declared_idle_ms
+from ._crash_ledger import Admission, Assessment, CrashLedger, ListedPart, Verdict
 from ._event_stream import EventSplitter
 from ._gateway import Gateway
 from ._latency_estimator import LatencyEstimator
@@ -18,11 +19,15 @@
     "ConnectionPool",
     "declared_idle_ms",
     "ActiveStream",
+    "Admission",
     "AdmissionQueue",
+    "Assessment",
     "AttemptMetadata",
+    "CrashLedger",
     "EventSplitter",
     "Gateway",
     "LatencyEstimator",
+    "ListedPart",
     "LoadTracker",
     "QueuedRequest",
     "Refusal",
@@ -32,6 +37,7 @@
     "RetryBudget",
     "RouteTable",
     "SilenceDetector",
+    "Verdict",
     "WaitingRequests",
     "WireFormat",
     "choose_endpoint",
--- /dev/null
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_ledger.py
@@ -0,0 +1,576 @@
+"""Evidence that a part of a prompt ends the endpoints that answer it. Performs no I/O.
+
+An end of an endpoint is recorded for all parts of the answers that were in their opening phase
+there; nothing tells at that time which of them had to do with it. An answer that gets past its
+first events on an endpoint that lives on clears its parts. Evidence is shared between daemons, and
+merging it gives the same result in any order and however often.
+"""
+
+import hashlib
+import math
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from corianderhaven.common import rendezvous_order
+from corianderhaven.fleet import PartRecord
+
+SUSPECT_ENDS = 2
+PROOF_ENDS = 5
+CLEARANCE_MS = 1_000.0  # an end so soon after a sound answer has another cause
+# The loss of a rack ends many endpoints at once. However many they are, they can't prove anything
+# alone; that takes an end at another time.
+MOMENT_MS = 1_000.0  # daemons notice the same loss at slightly different times
+MAX_ENDS_OF_MOMENT = 3  # below PROOF_ENDS, and two more ends at other times complete a proof
+FIRST_PAUSE_MS = 3_600_000.0
+MAX_PAUSE_MS = 24 * 3_600_000.0
+SUSPECTED_RETRY_MS = 1_000.0
+TURN_MS = 10_000.0  # longer than an attempt's opening phase and differences between daemons' ages
+EVIDENCE_MS = 60_000.0
+PROOF_EVIDENCE_MS = 48 * 3_600_000.0
+# Evidence loses its time in transit from its age. Were it learned up to the end of its lifetime,
+# daemons that have dropped it would get it back from others again and again.
+LEARNING_MARGIN_MS = 30_000.0
+# For the same reason a sound answer looks newer after each hop. Without a tolerance it would get
+# newer with each exchange, until it cleared ends that came after it.
+CLEARED_TOLERANCE_MS = 500.0
+MAX_PARTS = 256
+MAX_ENDS = 16
+MAX_PART_LENGTH = 64
+RECENT_MS = 5_000.0  # covers the spread of an end's record to the daemon that had a sound answer
+MAX_RECENT_PARTS = 4_096
+MAX_IN_FLIGHT_PARTS = 4_096
+MAX_FORGOTTEN_ENDS = 4_096
+STORE_INCARNATION = "store"  # stands for the PROOF_ENDS ends of a proof read from the store
+SHORTENED_PREFIX = "blake2b:"
+NEVER_MS = -math.inf
+
+
+class Verdict(IntEnum):
+    """What the evidence says of a part; a higher value restricts its requests more."""
+
+    CLEAR = 0
+    SUSPECTED = 1
+    PROVEN = 2
+
+
+@dataclass(frozen=True)
+class Assessment:
+    """Evidence against the worst part of a prompt.
+
+    Parameters
+    ----------
+    part : str or None
+        None if all parts are clear.
+    ends : int
+        Ended endpoints that count as evidence.
+    age_ms : float
+        Time since the last of these ends.
+    """
+
+    verdict: Verdict = Verdict.CLEAR
+    part: str | None = None
+    ends: int = 0
+    age_ms: float = 0.0
+
+
+@dataclass(frozen=True)
+class Admission:
+    """Whether an attempt may be sent.
+
+    Parameters
+    ----------
+    resumable : bool
+        Whether the request may go to another endpoint after a break.
+    retry_after_ms : float
+        Time after which a refused request may be admitted; 0 if allowed.
+    part : str or None
+        Part that decided; None if all parts are clear.
+    """
+
+    allowed: bool = True
+    resumable: bool = True
+    retry_after_ms: float = 0.0
+    part: str | None = None
+
+
+@dataclass(frozen=True)
+class ListedPart:
+    """A part with evidence, as shown to operators; ages in ms, -1.0 if never cleared."""
+
+    part: str
+    verdict: Verdict
+    ends: dict
+    cleared_age_ms: float
+
+
+@dataclass
+class PartEvidence:
+    """Evidence about one part; times are local.
+
+    Parameters
+    ----------
+    ends : dict of str to float
+        Times at which endpoint incarnations ended, in ms. Ends before the last sound answer stay,
+        so that a peer's later time of the same end doesn't count.
+    counted : dict of str to float
+        Those that count as evidence.
+    total : int
+        Number of ended endpoints that `counted` stands for.
+    weight : int
+        The same with a limit on ends at the same moment.
+    was_proven : bool
+        Whether the verdict was ever `PROVEN`. Peers out of contact may keep such evidence for
+        long, so the time of the sound answer is kept as long.
+    """
+
+    ends: dict = field(default_factory=dict)
+    cleared_ms: float = NEVER_MS
+    verdict: Verdict = Verdict.CLEAR
+    was_proven: bool = False
+    counted: dict = field(default_factory=dict)
+    total: int = 0
+    weight: int = 0
+    last_end_ms: float = NEVER_MS
+
+    def update(self):
+        """Compute the fields that follow from `ends` and `cleared_ms`."""
+        since_ms = self.cleared_ms + CLEARANCE_MS
+        self.counted = {i: t for i, t in self.ends.items() if t > since_ms}
+        self.total = count_ends(self.counted)
+        self.weight = weigh_ends(self.counted)
+        self.last_end_ms = max(self.counted.values(), default=NEVER_MS)
+
+    def trim(self):
+        """Remove ends beyond `MAX_ENDS` and return them."""
+        removed = {}
+        while len(self.ends) > MAX_ENDS:
+            incarnation = least_needed_end(self.ends)
+            removed[incarnation] = self.ends.pop(incarnation)
+        return removed
+
+    def evidence_until_ms(self):
+        """Return when the ends no longer count."""
+        return self.last_end_ms + evidence_lifetime_ms(self.total)
+
+    def expires_ms(self):
+        """Return when neither ends nor the last sound answer are needed any more."""
+        kept_ms = PROOF_EVIDENCE_MS if self.was_proven else EVIDENCE_MS
+        return max(self.evidence_until_ms(), self.cleared_ms + kept_ms)
+
+    def is_concentrated(self):
+        """Return whether there are enough ends for a proof, but not enough that tell apart.
+
+        They came at the same moment, or another part explains them as well.
+        """
+        return self.verdict is Verdict.SUSPECTED and self.total >= PROOF_ENDS
+
+    def pause_ms(self):
+        """Return the time from the last end to the next trial of a proven part."""
+        doublings = max(0, self.total - PROOF_ENDS)
+        return min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2.0**doublings)
+
+
+def shorten(part):
+    """Return a part's id with at most `MAX_PART_LENGTH` characters.
+
+    An id that looks shortened is shortened too: a caller must not pass for another's part.
+    """
+    if len(part) <= MAX_PART_LENGTH and not part.startswith(SHORTENED_PREFIX):
+        return part
+    data = part.encode(errors="surrogatepass")
+    return SHORTENED_PREFIX + hashlib.blake2b(data, digest_size=24).hexdigest()
+
+
+def count_ends(ends):
+    """Return the number of ended endpoints, with those that a proof in the store stands for."""
+    if STORE_INCARNATION not in ends:
+        return len(ends)
+    proven_ms = ends[STORE_INCARNATION]
+    later = sum(ended_ms > proven_ms for ended_ms in ends.values())
+    return max(len(ends) - 1, PROOF_ENDS + later)
+
+
+def weigh_ends(ends):
+    """Return the number of ends of which at most `MAX_ENDS_OF_MOMENT` are at the same moment."""
+    if STORE_INCARNATION in ends:
+        return max(PROOF_ENDS, count_ends(ends))
+    return sum(min(len(moment), MAX_ENDS_OF_MOMENT) for moment in group_by_moment(ends))
+
+
+def group_by_moment(ends):
+    """Return lists of incarnations whose ends are at the same moment, in order of time."""
+    moments, moment_ms = [], NEVER_MS
+    for ended_ms, incarnation in sorted((t, i) for i, t in ends.items()):
+        if ended_ms - moment_ms > MOMENT_MS:
+            moments.append([])
+            moment_ms = ended_ms
+        moments[-1].append(incarnation)
+    return moments
+
+
+def least_needed_end(ends):
+    """Return the end that adds least to the evidence: one of many at a moment, or the oldest."""
+    moments = group_by_moment(ends)
+    most = max(moments, key=len)
+    return most[-1] if len(most) > MAX_ENDS_OF_MOMENT else moments[0][0]
+
+
+def evidence_lifetime_ms(total):
+    """Return how long `total` ends count after the last of them, in ms."""
+    return PROOF_EVIDENCE_MS if total >= PROOF_ENDS else EVIDENCE_MS
+
+
+class CrashLedger:
+    """Records ends and sound answers by part, and decides on requests with suspected parts.
+
+    Parts are opaque ids without the last part of a prompt. A part seen in few requests, all of
+    which happened to be on endpoints that ended, can become suspected: it is then tried one
+    request at a time, and its first sound answer clears it.
+
+    Parameters
+    ----------
+    clock : Clock
+
+    Attributes
+    ----------
+    on_proven, on_cleared : callable
+        Called with a part's id, of at most `MAX_PART_LENGTH` characters, when its verdict becomes
+        or stops being `PROVEN`. A call may come from any method, after the change is complete.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.records = {}
+        self.recent = OrderedDict()
+        # Times of ends that found no place. Learned again from a peer they would look later each
+        # time, and never get old.
+        self.forgotten = OrderedDict()
+        self.in_flight = {}
+        self.on_proven = lambda part: None
+        self.on_cleared = lambda part: None
+
+    def record_end(self, incarnation, parts, ended_ms):
+        """Record that an endpoint ended while an answer on `parts` was in its opening phase.
+
+        Parameters
+        ----------
+        incarnation : str
+            Name of this run of the endpoint, the same at all daemons.
+        parts : iterable of str
+        ended_ms : float
+            Local time of the end.
+        """
+        ids = {shorten(part) for part in parts}
+        proven = {part for part in ids if self._verdict(part) is Verdict.PROVEN}
+        # An end that a proven part explains tells nothing of the other parts.
+        # Known parts come first: new ones of a long prompt must not push them out.
+        for part in sorted(proven or ids, key=lambda part: (part not in self.records, part)):
+            cleared_ms = self.recent.get(part, NEVER_MS)
+            if part in self.records or ended_ms > cleared_ms + CLEARANCE_MS:
+                self._add(part, {incarnation: ended_ms}, cleared_ms)
+        self._update_verdicts()
+
+    def record_success(self, parts, began_ms):
+        """Record an answer that began at `began_ms` on an endpoint that lived on."""
+        changed = False
+        for part in map(shorten, parts):
+            self.recent[part] = max(began_ms, self.recent.get(part, NEVER_MS))
+            self.recent.move_to_end(part)
+            changed |= self._clear_until(part, began_ms)
+        self._drop_old_successes()
+        if changed:
+            self._update_verdicts()
+
+    def assess(self, parts):
+        """Return the `Assessment` of the worst of `parts`."""
+        found = [(p, r) for p, r in self._known(parts) if r.verdict is not Verdict.CLEAR]
+        if not found:
+            return Assessment()
+        part, record = max(found, key=lambda f: (f[1].verdict, f[1].total, f[1].last_end_ms))
+        age_ms = self.clock.now_ms() - record.last_end_ms
+        return Assessment(record.verdict, part, record.total, age_ms)
+
+    def admit(self, parts, is_trial_owner, in_flight_of_part=None):
+        """Return the `Admission` of an attempt with `parts`.
+
+        Parameters
+        ----------
+        parts : iterable of str
+        is_trial_owner : callable
+            Returns whether this daemon is the `trial_owner` of a part. Called only for parts
+            that one daemon at a time may try.
+        in_flight_of_part : callable, optional
+            Returns the number of this daemon's attempts with a part that are in their opening
+            phase; by default what `begin` and `finish` counted.
+        """
+        count = in_flight_of_part or (lambda part: self.in_flight.get(part, 0))
+        admission = Admission()
+        for part, record in self._known(parts):
+            if record.verdict is Verdict.CLEAR:
+                continue
+            wait_ms = self._wait_ms(part, record, is_trial_owner, count(part))
+            if admission.part is None or wait_ms > admission.retry_after_ms:
+                admission = Admission(wait_ms == 0.0, False, wait_ms, part)
+        return admission
+
+    def begin(self, parts):
+        """Count an attempt as in its opening phase; returns what to pass to `finish`.
+
+        Attempts with clear parts count too, since a part may become suspected meanwhile.
+        """
+        counted = tuple(
+            part
+            for part in {shorten(part) for part in parts}
+            if part in self.in_flight
+            or part in self.records
+            or len(self.in_flight) < MAX_IN_FLIGHT_PARTS
+        )
+        for part in counted:
+            self.in_flight[part] = self.in_flight.get(part, 0) + 1
+        return counted
+
+    def finish(self, counted):
+        """Stop counting an attempt: it got past its opening phase, or ended."""
+        for part in counted:
+            self.in_flight[part] -= 1
+            if not self.in_flight[part]:
+                del self.in_flight[part]
+
+    def trial_owner(self, part, daemon_names):
+        """Return the daemon that may try a part now.
+
+        It changes every `TURN_MS`, since a daemon may get no request with the part.
+        """
+        record = self._current(self._known_id(part))
+        turn = 0
+        if record is not None and record.counted:
+            turn = int((self.clock.now_ms() - record.last_end_ms) // TURN_MS)
+        return rendezvous_order(daemon_names, f"{self._known_id(part)}\0{turn}")[0]
+
+    def digest(self):
+        """Return the evidence to share, by part.
+
+        Ends before the last sound answer are included: to a daemon that noticed such an end
+        later, it would otherwise still count.
+        """
+        self.expire()
+        now = self.clock.now_ms()
+        # Ages are rounded down. Rounded up, an end would get older with each exchange.
+        return {
+            part: PartRecord(
+                {i: math.floor(now - t) for i, t in record.ends.items()},
+                math.floor(now - record.cleared_ms) if record.cleared_ms > NEVER_MS else -1,
+            )
+            for part, record in self.records.items()
+        }
+
+    def merge(self, records):
+        """Add a peer's evidence, whose ages are relative to now.
+
+        Parameters
+        ----------
+        records : dict of str to PartRecord
+        """
+        changed = False
+        for part, received in records.items():
+            if len(part) <= MAX_PART_LENGTH:
+                changed |= self._merge_part(part, received)
+        if changed:
+            self._update_verdicts()
+
+    def clear(self, part):
+        """Clear a part, given in full or as listed, as a sound answer that begins now would."""
+        part = self._known_id(part)
+        self._current(part)
+        # Kept without a record too: peers may have one.
+        self._add(part, {}, self.clock.now_ms())
+        self._update_verdicts()
+
+    def mark_proven(self, part):
+        """Take a proof from the store: the last end counts as now.
+
+        Nothing changes if the part is proven already, or was cleared since this daemon started.
+        """
+        part = self._known_id(part)
+        record = self._current(part)
+        if record is not None and (
+            record.verdict is Verdict.PROVEN or record.cleared_ms > NEVER_MS
+        ):
+            return
+        self._add(part, {STORE_INCARNATION: self.clock.now_ms()}, NEVER_MS)
+        self._update_verdicts()
+
+    def listing(self):
+        """Return a `ListedPart` for each part with evidence, worst first."""
+        self.expire()
+        now = self.clock.now_ms()
+        listed = [
+            ListedPart(
+                part,
+                record.verdict,
+                {i: now - t for i, t in record.counted.items()},
+                now - record.cleared_ms if record.cleared_ms > NEVER_MS else -1.0,
+            )
+            for part, record in self.records.items()
+        ]
+        return sorted(listed, key=lambda p: (-p.verdict, -len(p.ends), p.part))
+
+    def expire(self):
+        """Drop evidence that is too old to count."""
+        for part in list(self.records):
+            self._current(part)
+        self._drop_old_successes()
+
+    def _wait_ms(self, part, record, is_trial_owner, in_flight):
+        """Return the time until an attempt may be admitted; 0 if it may be now."""
+        since_end_ms = self.clock.now_ms() - record.last_end_ms
+        if record.verdict is Verdict.PROVEN and since_end_ms < record.pause_ms():
+            return max(SUSPECTED_RETRY_MS, record.pause_ms() - since_end_ms)
+        if in_flight:
+            return SUSPECTED_RETRY_MS
+        if record.verdict is Verdict.SUSPECTED and not record.is_concentrated():
+            return 0.0
+        # An end at the same moment as the last might not add to the proof.
+        may_try = since_end_ms > MOMENT_MS and is_trial_owner(part)
+        return 0.0 if may_try else SUSPECTED_RETRY_MS
+
+    def _known(self, parts):
+        for part in map(shorten, parts):
+            record = self._current(part)
+            if record is not None:
+                yield part, record
+
+    def _known_id(self, part):
+        """Return the id of a part that is given in full or as listed."""
+        return part if len(part) <= MAX_PART_LENGTH else shorten(part)
+
+    def _verdict(self, part):
+        record = self._current(part)
+        return Verdict.CLEAR if record is None else record.verdict
+
+    def _current(self, part):
+        """Return the part's record, or None if there is none or it is too old."""
+        record = self.records.get(part)
+        if record is None:
+            return None
+        now = self.clock.now_ms()
+        if record.counted and now > record.evidence_until_ms():
+            record.ends = {}
+            record.update()
+            self._update_verdicts()
+        if now > record.expires_ms():
+            self.records.pop(part, None)
+            return None
+        return record
+
+    def _clear_until(self, part, cleared_ms):
+        """Clear a known part; returns whether this changed anything."""
+        record = self.records.get(part)
+        if record is None or cleared_ms <= record.cleared_ms:
+            return False
+        record.cleared_ms = cleared_ms
+        record.update()
+        return True
+
+    def _merge_part(self, part, received):
+        now = self.clock.now_ms()
+        cleared_ms = self.recent.get(part, NEVER_MS)
+        if received.cleared_age_ms >= 0.0:
+            cleared_ms = max(cleared_ms, now - received.cleared_age_ms)
+        ends = {}
+        if self._is_learnable(received.ends):
+            ends = {i: now - max(0.0, age_ms) for i, age_ms in received.ends.items()}
+        record = self._current(part)
+        if record is None:
+            is_new_answer = now - cleared_ms <= EVIDENCE_MS - LEARNING_MARGIN_MS
+            return bool(ends or is_new_answer) and self._add(part, ends, cleared_ms)
+        if cleared_ms <= record.cleared_ms + CLEARED_TOLERANCE_MS:
+            cleared_ms = record.cleared_ms
+        return self._add(part, ends, cleared_ms)
+
+    @staticmethod
+    def _is_learnable(ages):
+        """Return whether received ends are young enough for all to keep them for a while."""
+        if not ages:
+            return False
+        total = count_ends({i: -age_ms for i, age_ms in ages.items()})
+        return min(ages.values()) <= evidence_lifetime_ms(total) - LEARNING_MARGIN_MS
+
+    def _add(self, part, ends, cleared_ms):
+        """Add ends and a sound answer; returns whether this changed anything."""
+        ends = {i: min(t, self.forgotten.get((part, i), math.inf)) for i, t in ends.items()}
+        record = self.records.get(part)
+        if record is None:
+            record = PartEvidence(ends, cleared_ms)
+            self._trim(part, record)
+            return self._insert(part, record)
+        earlier = {i: t for i, t in ends.items() if t < record.ends.get(i, math.inf)}
+        if not earlier and cleared_ms <= record.cleared_ms:
+            return False
+        record.ends |= earlier
+        record.cleared_ms = max(record.cleared_ms, cleared_ms)
+        self._trim(part, record)
+        return True
+
+    def _trim(self, part, record):
+        self._remember(part, record.trim())
+        record.update()
+
+    def _remember(self, part, ends):
+        for incarnation, ended_ms in ends.items():
+            self.forgotten[part, incarnation] = ended_ms
+        while len(self.forgotten) > MAX_FORGOTTEN_ENDS:
+            self.forgotten.popitem(last=False)
+
+    def _insert(self, part, record):
+        """Insert a record if there is place, or one with less evidence makes place."""
+        if len(self.records) >= MAX_PARTS:
+            self.expire()
+        if len(self.records) >= MAX_PARTS:
+            weakest = min(self.records, key=lambda part: self._rank(self.records[part]))
+            other = self.records[weakest]
+            if other.verdict is Verdict.PROVEN or self._rank(other) >= self._rank(record):
+                self._remember(part, record.ends)
+                return False
+            self._remember(weakest, other.ends)
+            del self.records[weakest]
+        self.records[part] = record
+        return True
+
+    @staticmethod
+    def _rank(record):
+        """Return a key that sorts records by how much they deserve their place."""
+        latest_ms = max(record.last_end_ms, record.cleared_ms)
+        return record.weight >= PROOF_ENDS, record.total, latest_ms
+
+    def _drop_old_successes(self):
+        oldest_ms = self.clock.now_ms() - RECENT_MS
+        while self.recent:
+            part, began_ms = next(iter(self.recent.items()))
+            if began_ms >= oldest_ms and len(self.recent) <= MAX_RECENT_PARTS:
+                return
+            del self.recent[part]
+
+    def _update_verdicts(self):
+        """Compute all verdicts: ends of one part may explain those of another."""
+        provable = [r for r in self.records.values() if r.weight >= PROOF_ENDS]
+        changed = []
+        for part, record in self.records.items():
+            verdict = self._new_verdict(record, provable)
+            if Verdict.PROVEN in (verdict, record.verdict) and verdict is not record.verdict:
+                changed.append((part, verdict))
+            record.verdict = verdict
+            record.was_proven |= verdict is Verdict.PROVEN
+        for part, verdict in changed:
+            (self.on_proven if verdict is Verdict.PROVEN else self.on_cleared)(part)
+
+    @staticmethod
+    def _new_verdict(record, provable):
+        if record.weight < SUSPECT_ENDS:
+            return Verdict.CLEAR
+        if record.weight < PROOF_ENDS:
+            return Verdict.SUSPECTED
+        # Of two parts of the same requests, the one in more ended answers explains all of them.
+        explained = any(record.counted.keys() < other.counted.keys() for other in provable)
+        return Verdict.SUSPECTED if explained else Verdict.PROVEN
