Don't prove a part that worked along with one that never did

Change: a part that worked is explained by one that never did if that one has all but one of its ends, and a part that never worked is no longer explained by one that did.

--- a/libraries/gateway/src/corianderhaven/gateway/_crash_ledger.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_ledger.py
@@ -165,6 +165,17 @@
         """
         return self.verdict is Verdict.SUSPECTED and self.total >= PROOF_ENDS
 
+    def is_explained_by(self, other):
+        """Return whether these ends have more likely to do with another part of the requests.
+
+        That is the one that never worked, rather than one that did: the latter may also have been
+        at an ordinary loss. Otherwise it is the one in all the same answers and more.
+        """
+        worked, other_worked = self.cleared_ms > NEVER_MS, other.cleared_ms > NEVER_MS
+        if worked == other_worked:
+            return self.counted.keys() < other.counted.keys()
+        return worked and len(self.counted.keys() - other.counted.keys()) < SUSPECT_ENDS
+
     def pause_ms(self):
         """Return the time from the last end to the next trial of a proven part."""
         doublings = max(0, self.total - PROOF_ENDS)
@@ -554,10 +565,12 @@
 
     def _update_verdicts(self):
         """Compute all verdicts: ends of one part may explain those of another."""
-        provable = [r for r in self.records.values() if r.weight >= PROOF_ENDS]
+        # A part with one end less than a proof takes may explain all but one of another's.
+        least = PROOF_ENDS - SUSPECT_ENDS + 1
+        candidates = [r for r in self.records.values() if r.weight >= least]
         changed = []
         for part, record in self.records.items():
-            verdict = self._new_verdict(record, provable)
+            verdict = self._new_verdict(record, candidates)
             if Verdict.PROVEN in (verdict, record.verdict) and verdict is not record.verdict:
                 changed.append((part, verdict))
             record.verdict = verdict
@@ -566,11 +579,10 @@
             (self.on_proven if verdict is Verdict.PROVEN else self.on_cleared)(part)
 
     @staticmethod
-    def _new_verdict(record, provable):
+    def _new_verdict(record, candidates):
         if record.weight < SUSPECT_ENDS:
             return Verdict.CLEAR
         if record.weight < PROOF_ENDS:
             return Verdict.SUSPECTED
-        # Of two parts of the same requests, the one in more ended answers explains all of them.
-        explained = any(record.counted.keys() < other.counted.keys() for other in provable)
+        explained = any(record.is_explained_by(other) for other in candidates)
         return Verdict.SUSPECTED if explained else Verdict.PROVEN
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_crash_fleet.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_crash_fleet.py
@@ -104,6 +104,24 @@
     assert proof_and_false_suspicion(Shape(duration_ms=1_000.0), 1) == (None, 0.0)
 
 
+@pytest.mark.parametrize(
+    ("shape", "seed"),
+    [
+        (
+            Shape(1, 89, 2.0, 5.0, 5, (1_951.0889369927822,), (), 1, 15_000.0),
+            50_305,
+        ),
+        (
+            Shape(2, 64, 2.0, 0.5, 8, (6_186.034475651014,), (2_585.550951687729,), 3, 15_000.0),
+            10_029,
+        ),
+    ],
+)
+def test_callers_part_is_not_proven_where_crashing_requests_are_the_most(shape, seed):
+    """Between the crashes no sound answer of that caller tells its part apart."""
+    check(CrashFleet(shape, seed).play())
+
+
 @settings(max_examples=25, deadline=None, derandomize=True)
 @given(
     st.builds(
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_crash_ledger.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_crash_ledger.py
@@ -176,6 +176,33 @@
     assert not ledger.admit(["q"], not_owner).allowed
 
 
+@pytest.mark.parametrize("other_losses", [0, 1])
+def test_part_that_worked_is_not_proven_along_with_one_that_never_did(other_losses):
+    """A caller sends more crashing requests than sound ones, all with its own part, and one of the
+    sound ones is at an endpoint that is lost: no answer in between tells its part apart."""
+    clock, ledger = make_ledger()
+    ledger.record_success(["caller"], clock.now_ms())
+    clock.advance_ms(APART_MS)
+    end(clock, ledger, ["caller", "p"], PROOF_ENDS - 1)
+    clock.advance_ms(APART_MS)
+    end(clock, ledger, ["caller"], other_losses, name="lost")
+    clock.advance_ms(APART_MS)
+    end(clock, ledger, ["caller", "p"], name="last")
+    assert verdict(ledger, "p") is Verdict.PROVEN
+    assert verdict(ledger, "caller") is Verdict.SUSPECTED
+    assert ledger.admit(["caller"], owner, lambda part: 1).retry_after_ms == SUSPECTED_RETRY_MS
+
+
+def test_part_that_worked_is_proven_if_no_other_part_explains_its_ends():
+    clock, ledger = make_ledger()
+    ledger.record_success(["p"], clock.now_ms())
+    clock.advance_ms(APART_MS)
+    end(clock, ledger, ["p", "q"], PROOF_ENDS - SUSPECT_ENDS)
+    clock.advance_ms(APART_MS)
+    end(clock, ledger, ["p"], SUSPECT_ENDS, name="alone")
+    assert verdict(ledger, "p") is Verdict.PROVEN
+
+
 def test_ends_at_one_moment_are_no_proof():
     """A lost rack ends more endpoints than a proof takes, all within a part's opening phase."""
     clock, ledger = make_ledger()
