Stop sending a part of a prompt to endpoints once it has ended some

What callers saw: one part of prompts ended 50 to 54 endpoints one after the other, 19 to 25 sends after five had shown it; sound requests lost their streams, and drafts were refused for want of replicas.

Cause: no daemon related the end of an endpoint to what was written there. Each end counted as bad luck of the endpoint, the request went to a second one, which ended as well, and what a daemon had learned stayed there. Evidence: the record (runs of 48 to 110 ms before each end, two endpoints a request) and three red cases: 32 and 51 sends after five ends and 3 s, 58 and 83 workers ended, two endpoints for each request. Ruled out: load of moved streams (few were on the second endpoint).

Change: an answer that breaks off in its first events is looked into at once: an endpoint that refuses connections, or is gone, has ended, and the parts of the prompt, but for the last, share the blame until an answer on them gets past its first events. From two ends on a part is tried one request at a time and not sent on to another endpoint, nor to a model's only replica; from five on it is rejected, and what waits with it leaves the queue. Daemons tell each other in digests (a merge in which order and repetition don't matter); the store keeps proofs beyond the last daemon. A request whose answer got past its first events is moved as before.

The three cases are green (twice), the other tests of gateway, fleet and hosted requests too.

--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -56,7 +56,10 @@
                 )
         except (OSError, TimeoutError) as error:
             reason = str(error) or "timed out"
-            raise ConnectionLostError(f"cannot connect to {address}: {reason}", False) from None
+            refused = isinstance(error, ConnectionRefusedError)
+            raise ConnectionLostError(
+                f"cannot connect to {address}: {reason}", False, refused=refused
+            ) from None
         return connection
 
     async def send(self, method, target, headers, body=b""):
--- a/libraries/common/src/corianderhaven/common/_async_connection.py
+++ b/libraries/common/src/corianderhaven/common/_async_connection.py
@@ -25,14 +25,17 @@
         What failed.
     sent : bool
         Whether any byte of a request may have left this process.
+    refused : bool
+        Whether nothing listens at the address.
     status : int or None
         HTTP status to send to a caller whose data is not a valid request.
     """
 
-    def __init__(self, message, sent=True, status=None):
+    def __init__(self, message, sent=True, status=None, refused=False):
         super().__init__(message)
         self.sent = sent
         self.status = status
+        self.refused = refused
 
 
 def split_address(address):
--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -28,6 +28,7 @@
     PeerExchange,
     PeerState,
     PeerTable,
+    ProvenParts,
     ReplicaKeeper,
     StoreEra,
     StoreWatcher,
@@ -44,6 +45,7 @@
 
 STORE_PREFIX = "corianderhaven/"
 KEEPER_KEY = STORE_PREFIX + "keeper"
+PARTS_PREFIX = STORE_PREFIX + "parts/"
 DAEMONS_PREFIX = STORE_PREFIX + "daemons/"
 DRAIN_NOTICE_MS = 2_600.0  # two readiness checks one second apart, and their latency
 SHUTDOWN_MARGIN_MS = 700.0  # kept before SIGKILL for ending unfinished requests cleanly
@@ -112,7 +114,7 @@
 
     async def _monitor_tasks(self):
         """Stop the daemon when one of its tasks fails, so that it is restarted without state."""
-        tasks = [self.watcher.task, self.lease.task, self.keeper.task]
+        tasks = [self.watcher.task, self.lease.task, self.keeper.task, self.proven_parts.task]
         tasks += self.exchange.tasks + self.gateway.tasks
         done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_EXCEPTION)
         for task in done:
@@ -139,12 +141,14 @@
         self.lease.start()
         self.keeper.start()
         self.gateway.start()
+        self.proven_parts.start()
         self.exchange.start()
         self.decisions.record("daemon_started", daemon=settings.name, zone=settings.zone)
 
     def close(self):
         """Stop all tasks and listeners without draining."""
         self.exchange.close()
+        self.proven_parts.close()
         self.gateway.close()
         self.keeper.close()
         self.lease.close()
@@ -280,6 +284,13 @@
             self.clock,
             self.decisions,
         )
+        guard = self.gateway.crash_guard
+        self.proven_parts = ProvenParts(
+            self.store, self.watcher, PARTS_PREFIX, self.clock, self.decisions
+        )
+        self.proven_parts.mark_proven = guard.ledger.mark_proven
+        self.proven_parts.writes_first = guard.is_trial_owner
+        self.gateway.on_proven_part = self.proven_parts.note
         self.exchange = PeerExchange(
             self.peers,
             self.store,
--- a/libraries/fleet/src/corianderhaven/fleet/__init__.py
+++ b/libraries/fleet/src/corianderhaven/fleet/__init__.py
@@ -29,6 +29,7 @@
 from ._peer_exchange import PeerExchange
 from ._peer_state import STATE_PATH, PeerState
 from ._peers import PeerTable
+from ._proven_parts import ProvenParts
 from ._replicas import Replica, group_replicas, is_serving, model_of, replica_name
 from ._store_era import StoreEra
 from ._store_watcher import StoreWatcher
@@ -77,6 +78,7 @@
     "NodeSettings",
     "OrderResult",
     "PartRecord",
+    "ProvenParts",
     "PeerExchange",
     "PeerMessage",
     "PeerState",
--- a/libraries/fleet/src/corianderhaven/fleet/_digests.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_digests.py
@@ -62,6 +62,8 @@
         Version of the configuration in force at this daemon; 0 without one.
     leaving : dict of str to int
         Endpoints that said recently that they leave, with their start times in ms.
+    parts : dict of str to PartRecord
+        Evidence about parts of prompts, the daemon's own and what it has from others.
     """
 
     daemon: str
@@ -75,6 +77,7 @@
     tenure: int = 0
     config_version: int = 0
     leaving: dict[str, int] = {}
+    parts: dict[str, PartRecord] = {}
 
 
 class ZoneSummary(msgspec.Struct):
@@ -117,6 +120,7 @@
         era=digest.era,
         tenure=digest.tenure,
         config_version=digest.config_version,
+        parts=digest.parts,
     )
 
 
--- a/libraries/fleet/src/corianderhaven/fleet/_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peers.py
@@ -76,6 +76,7 @@
         self.on_opened = lambda opened: None
         self.on_leaving = lambda leaving, daemon: None
         self.on_peer_state = lambda digest: None
+        self.on_parts = lambda parts: None
         self.make_feed_request = lambda peer_name: None
         self.answer_feed = lambda request: None
         self.on_feed = lambda feed, peer_name: None
@@ -119,6 +120,7 @@
         peer.unreachable_since_ms = -1e12
         self.totals_outdated = True
         self.on_peer_state(digest)
+        self.on_parts(digest.parts)
         self._notify(digest, peer.name)
         for summary in message.zones:
             self._store_summary(summary, peer, now)
--- a/libraries/gateway/src/corianderhaven/gateway/_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_admission.py
@@ -35,6 +35,8 @@
         Latest time to send it for an answer within its goal; not after `deadline_cutoff_ms`.
     deadline_cutoff_ms : float
         Latest time to send it for an answer before its deadline.
+    parts : tuple of str
+        Parts of its prompt that other requests may hold as well.
     resumed : bool
         Whether an earlier attempt failed; such a request is not refused for overload.
     decision : asyncio.Future or None
@@ -47,6 +49,7 @@
     deadline_cutoff_ms: float
     resumed: bool = False
     excluded: set = field(default_factory=set)
+    parts: tuple = ()
     decision: asyncio.Future | None = None
 
 
@@ -245,6 +248,12 @@
             if refusal is not None:
                 self._decide(queued, refusal)
 
+    def reject_part(self, part, refusal):
+        """Refuse the waiting requests whose prompt holds a part."""
+        for queued in list(self.waiting.in_order()):
+            if part in queued.parts and not queued.decision.done():
+                self._decide(queued, refusal)
+
     def _expirable(self, now):
         """Return the requests that time alone may have made impossible to serve."""
         self.waiting.advance(now)
--- /dev/null
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
@@ -0,0 +1,216 @@
+"""Keeps prompts that end endpoints from reaching more of them.
+
+Watches the opening phase of each attempt, finds out whether an endpoint ended under it, and asks
+the `CrashLedger` whether requests with the parts of its prompt may be sent.
+"""
+
+import asyncio
+
+from corianderhaven.common import MS_PER_S, ClientConnection, ConnectionLostError
+
+from . import _metrics
+from ._admission import Refusal
+from ._crash_ledger import CrashLedger, Verdict
+
+# Longer than an endpoint writes on a prompt that ends it: two events at most were seen.
+OPENING_EVENTS = 10
+PROBE_TIMEOUT_MS = 60.0  # as for any connection to an endpoint
+# An endpoint that ended refuses connections at once, and until it has started again. One that is
+# cut off or stands still answers nothing, and its end shows in its entry, if at all.
+PROBE_DELAYS_MS = (0.0, 150.0, 500.0, 1_500.0)
+CHECK_INTERVAL_MS = 1_000.0
+
+
+class OpeningPhase:
+    """An attempt from its send until its answer is past its first events.
+
+    Parameters
+    ----------
+    guard : CrashGuard
+    request_id : str
+    endpoint : Endpoint
+    parts : tuple of str
+    """
+
+    def __init__(self, guard, request_id, endpoint, parts):
+        self.guard = guard
+        self.request_id = request_id
+        self.endpoint = endpoint
+        self.parts = parts
+        self.counted = guard.ledger.begin(parts)
+        self.began_ms = None
+        self.over = False
+
+    def record_events(self, count):
+        """Record that the endpoint has sent `count` events; returns whether that is sound."""
+        if self.began_ms is None:
+            self.began_ms = self.guard.clock.now_ms()
+        if count >= OPENING_EVENTS and not self.over:
+            self.record_sound()
+        return count >= OPENING_EVENTS
+
+    def record_sound(self):
+        """Record that the endpoint lived on after it had begun to write."""
+        if not self.over and self.began_ms is not None:
+            self.guard.ledger.record_success(self.parts, self.began_ms)
+        self.finish()
+
+    def finish(self):
+        """End the phase; a phase that has ended changes nothing any more."""
+        if not self.over:
+            self.over = True
+            self.guard.ledger.finish(self.counted)
+
+
+class CrashGuard:
+    """Decides whether requests with parts that ended endpoints may be sent.
+
+    Parameters
+    ----------
+    directory : EndpointDirectory
+    peers : PeerTable
+    clock : Clock
+    decisions : DecisionLog
+    source_ip : str or None
+
+    Attributes
+    ----------
+    on_verdict : callable
+        Called with a part's id and whether it is proven now, when that changes.
+    """
+
+    def __init__(self, directory, peers, clock, decisions, source_ip=None):
+        self.directory = directory
+        self.peers = peers
+        self.clock = clock
+        self.decisions = decisions
+        self.source_ip = source_ip
+        self.ledger = CrashLedger(clock)
+        self.ledger.on_proven = lambda part: self._note_verdict(part, True)
+        self.ledger.on_cleared = lambda part: self._note_verdict(part, False)
+        self.on_verdict = lambda part, proven: None
+        self.checks = {}
+
+    def close(self):
+        """Abandon the checks under way."""
+        for task in tuple(self.checks.values()):
+            task.cancel()
+
+    def check(self, metadata, has_other_replica=True):
+        """Return a `Refusal` if a request may not be sent to an endpoint now, or None.
+
+        Parameters
+        ----------
+        metadata : RequestMetadata
+        has_other_replica : bool
+            Whether its model stays served if the request ends its endpoint.
+        """
+        admission = self.ledger.admit(metadata.shared_parts, self.is_trial_owner)
+        if admission.part is None or (admission.allowed and has_other_replica):
+            return None
+        evidence = self.ledger.assess((admission.part,))
+        retry_after_ms = max(admission.retry_after_ms, CHECK_INTERVAL_MS)
+        self.decisions.record(
+            "part_rejected",
+            request=metadata.request_id,
+            part=admission.part,
+            verdict=evidence.verdict.name.lower(),
+            ends=evidence.ends,
+            evidence_age_ms=round(evidence.age_ms),
+            retry_after_ms=round(retry_after_ms),
+        )
+        _metrics.PART_REJECTIONS.labels(evidence.verdict.name.lower()).inc()
+        return Refusal("a part of the prompt ended endpoints", retry_after_ms)
+
+    def may_resume(self, parts):
+        """Return whether a request whose answer broke off may go to another endpoint."""
+        return self.ledger.assess(parts).verdict is Verdict.CLEAR
+
+    def begin(self, metadata, endpoint):
+        """Return the `OpeningPhase` of an attempt that is sent now."""
+        return OpeningPhase(self, metadata.request_id, endpoint, metadata.shared_parts)
+
+    async def record_break(self, opening):
+        """Find out whether the endpoint ended in the opening phase of an answer that broke off.
+
+        Returns after the first probe; if that doesn't tell, the check goes on.
+        """
+        if opening.over or not opening.parts:
+            opening.finish()
+            return
+        opening.finish()
+        ended_ms = self.clock.now_ms()
+        endpoint = opening.endpoint
+        key = (endpoint.id, endpoint.started_ms)
+        has_ended = await self._probe(endpoint)
+        if has_ended is None and key not in self.checks:
+            loop = asyncio.get_running_loop()
+            self.checks[key] = loop.create_task(self._check_later(endpoint))
+            self.checks[key].add_done_callback(lambda task: self.checks.pop(key, None))
+        if has_ended is None:
+            self.checks[key].add_done_callback(
+                lambda task: self._note_result(opening, ended_ms, task)
+            )
+        elif has_ended:
+            self._record_end(opening, ended_ms)
+
+    def is_trial_owner(self, part):
+        """Return whether this daemon is the one that may try a part now."""
+        own_name = self.peers.own_name
+        return self.ledger.trial_owner(part, [own_name, *self.peers.peers]) == own_name
+
+    def merge(self, records):
+        """Add a peer's evidence."""
+        if records:
+            self.ledger.merge(records)
+
+    def _note_result(self, opening, ended_ms, task):
+        if not task.cancelled() and task.exception() is None and task.result():
+            self._record_end(opening, ended_ms)
+
+    def _record_end(self, opening, ended_ms):
+        endpoint = opening.endpoint
+        self.ledger.record_end(f"{endpoint.id}@{endpoint.started_ms}", opening.parts, ended_ms)
+        evidence = self.ledger.assess(opening.parts)
+        self.decisions.record(
+            "endpoint_ended_under_request",
+            request=opening.request_id,
+            endpoint=endpoint.id,
+            part=evidence.part,
+            verdict=evidence.verdict.name.lower(),
+            ends=evidence.ends,
+        )
+        _metrics.ENDS_UNDER_REQUESTS.inc()
+
+    def _note_verdict(self, part, proven):
+        event = "part_proven" if proven else "part_cleared"
+        evidence = self.ledger.assess((part,))
+        self.decisions.record(
+            event, part=part, ends=evidence.ends, evidence_age_ms=round(evidence.age_ms)
+        )
+        self.on_verdict(part, proven)
+
+    async def _check_later(self, endpoint):
+        """Return whether an endpoint turns out to have ended."""
+        for delay_ms in PROBE_DELAYS_MS[1:]:
+            await asyncio.sleep(delay_ms / MS_PER_S)
+            has_ended = await self._probe(endpoint)
+            if has_ended is not None:
+                return has_ended
+        self.decisions.record("end_not_known", endpoint=endpoint.id)
+        return False
+
+    async def _probe(self, endpoint):
+        """Return whether an endpoint has ended, or None if that can't be told."""
+        known = self.directory.get(endpoint.id)
+        if known is None or known.started_ms != endpoint.started_ms:
+            return True
+        try:
+            connection = await ClientConnection.open(
+                endpoint.address, PROBE_TIMEOUT_MS, self.source_ip
+            )
+        except ConnectionLostError as error:
+            return True if error.refused else None
+        connection.close()
+        # It may be the next incarnation that listens already; then its entry follows.
+        return None
--- a/libraries/gateway/src/corianderhaven/gateway/_crash_ledger.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_ledger.py
@@ -37,6 +37,7 @@
 MAX_PARTS = 256
 MAX_ENDS = 16
 MAX_PART_LENGTH = 64
+SHARED_MS = 1_500.0  # several exchanges; bounds the messages in times of many ordinary losses
 RECENT_MS = 5_000.0  # covers the spread of an end's record to the daemon that had a sound answer
 MAX_RECENT_PARTS = 4_096
 MAX_IN_FLIGHT_PARTS = 4_096
@@ -132,6 +133,7 @@
     total: int = 0
     weight: int = 0
     last_end_ms: float = NEVER_MS
+    changed_ms: float = NEVER_MS
 
     def update(self):
         """Compute the fields that follow from `ends` and `cleared_ms`."""
@@ -176,6 +178,11 @@
             return self.counted.keys() < other.counted.keys()
         return worked and len(self.counted.keys() - other.counted.keys()) < SUSPECT_ENDS
 
+    def is_shared(self, now_ms):
+        """Return whether daemons tell each other: it restricts requests, or did, or is new."""
+        restricts = self.verdict is not Verdict.CLEAR or self.was_proven
+        return restricts or now_ms - self.changed_ms <= SHARED_MS
+
     def pause_ms(self):
         """Return the time from the last end to the next trial of a proven part."""
         doublings = max(0, self.total - PROOF_ENDS)
@@ -360,7 +367,7 @@
         return rendezvous_order(daemon_names, f"{self._known_id(part)}\0{turn}")[0]
 
     def digest(self):
-        """Return the evidence to share, by part.
+        """Return the evidence to share, by part: what restricts requests, or has just changed.
 
         Ends before the last sound answer are included: to a daemon that noticed such an end
         later, it would otherwise still count.
@@ -374,6 +381,7 @@
                 math.floor(now - record.cleared_ms) if record.cleared_ms > NEVER_MS else -1,
             )
             for part, record in self.records.items()
+            if record.is_shared(now)
         }
 
     def merge(self, records):
@@ -481,6 +489,7 @@
         if record is None or cleared_ms <= record.cleared_ms:
             return False
         record.cleared_ms = cleared_ms
+        record.changed_ms = self.clock.now_ms()
         record.update()
         return True
 
@@ -513,7 +522,7 @@
         ends = {i: min(t, self.forgotten.get((part, i), math.inf)) for i, t in ends.items()}
         record = self.records.get(part)
         if record is None:
-            record = PartEvidence(ends, cleared_ms)
+            record = PartEvidence(ends, cleared_ms, changed_ms=self.clock.now_ms())
             self._trim(part, record)
             return self._insert(part, record)
         earlier = {i: t for i, t in ends.items() if t < record.ends.get(i, math.inf)}
@@ -521,6 +530,7 @@
             return False
         record.ends |= earlier
         record.cleared_ms = max(record.cleared_ms, cleared_ms)
+        record.changed_ms = self.clock.now_ms()
         self._trim(part, record)
         return True
 
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -7,6 +7,7 @@
 
 from . import _metrics
 from ._admission import Refusal, dispatch_periodically
+from ._crash_guard import CrashGuard
 from ._dispatcher import DEFAULT_GOAL_MS, Dispatcher
 from ._event_stream import EventSplitter
 from ._load_tracker import LoadTracker
@@ -25,6 +26,7 @@
 RETRY_AT_GOAL_FRACTION = 0.7  # of the goal; leaves time for another endpoint's typical answer
 RECENT_ACTIVITY_MS = 250.0  # longer than an event interval with prefill, or a digest's delivery
 MAX_LOGGED_PARTS = 8
+PART_RETRY_AFTER_MS = 3_600_000.0  # until a part that ended endpoints is tried again
 PRUNE_INTERVAL_MS = 5_000.0  # few endpoints come and go in it; an entry takes about 100 bytes
 
 
@@ -56,6 +58,10 @@
         self.dispatcher = Dispatcher(
             directory, self.replica_view, self.load_tracker, peers, settings.zone, clock
         )
+        self.crash_guard = CrashGuard(directory, peers, clock, decisions, settings.ip)
+        self.crash_guard.on_verdict = self._note_verdict
+        peers.on_parts = self.crash_guard.merge
+        self.on_proven_part = lambda part, proven: None
         self.retry_budget = RetryBudget(clock, settings, peers.fleet_size)
         self.silence_detector = SilenceDetector(clock, peers)
         self.sender = Sender(
@@ -88,6 +94,7 @@
         for task in self.tasks:
             task.cancel()
         self.sender.pool.close()
+        self.crash_guard.close()
 
     async def handle(self, request, caller):
         """Handle one request and answer its caller."""
@@ -130,6 +137,7 @@
             heads,
             self.replica_view.local_suspicions(),
             zone=self.settings.zone,
+            parts=self.crash_guard.ledger.digest(),
         )
 
     def _add_peer_suspicions(self, suspects, daemon):
@@ -202,14 +210,11 @@
         queue = self.dispatcher.queue(context.service.name, engine, model)
         self.retry_budget.record_request(context.service.name)
         while True:
-            queued_ms = self.clock.now_ms()
-            endpoint = await queue.acquire(
-                self.dispatcher.queued_request(context, estimator, engine)
-            )
-            context.waited_ms += self.clock.now_ms() - queued_ms
+            endpoint = await self._acquire(context, queue, estimator, engine, model)
             if isinstance(endpoint, Refusal):
                 await self._end_unserved(context, endpoint.reason, endpoint.retry_after_ms)
                 return
+            context.opening = self.crash_guard.begin(context.metadata, endpoint)
             try:
                 late = self.clock.now_ms() > context.started_ms + (
                     context.route.goal_ms or DEFAULT_GOAL_MS
@@ -218,11 +223,45 @@
                 result = await self.sender.send_streaming(context, endpoint, estimator, late)
                 if result is AttemptResult.COMPLETE:
                     estimator.record_duration(self.clock.now_ms() - sent_ms)
+                    context.opening.record_sound()
+                elif result is AttemptResult.BROKEN:
+                    await self.crash_guard.record_break(context.opening)
             finally:
+                context.opening.finish()
                 self.dispatcher.release(endpoint, queue)
             if not await self._finish_attempt(context, endpoint, result):
                 return
 
+    async def _acquire(self, context, queue, estimator, engine, model):
+        """Return an endpoint for a request once there is one, or a `Refusal`."""
+        refusal = self._check_parts(context, model)
+        if refusal is not None:
+            return refusal
+        queued_ms = self.clock.now_ms()
+        endpoint = await queue.acquire(self.dispatcher.queued_request(context, estimator, engine))
+        context.waited_ms += self.clock.now_ms() - queued_ms
+        if isinstance(endpoint, Refusal):
+            return endpoint
+        refusal = self._check_parts(context, model)  # what is known may have changed meanwhile
+        if refusal is None:
+            return endpoint
+        self.dispatcher.release(endpoint, queue)
+        return refusal
+
+    def _check_parts(self, context, model):
+        if context.sound:
+            return None
+        heads = self.replica_view.available_heads(context.service.name, model.name)
+        return self.crash_guard.check(context.metadata, len(heads) > 1)
+
+    def _note_verdict(self, part, proven):
+        """Reject what waits with a part that is proven to end endpoints."""
+        if proven:
+            refusal = Refusal("a part of the prompt ended endpoints", PART_RETRY_AFTER_MS)
+            for queue in self.dispatcher.queues.values():
+                queue.reject_part(part, refusal)
+        self.on_proven_part(part, proven)
+
     async def _serve_plain(self, context):
         self.retry_budget.record_request(context.service.name)
         while True:
@@ -279,13 +318,19 @@
         # An endpoint that is no longer the head looks idle, and would be chosen repeatedly.
         if unreachable or result in (AttemptResult.SILENT, AttemptResult.MISDIRECTED):
             self._suspect(endpoint, result.value)
-        if context.attempts < MAX_ATTEMPTS and context.can_retry(result):
+        may_go_on = context.attempts < MAX_ATTEMPTS and context.can_retry(result)
+        if may_go_on and self._may_resume(context, result):
             needs_budget = result is not AttemptResult.NOT_SENT
             if not needs_budget or self.retry_budget.try_spend(context.service.name):
                 return True
         await self._end_unserved(context, f"send {result.value}", NOT_RUN_RETRY_AFTER_MS)
         return False
 
+    def _may_resume(self, context, result):
+        if result is not AttemptResult.BROKEN or context.sound:
+            return True
+        return self.crash_guard.may_resume(context.metadata.shared_parts)
+
     def _suspect(self, endpoint, reason):
         if endpoint.membership is not None:
             self.replica_view.suspect(endpoint)
--- a/libraries/gateway/src/corianderhaven/gateway/_metrics.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_metrics.py
@@ -23,6 +23,12 @@
 IN_FLIGHT = Gauge(PREFIX + "in_flight", "Requests being answered")
 SERVING_REPLICAS = Gauge(PREFIX + "serving_replicas", "Whole open replicas", ["model"])
 STRANDED_VMS = Gauge(PREFIX + "stranded_vms", "Live engine VMs that serve nothing", ["service"])
+PART_REJECTIONS = Counter(
+    PREFIX + "part_rejections", "Requests rejected for a part of their prompt", ["verdict"]
+)
+ENDS_UNDER_REQUESTS = Counter(
+    PREFIX + "ends_under_requests", "Answers in whose opening phase their endpoint ended"
+)
 CONNECTIONS = Counter(
     "corianderhaven_gateway_connections_total",
     "Requests sent to endpoints by the kind of connection.",
--- a/libraries/gateway/src/corianderhaven/gateway/_request_context.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_context.py
@@ -45,6 +45,10 @@
         Longest time between two forwarded events.
     attempt_events : int
         Events that the endpoint of the present attempt has sent.
+    opening : OpeningPhase or None
+        Opening phase of the present attempt at an engine.
+    sound : bool
+        Whether an endpoint lived on after it had begun to write on the prompt.
     """
 
     request: object
@@ -67,6 +71,8 @@
     last_forwarded_ms: float | None = None
     attempt_results: list = field(default_factory=list)
     attempt_events: int = 0
+    opening: object = None
+    sound: bool = False
 
     @property
     def started_ms(self):
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -308,6 +308,7 @@
             events = context.splitter.feed(chunk)
             if context.splitter.data_event_count > data_events:
                 context.attempt_events += context.splitter.data_event_count - data_events
+                context.sound |= context.opening.record_events(context.attempt_events)
                 self.silence_detector.record_activity(stream)
             if events:
                 context.record_forwarded(self.clock.now_ms())
