Don't take this side's own close for the end of an answer without length

What callers saw: a stream whose worker sent neither a length nor chunks, and whose replica then fell silent, ended as complete after the events so far instead of going on at another replica. Cause: the connection told its parser "end of input" whenever it ended without an error, which is also so when the silence detector closes it. For a body that ends with its connection that is its end. Change: only the peer's FIN is an end of input. The stand-in's `unframed` workers stream like that too, and may end a plain body with a reset.

--- a/libraries/common/src/corianderhaven/common/_async_connection.py
+++ b/libraries/common/src/corianderhaven/common/_async_connection.py
@@ -97,10 +97,12 @@
         self.wake_reader()
 
     def connection_lost(self, error):
-        """Mark the connection as lost and wake the reader and the writer."""
+        """Mark the connection as lost and wake the reader and the writer.
+
+        This is no end of input: it also follows a close by this side, which would otherwise look
+        like the orderly end of an answer without length or chunks.
+        """
         self.lost = True
-        if error is None:
-            self.eof_received()
         self.wake_reader()
         self.resume_writing()
 
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import itertools
+import socket
+import struct
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -19,6 +21,7 @@
 PLAIN_SERVICE = "ledger"
 ENDLESS_BLOCK = b"\x17 bytes without end " * 1_000
 TRICKLE_INTERVAL_MS = 20.0
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # of SO_LINGER: on, with no time for unsent data
 
 
 @dataclass
@@ -40,7 +43,9 @@
     extra : bool
         Send a second response after the first.
     unframed : bool
-        Send a body without a length that ends when the connection closes.
+        Send bodies and streams without a length or chunks, which end when the connection closes.
+    reset : bool
+        With `unframed`, end the connection with a reset within a plain body.
     fail : bool
         Run the request and answer 500.
     slow_ms : float
@@ -66,6 +71,7 @@
     other_id: bool = False
     extra: bool = False
     unframed: bool = False
+    reset: bool = False
     fail: bool = False
     slow_ms: float = 0.0
     trickle_after: int | None = None
@@ -407,9 +413,8 @@
         body = b"whole answer of " + worker.id.encode()
         headers = self._response_headers(worker, request)
         if worker.faults.unframed:
-            lines = [b"HTTP/1.1 200 OK"] + [k + b": " + v for k, v in headers]
-            await caller.write(b"\r\n".join([*lines, b"connection: close", b"", body]))
-            caller.abort_response()
+            await _send_unframed_head(caller, headers)
+            await self._send_unframed_body(worker, caller, body)
             return
         await caller.send_response(200, headers, body)
         if worker.faults.late_copy_ms is not None:
@@ -421,20 +426,34 @@
         if worker.faults.extra:
             await caller.write(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra")
 
+    async def _send_unframed_body(self, worker, caller, body):
+        if worker.faults.reset:
+            await caller.write(body[:5])
+            await asyncio.sleep(STATE_POLL_MS / MS_PER_S)
+            sock = caller.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        else:
+            await caller.write(body)
+        caller.abort_response()
+
     async def _stream_events(self, worker, request, caller):
         first = int(request.header("last-event-id") or 0) + 1
         headers = [
             *self._response_headers(worker, request),
             (b"content-type", b"text/event-stream"),
         ]
-        await caller.send_head(200, headers)
+        if worker.faults.unframed:
+            await _send_unframed_head(caller, headers)
+        else:
+            await caller.send_head(200, headers)
+        send = caller.write if worker.faults.unframed else caller.send_chunk
         for number in range(first, self.events + 1):
             event = b"id: %d\ndata: token-%d\n\n" % (number, number)
             if worker.faults.endless == "event":
                 while not caller.lost:
                     await caller.send_chunk(ENDLESS_BLOCK)
             if worker.faults.cut_after is not None and number > worker.faults.cut_after:
-                await caller.send_chunk(event[:6])
+                await send(event[:6])
                 caller.close()
                 return
             while not self.engines.accepts_requests(worker.engine):
@@ -442,11 +461,14 @@
                     caller.close()
                     return
                 await asyncio.sleep(STATE_POLL_MS / MS_PER_S)
-            await caller.send_chunk(event)
+            await send(event)
             await asyncio.sleep(self.token_ms / MS_PER_S)
             if number == worker.faults.trickle_after:
                 await self._trickle(caller)
-        await caller.send_end()
+        if worker.faults.unframed:
+            caller.abort_response()
+        else:
+            await caller.send_end()
 
     async def _trickle(self, caller):
         """Send a byte now and then, and never the end of an event."""
@@ -455,6 +477,11 @@
             await asyncio.sleep(TRICKLE_INTERVAL_MS / MS_PER_S)
 
 
+async def _send_unframed_head(caller, headers):
+    lines = [b"HTTP/1.1 200 OK"] + [k + b": " + v for k, v in headers]
+    await caller.write(b"\r\n".join([*lines, b"", b""]))
+
+
 async def _keep_address(worker_id, address):
     """Return the address unchanged, so that the worker advertises its listener."""
     return address
