Reset the connection of an HTTP/1.0 caller whose streamed answer is not whole

What callers saw: an HTTP/1.0 caller gets no chunks, so its stream ends with the connection. One that had to be broken off (an aborted response, an error in the handler, a daemon that stops) was closed in the usual way and looked whole. Cause: every close of the server's side is orderly, and only chunks or a length tell a part from a whole. Change: from the head of such an answer to its end, a close of its socket is a reset, by whatever comes. Before: 3 of the 4 cases of test_streamed_answer_to_an_old_caller_looks_whole_only_if_it_is fail (no reset). After: all pass; the whole answer still ends in an orderly way.

--- a/libraries/common/src/corianderhaven/common/_async_server.py
+++ b/libraries/common/src/corianderhaven/common/_async_server.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from dataclasses import dataclass
 
 import h11
@@ -15,6 +17,9 @@
 REQUEST_TIMEOUT = 408
 HEADERS_TOO_LARGE = 431
 BODY_TOO_LARGE = 413
+# Values of SO_LINGER: whether a close is a reset, and the seconds for which it waits.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+ORDERLY_CLOSE = struct.pack("ii", 0, 0)
 
 
 class CallerDisconnectedError(Exception):
@@ -216,6 +221,8 @@
     async def send_head(self, status, headers):
         """Send the status and headers of a streamed response."""
         self.head_sent = True
+        if self._ends_with_connection:
+            self._set_linger(RESET_ON_CLOSE)
         response = h11.Response(status_code=status, headers=self._with_connection_header(headers))
         await self.write(self.parser.send(response))
 
@@ -226,6 +233,18 @@
     async def send_end(self):
         """Send the end of a streamed response."""
         await self.write(self.parser.send(h11.EndOfMessage()))
+        if self._ends_with_connection:
+            self._set_linger(ORDERLY_CLOSE)
+
+    @property
+    def _ends_with_connection(self):
+        """Whether a streamed response has no chunks, so that an orderly close is its end."""
+        return self.parser.their_http_version < b"1.1"
+
+    def _set_linger(self, value):
+        sock = self.transport.get_extra_info("socket")
+        if sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
     def abort_response(self):
         """Close the connection so that an unfinished response can't look complete."""
--- a/libraries/common/src/corianderhaven/common/tests/test_answers_without_length.py
+++ b/libraries/common/src/corianderhaven/common/tests/test_answers_without_length.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from corianderhaven.common import ClientConnection, ConnectionLostError
+from corianderhaven.common import AsyncHttpServer, ClientConnection, Clock, ConnectionLostError
 
 TEST_TIMEOUT_S = 5.0
 UNTIL_CLOSE_HEADS = {
@@ -59,3 +59,38 @@
                 await connection.read_chunk()
 
     run(scenario)
+
+
+@pytest.mark.parametrize("end", ["abort", "server closes", "error", "whole"])
+def test_streamed_answer_to_an_old_caller_looks_whole_only_if_it_is(end):
+    """An HTTP/1.0 caller gets no chunks, so an orderly close made a part look whole."""
+
+    async def answer_part(request, caller):
+        await caller.send_head(200, [])
+        await caller.send_chunk(b"part")
+        await asyncio.sleep(0.1)
+        if end == "abort":
+            caller.abort_response()
+        elif end == "server closes":
+            server.close()
+        elif end == "error":
+            raise ZeroDivisionError("unexpected")
+        else:
+            await caller.send_end()
+
+    server = AsyncHttpServer("127.0.0.1:0", answer_part, Clock())
+
+    async def scenario():
+        await server.start()
+        host, _, port = server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET / HTTP/1.0\r\n\r\n")
+        if end == "whole":
+            assert (await reader.read()).endswith(b"part")
+        else:
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+        writer.close()
+        server.close()
+
+    run(scenario)
