Don't keep a connection whose answer had both a length and chunks

What callers saw: nothing yet; on the next request of that connection they could have seen bytes of the answer before, where its sender counted by the length. Cause: RFC 9112, section 6.3, lets the chunks decide and takes such a message for a possible error; the answer was read by its chunks (the length isn't forwarded), but its connection was used again. Change: the connection is closed after such an answer. Before: test_chunks_take_precedence_over_a_length_and_the_connection_is_not_kept fails on the reuse. After: passes.

--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -9,6 +9,7 @@
 from ._clock import MS_PER_S
 
 MAX_INFORMATIONAL_RESPONSES = 8  # before the final one; 100 and 103 are in use
+FRAMING_HEADERS = {b"content-length", b"transfer-encoding"}
 
 
 @dataclass
@@ -34,6 +35,7 @@
         super().__init__(h11.CLIENT, header_bytes)
         self.idle = False
         self.unexpected_data = False
+        self.two_framings = False
 
     def data_received(self, data):
         """Feed the parser; data without an outstanding request makes the connection unusable."""
@@ -73,6 +75,7 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self.next_event()
             if isinstance(event, h11.Response):
+                self.two_framings = {name for name, _ in event.headers} >= FRAMING_HEADERS
                 return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionLostError(f"no answer: {type(event).__name__}")
@@ -104,10 +107,11 @@
         """Reset the parser for the next request; return whether the connection is reusable.
 
         Bytes that follow the response may be a second copy of it, which the next request would
-        take for its own.
+        take for its own. Where a response had both a length and chunks, its sender may have
+        another end in mind than this side.
         """
         trailing_bytes, _ = self.parser.trailing_data
-        if trailing_bytes:
+        if trailing_bytes or self.two_framings:
             return False
         try:
             self.parser.start_next_cycle()
--- a/libraries/common/src/corianderhaven/common/tests/test_answers_without_length.py
+++ b/libraries/common/src/corianderhaven/common/tests/test_answers_without_length.py
@@ -61,6 +61,20 @@
     run(scenario)
 
 
+def test_chunks_take_precedence_over_a_length_and_the_connection_is_not_kept():
+    """A worker that counted the other way would read the next request from another place."""
+
+    async def scenario():
+        headers = b"content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n"
+        data = b"HTTP/1.1 200 OK\r\n" + headers + b"4\r\nfour\r\n0\r\n\r\n"
+        async with answered(data, leave_open) as connection:
+            await connection.read_head()
+            assert await connection.read_body() == b"four"
+            assert not connection.prepare_for_reuse()
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("end", ["abort", "server closes", "error", "whole"])
 def test_streamed_answer_to_an_old_caller_looks_whole_only_if_it_is(end):
     """An HTTP/1.0 caller gets no chunks, so an orderly close made a part look whole."""
