Take a stream that ends with its connection before any event for broken off

What callers saw: a worker that closed after the head of a stream without length or chunks gave an empty answer that looked complete. Cause: the close alone decided. A stream has at least one event, so the content tells more. Change: such an end, where neither this daemon nor the one before (Last-Event-Id) has passed an event on, is a broken answer: it goes on elsewhere, or the caller's answer is broken off. An empty answer with a length or chunks stays whole, and so does one that resumes after the last event. Before: test_stream_that_ends_before_its_first_event_is_not_complete fails in both cases (complete, without events), also with only the change of the gateway taken back.

--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -10,15 +10,23 @@
 
 MAX_INFORMATIONAL_RESPONSES = 8  # before the final one; 100 and 103 are in use
 FRAMING_HEADERS = {b"content-length", b"transfer-encoding"}
+STATUSES_WITHOUT_BODY = (204, 304)
 
 
 @dataclass
 class ResponseHead:
-    """Status code and headers of a response; header names are lower-case bytes."""
+    """Status code and headers of a response; header names are lower-case bytes.
+
+    Parameters
+    ----------
+    ends_with_connection : bool
+        Whether the response has a body without a length or chunks, which an orderly close ends.
+    """
 
     status: int
     headers: list
     reusable: bool = False
+    ends_with_connection: bool = False
 
     def header(self, name):
         """Return the value of header `name` (lower-case str), or None if it is absent."""
@@ -36,6 +44,7 @@
         self.idle = False
         self.unexpected_data = False
         self.two_framings = False
+        self.body_expected = True
 
     def data_received(self, data):
         """Feed the parser; data without an outstanding request makes the connection unusable."""
@@ -64,6 +73,7 @@
     async def send(self, method, target, headers, body=b""):
         """Send a request with its complete body."""
         self.idle = False
+        self.body_expected = method not in ("HEAD", b"HEAD")
         chunks = [self.parser.send(h11.Request(method=method, target=target, headers=headers))]
         if body:
             chunks.append(self.parser.send(h11.Data(data=body)))
@@ -75,12 +85,21 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self.next_event()
             if isinstance(event, h11.Response):
-                self.two_framings = {name for name, _ in event.headers} >= FRAMING_HEADERS
-                return ResponseHead(event.status_code, list(event.headers))
+                return self._describe_head(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionLostError(f"no answer: {type(event).__name__}")
         raise ConnectionLostError("informational responses without end")
 
+    def _describe_head(self, event):
+        framings = FRAMING_HEADERS & {name for name, _ in event.headers}
+        self.two_framings = framings == FRAMING_HEADERS
+        has_body = self.body_expected and event.status_code not in STATUSES_WITHOUT_BODY
+        return ResponseHead(
+            event.status_code,
+            list(event.headers),
+            ends_with_connection=has_body and not framings,
+        )
+
     async def read_chunk(self):
         """Return the next chunk of the response body, or None at its end."""
         while True:
--- a/libraries/gateway/src/corianderhaven/gateway/_request_context.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_context.py
@@ -82,6 +82,14 @@
         """Whether any endpoint may have run the request."""
         return bool(+self.possible_runs)
 
+    @property
+    def has_events(self):
+        """Whether the caller has got an event of the stream, from any daemon.
+
+        A stream has at least one, so an end before it shows that the stream was broken off.
+        """
+        return bool(self.splitter.data_event_count) or self.metadata.last_event_id is not None
+
     @property
     def endpoints_used(self):
         """Number of endpoints that may have run the request."""
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -305,7 +305,7 @@
             if events:
                 context.record_forwarded(self.clock.now_ms())
                 await self._forward(context, stream, events)
-        if context.splitter.partial:
+        if context.splitter.partial or (head.ends_with_connection and not context.has_events):
             return AttemptResult.BROKEN
         await context.caller.send_end()
         return AttemptResult.COMPLETE
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -46,6 +46,8 @@
         Send bodies and streams without a length or chunks, which end when the connection closes.
     reset : bool
         With `unframed`, end the connection with a reset within a plain body.
+    no_events : bool
+        With `unframed`, end a stream after its head.
     fail : bool
         Run the request and answer 500.
     slow_ms : float
@@ -72,6 +74,7 @@
     extra: bool = False
     unframed: bool = False
     reset: bool = False
+    no_events: bool = False
     fail: bool = False
     slow_ms: float = 0.0
     trickle_after: int | None = None
@@ -444,6 +447,9 @@
         ]
         if worker.faults.unframed:
             await _send_unframed_head(caller, headers)
+            if worker.faults.no_events:
+                caller.abort_response()
+                return
         else:
             await caller.send_head(200, headers)
         send = caller.write if worker.faults.unframed else caller.send_chunk
