Prove how answers without length, without body or with bad framing are read

What callers saw: nothing; these rules held already, and no test showed it. Tests: an answer that ends in an orderly way is whole and its connection not kept (HTTP/1.0 too), one that is reset is sent again or reported as unknown, a stream that ends inside an event goes on elsewhere or is broken off towards its caller, HEAD, 204, 304 and 1xx have no body, and a framing that can't be decoded is an error.

--- a/libraries/common/src/corianderhaven/common/tests/test_answers_without_length.py
+++ b/libraries/common/src/corianderhaven/common/tests/test_answers_without_length.py
@@ -1,6 +1,8 @@
 """Tests of answers that end with their connection, and of answers that have no body."""
 
 import asyncio
+import socket
+import struct
 from contextlib import asynccontextmanager
 
 import pytest
@@ -17,6 +19,13 @@
 until_close = pytest.mark.parametrize("head", UNTIL_CLOSE_HEADS.values(), ids=UNTIL_CLOSE_HEADS)
 
 
+def reset(writer):
+    """Close a connection with a reset."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 @asynccontextmanager
 async def answered(data, end, method="GET"):
     """Open a connection, send a request and get `data`; `end` then gets the server's writer."""
@@ -46,6 +55,28 @@
     """Neither close nor send any more."""
 
 
+@until_close
+def test_answer_that_ends_in_an_orderly_way_is_whole_and_its_connection_not_kept(head):
+    async def scenario():
+        async with answered(head + b"until the end", lambda writer: writer.close()) as connection:
+            assert (await connection.read_head()).ends_with_connection
+            assert await connection.read_body() == b"until the end"
+            assert not connection.prepare_for_reuse()
+
+    run(scenario)
+
+
+@until_close
+def test_answer_that_ends_with_a_reset_is_not_whole(head):
+    async def scenario():
+        async with answered(head + b"part", reset) as connection:
+            await connection.read_head()
+            with pytest.raises(ConnectionLostError):
+                await connection.read_body()
+
+    run(scenario)
+
+
 @until_close
 def test_answer_is_not_whole_when_this_side_closes(head):
     """The end of a connection closed here was taken for the end of the answer."""
@@ -61,6 +92,49 @@
     run(scenario)
 
 
+@pytest.mark.parametrize(
+    ("method", "head"),
+    [
+        ("HEAD", b"HTTP/1.1 200 OK\r\n\r\n"),
+        ("HEAD", b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n"),
+        ("GET", b"HTTP/1.1 204 No Content\r\n\r\n"),
+        ("GET", b"HTTP/1.1 304 Not Modified\r\n\r\n"),
+        ("GET", b"HTTP/1.1 304 Not Modified\r\ncontent-length: 9\r\n\r\n"),
+        ("GET", b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"),
+    ],
+)
+def test_answer_that_can_have_no_body_ends_with_its_head(method, head):
+    async def scenario():
+        async with answered(head, leave_open, method) as connection:
+            assert not (await connection.read_head()).ends_with_connection
+            assert await asyncio.wait_for(connection.read_body(), 1.0) == b""
+            assert connection.prepare_for_reuse()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        b"transfer-encoding: gzip",
+        b"transfer-encoding: gzip\r\ncontent-length: 4",
+        b"transfer-encoding: chunked, gzip",
+        b"content-length: 4\r\ncontent-length: 5",
+        b"content-length: four",
+    ],
+)
+def test_answer_with_a_framing_that_cannot_be_decoded_is_an_error(headers):
+    """Such a body would have to be decoded before it could be forwarded."""
+
+    async def scenario():
+        data = b"HTTP/1.1 200 OK\r\n" + headers + b"\r\n\r\nbody"
+        async with answered(data, lambda writer: writer.close()) as connection:
+            with pytest.raises(ConnectionLostError):
+                await connection.read_head()
+
+    run(scenario)
+
+
 def test_chunks_take_precedence_over_a_length_and_the_connection_is_not_kept():
     """A worker that counted the other way would read the next request from another place."""
 
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_unframed_answers.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_unframed_answers.py
@@ -8,7 +8,9 @@
     heads,
     hosted_site,
     send_draft,
+    send_request,
     wait_until,
+    workers,
 )
 from corianderhaven.standins import HostedModel
 
@@ -53,6 +55,63 @@
     await wait_until(lambda: daemon.active_config.config.version == site.config_version)
 
 
+def test_whole_answers_are_forwarded_and_their_connections_not_kept():
+    async def scenario(site, daemon):
+        for _ in range(6):
+            draft = await send_draft(daemon, "small")
+            assert (draft.status, draft.complete) == (200, True)
+            assert draft.event_ids == list(range(1, site.events + 1))
+            assert draft.header("transfer-encoding") == "chunked"
+            status = await send_request(daemon, "/status/1")
+            assert (status.status, status.complete) == (200, True)
+            assert int(status.header("content-length")) == len(status.body)
+            assert not any(daemon.gateway.sender.pool.idle.values())
+        assert set(site.run_counts().values()) == {1}
+
+    run_scenario(scenario)
+
+
+def test_plain_answer_that_is_reset_is_sent_again_or_reported_as_unknown():
+    async def scenario(site, daemon):
+        first, second = workers(site, "ledger")
+        first.faults.reset = True
+        for _ in range(6):
+            answer = await send_request(daemon, "/status/1")
+            assert answer.status == 200
+            assert answer.body == b"whole answer of " + second.id.encode()
+        second.faults.reset = True
+        issue = await send_request(daemon, "/issue/1", "POST", body=b"x")
+        assert (issue.status, issue.header("corianderhaven-server-stamp")) == (502, None)
+        assert site.run_counts()[issue.request_id] == 1
+
+    run_scenario(scenario)
+
+
+def test_stream_that_ends_inside_an_event_goes_on_elsewhere():
+    async def scenario(site, daemon):
+        faulty = await give_fault(site, daemon, cut_after=3)
+        async for answer in draft_until_run_by(site, daemon, faulty):
+            assert answer.complete
+            assert answer.event_ids == list(range(1, site.events + 1))
+        first, resumed = site.runs[-2:]
+        assert (first.worker, first.after, resumed.after) == (faulty.id, None, "3")
+        assert resumed.worker != faulty.id
+
+    run_scenario(scenario)
+
+
+def test_stream_that_ends_inside_an_event_and_cannot_resume_does_not_look_complete():
+    async def scenario(site, daemon):
+        await make_drafts_not_resumable(site, daemon)
+        for head in heads(site, "small"):
+            head.faults.cut_after = 3
+        answer = await send_draft(daemon, "small")
+        assert (answer.status, answer.complete, answer.event_ids) == (200, False, [1, 2, 3])
+        assert site.run_counts()[answer.request_id] == 1
+
+    run_scenario(scenario)
+
+
 def test_stream_of_a_replica_that_lost_a_member_is_not_ended_as_complete():
     """The daemon closed the silent stream and took its own close for the end of the answer."""
 
