--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -9,15 +9,24 @@
 from ._clock import MS_PER_S
 
 MAX_INFORMATIONAL_RESPONSES = 8  # before the final one; 100 and 103 are in use
+FRAMING_HEADERS = {b"content-length", b"transfer-encoding"}
+STATUSES_WITHOUT_BODY = (204, 304)
 
 
 @dataclass
 class ResponseHead:
-    """Status code and headers of a response; header names are lower-case bytes."""
+    """Status code and headers of a response; header names are lower-case bytes.
+
+    Parameters
+    ----------
+    ends_with_connection : bool
+        Whether the response has a body without a length or chunks, which an orderly close ends.
+    """
 
     status: int
     headers: list
     reusable: bool = False
+    ends_with_connection: bool = False
 
     def header(self, name):
         """Return the value of header `name` (lower-case str), or None if it is absent."""
@@ -34,6 +43,8 @@
         super().__init__(h11.CLIENT, header_bytes)
         self.idle = False
         self.unexpected_data = False
+        self.two_framings = False
+        self.body_expected = True
 
     def data_received(self, data):
         """Feed the parser; data without an outstanding request makes the connection unusable."""
@@ -65,6 +76,7 @@
     async def send(self, method, target, headers, body=b""):
         """Send a request with its complete body."""
         self.idle = False
+        self.body_expected = method not in ("HEAD", b"HEAD")
         chunks = [self.parser.send(h11.Request(method=method, target=target, headers=headers))]
         if body:
             chunks.append(self.parser.send(h11.Data(data=body)))
@@ -76,11 +88,21 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self.next_event()
             if isinstance(event, h11.Response):
-                return ResponseHead(event.status_code, list(event.headers))
+                return self._describe_head(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionLostError(f"no answer: {type(event).__name__}")
         raise ConnectionLostError("informational responses without end")
 
+    def _describe_head(self, event):
+        framings = FRAMING_HEADERS & {name for name, _ in event.headers}
+        self.two_framings = framings == FRAMING_HEADERS
+        has_body = self.body_expected and event.status_code not in STATUSES_WITHOUT_BODY
+        return ResponseHead(
+            event.status_code,
+            list(event.headers),
+            ends_with_connection=has_body and not framings,
+        )
+
     async def read_chunk(self):
         """Return the next chunk of the response body, or None at its end."""
         while True:
@@ -107,10 +129,11 @@
         """Reset the parser for the next request; return whether the connection is reusable.
 
         Bytes that follow the response may be a second copy of it, which the next request would
-        take for its own.
+        take for its own. Where a response had both a length and chunks, its sender may have
+        another end in mind than this side.
         """
         trailing_bytes, _ = self.parser.trailing_data
-        if trailing_bytes:
+        if trailing_bytes or self.two_framings:
             return False
         try:
             self.parser.start_next_cycle()
