Reject parts that were in all the same answers only together

What callers would have seen: a sound first part that was in each request with the crashing part, and had no sound answer meanwhile, counted as proven as well, so all its requests were rejected for an hour.

Cause: evidence of parts that are in all the same answers can't tell them apart, and each was taken for the one. Now a request is rejected only if it holds all of them; one with some is tried by one daemon at a time, which clears it or shows that it is the one. The store keeps which parts were proven together.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_crashing_prompts.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_crashing_prompts.py
@@ -9,7 +9,16 @@
 import pytest
 
 from corianderhaven.common import MS_PER_S, ConnectionLostError
-from corianderhaven.daemon.tests.hosted_site import heads, hosted_site, send_request, wait_until
+from corianderhaven.daemon._fleet_daemon import FleetDaemon
+from corianderhaven.daemon.tests.hosted_site import (
+    heads,
+    hosted_site,
+    node_settings,
+    send_request,
+    serves_all_models,
+    wait_until,
+)
+from corianderhaven.gateway import Verdict
 
 BAD_PART = "7d90b1c3"
 BAD_PROMPT = f"5c1e07a2:40,{BAD_PART}:60"
@@ -22,6 +31,7 @@
 MIN_REQUESTS = 20
 LOST_SHARE = 0.15
 RESTART_MS = 500.0
+RECOVERY_S = 12.0  # in which a platform that lost all daemons serves again
 BAD_INTERVAL_MS = 120.0
 SOUND_INTERVAL_MS = 50.0
 MIN_REPLICAS = 12
@@ -191,3 +201,39 @@
             assert after >= MIN_SERVED_SHARE * usual, (prompt, usual, after)
 
     asyncio.run(scenario())
+
+
+def test_proof_outlives_all_daemons():
+    """All daemons ended at once, and the next ones sent the part to five more endpoints."""
+
+    async def scenario():
+        async with site_with_many_replicas(daemons=2) as (site, daemons):
+            site.crashing_parts = {BAD_PART}
+            async with Load(site, daemons, [BAD_PROMPT], BAD_INTERVAL_MS):
+                await wait_until(lambda: is_proven(daemons[0]), 2 * CONTACT_MS / MS_PER_S)
+                await wait_until(lambda: any("/parts/" in key for key in site.store.items))
+            for daemon in daemons:
+                daemon.close()
+            ended = len(site.ended_workers)
+            late = FleetDaemon(node_settings(site, "edge-a-9", "127.0.0.9", first_start=False))
+            await late.start()
+            try:
+                await wait_until(lambda: late.ready)
+                sent = Sent(site.clock.now_ms(), BAD_PROMPT)
+                for _ in range(3):
+                    await send(late, "small", sent)
+                assert not sent.served
+                assert len(site.ended_workers) == ended
+                sound = Sent(site.clock.now_ms(), SOUND_PROMPTS[0])
+                await wait_until(lambda: serves_all_models(late, site), RECOVERY_S)
+                await send(late, "small", sound)
+                assert sound.served
+            finally:
+                late.close()
+
+    asyncio.run(scenario())
+
+
+def is_proven(daemon):
+    assessment = daemon.gateway.crash_guard.ledger.assess((BAD_PART,))
+    return assessment.verdict is Verdict.PROVEN
--- a/libraries/fleet/src/corianderhaven/fleet/_proven_parts.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_proven_parts.py
@@ -17,10 +17,19 @@
 
 
 class StoredPart(msgspec.Struct):
-    """Value of a part's key; `proven` is False once the part was cleared."""
+    """Value of a part's key.
+
+    Parameters
+    ----------
+    proven : bool
+        False once the part was cleared.
+    group : list of str
+        Parts that were proven together, sorted.
+    """
 
     part: str
     proven: bool
+    group: list[str] = []
 
 
 class ProvenParts:
@@ -37,7 +46,9 @@
     Attributes
     ----------
     mark_proven : callable
-        Called with a part's id that the store holds as proven.
+        Called with a part's id that the store holds as proven, and its group.
+    proven_with : callable
+        Returns the other parts that are proven together with a part.
     writes_first : callable
         Returns whether this daemon is the one to write about a part.
     """
@@ -48,7 +59,8 @@
         self.key_prefix = key_prefix
         self.clock = clock
         self.decisions = decisions
-        self.mark_proven = lambda part: None
+        self.mark_proven = lambda part, group: None
+        self.proven_with = lambda part: ()
         self.writes_first = lambda part: True
         self.pending = {}
         self.applied = {}
@@ -67,7 +79,9 @@
     def note(self, part, proven):
         """Have the store say whether a part is proven."""
         delay_ms = 0.0 if self.writes_first(part) else FOLLOWER_DELAY_MS
-        self.pending[part] = (StoredPart(part, proven), self.clock.now_ms() + delay_ms)
+        group = sorted({part, *self.proven_with(part)}) if proven else []
+        wanted = StoredPart(part, proven, group)
+        self.pending[part] = (wanted, self.clock.now_ms() + delay_ms)
         self.woken.set()
 
     async def _run(self):
@@ -90,7 +104,7 @@
             self.applied[key] = item.revision
             stored = self._decode(key, item)
             if stored is not None and stored.proven and stored.part not in self.pending:
-                self.mark_proven(stored.part)
+                self.mark_proven(stored.part, stored.group)
 
     def _decode(self, key, item):
         try:
--- a/libraries/gateway/src/corianderhaven/gateway/__init__.py
+++ b/libraries/gateway/src/corianderhaven/gateway/__init__.py
@@ -3,7 +3,8 @@
 from ._admission import AdmissionQueue, QueuedRequest, Refusal, queue_order
 from ._choice import choose_endpoint
 from ._connection_pool import ConnectionPool, declared_idle_ms
-from ._crash_ledger import Admission, Assessment, CrashLedger, ListedPart, Verdict
+from ._crash_evidence import Admission, Assessment, ListedPart, Verdict
+from ._crash_ledger import CrashLedger
 from ._event_stream import EventSplitter
 from ._gateway import Gateway
 from ._latency_estimator import LatencyEstimator
--- a/libraries/gateway/src/corianderhaven/gateway/_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_admission.py
@@ -248,10 +248,10 @@
             if refusal is not None:
                 self._decide(queued, refusal)
 
-    def reject_part(self, part, refusal):
-        """Refuse the waiting requests whose prompt holds a part."""
+    def reject(self, is_rejected, refusal):
+        """Refuse the waiting requests for whose parts `is_rejected` returns True."""
         for queued in list(self.waiting.in_order()):
-            if part in queued.parts and not queued.decision.done():
+            if is_rejected(queued.parts) and not queued.decision.done():
                 self._decide(queued, refusal)
 
     def _expirable(self, now):
--- a/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
@@ -10,9 +10,10 @@
 
 from . import _metrics
 from ._admission import Refusal
-from ._crash_ledger import CrashLedger, Verdict
+from ._crash_evidence import Verdict
+from ._crash_ledger import CrashLedger
 
-# Longer than an endpoint writes on a prompt that ends it: two events at most were seen.
+# An endpoint that a prompt ends writes a few events at most.
 OPENING_EVENTS = 10
 PROBE_TIMEOUT_MS = 60.0  # as for any connection to an endpoint
 # An endpoint that ended refuses connections at once, and until it has started again. One that is
--- a/libraries/gateway/src/corianderhaven/gateway/_crash_ledger.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_ledger.py
@@ -6,28 +6,33 @@
 merging it gives the same result in any order and however often.
 """
 
-import hashlib
 import math
 from collections import OrderedDict
-from dataclasses import dataclass, field
-from enum import IntEnum
 
 from corianderhaven.common import rendezvous_order
 from corianderhaven.fleet import PartRecord
 
-SUSPECT_ENDS = 2
-PROOF_ENDS = 5
-CLEARANCE_MS = 1_000.0  # an end so soon after a sound answer has another cause
-# The loss of a rack ends many endpoints at once. However many they are, they can't prove anything
-# alone; that takes an end at another time.
-MOMENT_MS = 1_000.0  # daemons notice the same loss at slightly different times
-MAX_ENDS_OF_MOMENT = 3  # below PROOF_ENDS, and two more ends at other times complete a proof
-FIRST_PAUSE_MS = 3_600_000.0
-MAX_PAUSE_MS = 24 * 3_600_000.0
+from ._crash_evidence import (
+    CLEARANCE_MS,
+    EVIDENCE_MS,
+    MAX_PART_LENGTH,
+    MOMENT_MS,
+    NEVER_MS,
+    PROOF_ENDS,
+    SUSPECT_ENDS,
+    Admission,
+    Assessment,
+    ListedPart,
+    PartEvidence,
+    Verdict,
+    count_ends,
+    evidence_lifetime_ms,
+    shorten,
+    store_incarnation,
+)
+
 SUSPECTED_RETRY_MS = 1_000.0
 TURN_MS = 10_000.0  # longer than an attempt's opening phase and differences between daemons' ages
-EVIDENCE_MS = 60_000.0
-PROOF_EVIDENCE_MS = 48 * 3_600_000.0
 # Evidence loses its time in transit from its age. Were it learned up to the end of its lifetime,
 # daemons that have dropped it would get it back from others again and again.
 LEARNING_MARGIN_MS = 30_000.0
@@ -35,208 +40,10 @@
 # newer with each exchange, until it cleared ends that came after it.
 CLEARED_TOLERANCE_MS = 500.0
 MAX_PARTS = 256
-MAX_ENDS = 16
-MAX_PART_LENGTH = 64
-SHARED_MS = 1_500.0  # several exchanges; bounds the messages in times of many ordinary losses
 RECENT_MS = 5_000.0  # covers the spread of an end's record to the daemon that had a sound answer
 MAX_RECENT_PARTS = 4_096
 MAX_IN_FLIGHT_PARTS = 4_096
 MAX_FORGOTTEN_ENDS = 4_096
-STORE_INCARNATION = "store"  # stands for the PROOF_ENDS ends of a proof read from the store
-SHORTENED_PREFIX = "blake2b:"
-NEVER_MS = -math.inf
-
-
-class Verdict(IntEnum):
-    """What the evidence says of a part; a higher value restricts its requests more."""
-
-    CLEAR = 0
-    SUSPECTED = 1
-    PROVEN = 2
-
-
-@dataclass(frozen=True)
-class Assessment:
-    """Evidence against the worst part of a prompt.
-
-    Parameters
-    ----------
-    part : str or None
-        None if all parts are clear.
-    ends : int
-        Ended endpoints that count as evidence.
-    age_ms : float
-        Time since the last of these ends.
-    """
-
-    verdict: Verdict = Verdict.CLEAR
-    part: str | None = None
-    ends: int = 0
-    age_ms: float = 0.0
-
-
-@dataclass(frozen=True)
-class Admission:
-    """Whether an attempt may be sent.
-
-    Parameters
-    ----------
-    resumable : bool
-        Whether the request may go to another endpoint after a break.
-    retry_after_ms : float
-        Time after which a refused request may be admitted; 0 if allowed.
-    part : str or None
-        Part that decided; None if all parts are clear.
-    """
-
-    allowed: bool = True
-    resumable: bool = True
-    retry_after_ms: float = 0.0
-    part: str | None = None
-
-
-@dataclass(frozen=True)
-class ListedPart:
-    """A part with evidence, as shown to operators; ages in ms, -1.0 if never cleared."""
-
-    part: str
-    verdict: Verdict
-    ends: dict
-    cleared_age_ms: float
-
-
-@dataclass
-class PartEvidence:
-    """Evidence about one part; times are local.
-
-    Parameters
-    ----------
-    ends : dict of str to float
-        Times at which endpoint incarnations ended, in ms. Ends before the last sound answer stay,
-        so that a peer's later time of the same end doesn't count.
-    counted : dict of str to float
-        Those that count as evidence.
-    total : int
-        Number of ended endpoints that `counted` stands for.
-    weight : int
-        The same with a limit on ends at the same moment.
-    was_proven : bool
-        Whether the verdict was ever `PROVEN`. Peers out of contact may keep such evidence for
-        long, so the time of the sound answer is kept as long.
-    """
-
-    ends: dict = field(default_factory=dict)
-    cleared_ms: float = NEVER_MS
-    verdict: Verdict = Verdict.CLEAR
-    was_proven: bool = False
-    counted: dict = field(default_factory=dict)
-    total: int = 0
-    weight: int = 0
-    last_end_ms: float = NEVER_MS
-    changed_ms: float = NEVER_MS
-
-    def update(self):
-        """Compute the fields that follow from `ends` and `cleared_ms`."""
-        since_ms = self.cleared_ms + CLEARANCE_MS
-        self.counted = {i: t for i, t in self.ends.items() if t > since_ms}
-        self.total = count_ends(self.counted)
-        self.weight = weigh_ends(self.counted)
-        self.last_end_ms = max(self.counted.values(), default=NEVER_MS)
-
-    def trim(self):
-        """Remove ends beyond `MAX_ENDS` and return them."""
-        removed = {}
-        while len(self.ends) > MAX_ENDS:
-            incarnation = least_needed_end(self.ends)
-            removed[incarnation] = self.ends.pop(incarnation)
-        return removed
-
-    def evidence_until_ms(self):
-        """Return when the ends no longer count."""
-        return self.last_end_ms + evidence_lifetime_ms(self.total)
-
-    def expires_ms(self):
-        """Return when neither ends nor the last sound answer are needed any more."""
-        kept_ms = PROOF_EVIDENCE_MS if self.was_proven else EVIDENCE_MS
-        return max(self.evidence_until_ms(), self.cleared_ms + kept_ms)
-
-    def is_concentrated(self):
-        """Return whether there are enough ends for a proof, but not enough that tell apart.
-
-        They came at the same moment, or another part explains them as well.
-        """
-        return self.verdict is Verdict.SUSPECTED and self.total >= PROOF_ENDS
-
-    def is_explained_by(self, other):
-        """Return whether these ends have more likely to do with another part of the requests.
-
-        That is the one that never worked, rather than one that did: the latter may also have been
-        at an ordinary loss. Otherwise it is the one in all the same answers and more.
-        """
-        worked, other_worked = self.cleared_ms > NEVER_MS, other.cleared_ms > NEVER_MS
-        if worked == other_worked:
-            return self.counted.keys() < other.counted.keys()
-        return worked and len(self.counted.keys() - other.counted.keys()) < SUSPECT_ENDS
-
-    def is_shared(self, now_ms):
-        """Return whether daemons tell each other: it restricts requests, or did, or is new."""
-        restricts = self.verdict is not Verdict.CLEAR or self.was_proven
-        return restricts or now_ms - self.changed_ms <= SHARED_MS
-
-    def pause_ms(self):
-        """Return the time from the last end to the next trial of a proven part."""
-        doublings = max(0, self.total - PROOF_ENDS)
-        return min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2.0**doublings)
-
-
-def shorten(part):
-    """Return a part's id with at most `MAX_PART_LENGTH` characters.
-
-    An id that looks shortened is shortened too: a caller must not pass for another's part.
-    """
-    if len(part) <= MAX_PART_LENGTH and not part.startswith(SHORTENED_PREFIX):
-        return part
-    data = part.encode(errors="surrogatepass")
-    return SHORTENED_PREFIX + hashlib.blake2b(data, digest_size=24).hexdigest()
-
-
-def count_ends(ends):
-    """Return the number of ended endpoints, with those that a proof in the store stands for."""
-    if STORE_INCARNATION not in ends:
-        return len(ends)
-    proven_ms = ends[STORE_INCARNATION]
-    later = sum(ended_ms > proven_ms for ended_ms in ends.values())
-    return max(len(ends) - 1, PROOF_ENDS + later)
-
-
-def weigh_ends(ends):
-    """Return the number of ends of which at most `MAX_ENDS_OF_MOMENT` are at the same moment."""
-    if STORE_INCARNATION in ends:
-        return max(PROOF_ENDS, count_ends(ends))
-    return sum(min(len(moment), MAX_ENDS_OF_MOMENT) for moment in group_by_moment(ends))
-
-
-def group_by_moment(ends):
-    """Return lists of incarnations whose ends are at the same moment, in order of time."""
-    moments, moment_ms = [], NEVER_MS
-    for ended_ms, incarnation in sorted((t, i) for i, t in ends.items()):
-        if ended_ms - moment_ms > MOMENT_MS:
-            moments.append([])
-            moment_ms = ended_ms
-        moments[-1].append(incarnation)
-    return moments
-
-
-def least_needed_end(ends):
-    """Return the end that adds least to the evidence: one of many at a moment, or the oldest."""
-    moments = group_by_moment(ends)
-    most = max(moments, key=len)
-    return most[-1] if len(most) > MAX_ENDS_OF_MOMENT else moments[0][0]
-
-
-def evidence_lifetime_ms(total):
-    """Return how long `total` ends count after the last of them, in ms."""
-    return PROOF_EVIDENCE_MS if total >= PROOF_ENDS else EVIDENCE_MS
 
 
 class CrashLedger:
@@ -324,14 +131,41 @@
         """
         count = in_flight_of_part or (lambda part: self.in_flight.get(part, 0))
         admission = Admission()
-        for part, record in self._known(parts):
+        ids = {shorten(part) for part in parts}
+        for part, record in self._known(ids):
             if record.verdict is Verdict.CLEAR:
                 continue
-            wait_ms = self._wait_ms(part, record, is_trial_owner, count(part))
+            is_decisive = record.verdict is Verdict.PROVEN and self.proven_with(part) <= ids
+            wait_ms = self._wait_ms(part, record, is_trial_owner, count(part), is_decisive)
             if admission.part is None or wait_ms > admission.retry_after_ms:
                 admission = Admission(wait_ms == 0.0, False, wait_ms, part)
         return admission
 
+    def proven_with(self, part):
+        """Return the other parts that were in all the same answers as a proven part.
+
+        Any of them may be the one that ends endpoints, so only requests with all are rejected. One
+        with some of them is tried, which tells them apart.
+        """
+        record = self._current(self._known_id(part))
+        if record is None or record.verdict is not Verdict.PROVEN:
+            return set()
+        return {
+            other
+            for other, evidence in self.records.items()
+            if evidence is not record
+            and evidence.verdict is Verdict.PROVEN
+            and evidence.counted.keys() >= record.counted.keys()
+        }
+
+    def is_proven(self, parts):
+        """Return whether requests with `parts` are rejected because of a proof."""
+        ids = {shorten(part) for part in parts}
+        return any(
+            record.verdict is Verdict.PROVEN and self.proven_with(part) <= ids
+            for part, record in self._known(ids)
+        )
+
     def begin(self, parts):
         """Count an attempt as in its opening phase; returns what to pass to `finish`.
 
@@ -406,9 +240,11 @@
         self._add(part, {}, self.clock.now_ms())
         self._update_verdicts()
 
-    def mark_proven(self, part):
+    def mark_proven(self, part, group=()):
         """Take a proof from the store: the last end counts as now.
 
+        `group` holds the parts that are proven together, as `proven_with` tells.
+
         Nothing changes if the part is proven already, or was cleared since this daemon started.
         """
         part = self._known_id(part)
@@ -417,7 +253,8 @@
             record.verdict is Verdict.PROVEN or record.cleared_ms > NEVER_MS
         ):
             return
-        self._add(part, {STORE_INCARNATION: self.clock.now_ms()}, NEVER_MS)
+        incarnation = store_incarnation({part, *group})
+        self._add(part, {incarnation: self.clock.now_ms()}, NEVER_MS)
         self._update_verdicts()
 
     def listing(self):
@@ -441,10 +278,10 @@
             self._current(part)
         self._drop_old_successes()
 
-    def _wait_ms(self, part, record, is_trial_owner, in_flight):
+    def _wait_ms(self, part, record, is_trial_owner, in_flight, is_decisive):
         """Return the time until an attempt may be admitted; 0 if it may be now."""
         since_end_ms = self.clock.now_ms() - record.last_end_ms
-        if record.verdict is Verdict.PROVEN and since_end_ms < record.pause_ms():
+        if is_decisive and since_end_ms < record.pause_ms():
             return max(SUSPECTED_RETRY_MS, record.pause_ms() - since_end_ms)
         if in_flight:
             return SUSPECTED_RETRY_MS
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -259,7 +259,7 @@
         if proven:
             refusal = Refusal("a part of the prompt ended endpoints", PART_RETRY_AFTER_MS)
             for queue in self.dispatcher.queues.values():
-                queue.reject_part(part, refusal)
+                queue.reject(self.crash_guard.ledger.is_proven, refusal)
         self.on_proven_part(part, proven)
 
     async def _serve_plain(self, context):
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_crash_fleet.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_crash_fleet.py
@@ -10,7 +10,9 @@
 from hypothesis import strategies as st
 
 from corianderhaven.gateway import Verdict
-from corianderhaven.gateway._crash_ledger import EVIDENCE_MS
+from corianderhaven.gateway._crash_evidence import (
+    EVIDENCE_MS,
+)
 from corianderhaven.gateway.tests.crash_fleet import (
     CONTACT_MS,
     CRASHING,
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_crash_ledger.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_crash_ledger.py
@@ -8,27 +8,29 @@
 from corianderhaven.common import ManualClock
 from corianderhaven.fleet import PartRecord, merge_parts
 from corianderhaven.gateway import CrashLedger, Verdict
-from corianderhaven.gateway._crash_ledger import (
+from corianderhaven.gateway._crash_evidence import (
     CLEARANCE_MS,
-    CLEARED_TOLERANCE_MS,
     EVIDENCE_MS,
     FIRST_PAUSE_MS,
-    LEARNING_MARGIN_MS,
     MAX_ENDS,
     MAX_ENDS_OF_MOMENT,
-    MAX_IN_FLIGHT_PARTS,
     MAX_PART_LENGTH,
-    MAX_PARTS,
     MAX_PAUSE_MS,
-    MAX_RECENT_PARTS,
     MOMENT_MS,
     PROOF_ENDS,
     PROOF_EVIDENCE_MS,
-    RECENT_MS,
     SUSPECT_ENDS,
+    shorten,
+)
+from corianderhaven.gateway._crash_ledger import (
+    CLEARED_TOLERANCE_MS,
+    LEARNING_MARGIN_MS,
+    MAX_IN_FLIGHT_PARTS,
+    MAX_PARTS,
+    MAX_RECENT_PARTS,
+    RECENT_MS,
     SUSPECTED_RETRY_MS,
     TURN_MS,
-    shorten,
 )
 
 APART_MS = MOMENT_MS + 1.0
@@ -717,3 +719,48 @@
     for parts, found in zip(proven, verdicts, strict=True):
         expected = {p for p, v in zip("pqr", found, strict=True) if v is Verdict.PROVEN}
         assert parts == expected
+
+
+def test_parts_in_all_the_same_answers_are_rejected_together_only():
+    """A sound first part that was in each crashing request was rejected for an hour."""
+    clock = ManualClock()
+    ledger = CrashLedger(clock)
+    for number in range(PROOF_ENDS):
+        clock.current_ms += 2 * MOMENT_MS
+        ledger.record_end(f"e{number}@1", ("first", "bad"), clock.now_ms())
+    clock.current_ms += 2 * MOMENT_MS
+    assert not ledger.admit(("first", "bad"), owner).allowed
+    assert not ledger.admit(("first", "bad", "other"), owner).allowed
+    assert ledger.is_proven(("first", "bad"))
+    assert not ledger.is_proven(("first", "other"))
+    assert ledger.admit(("first", "other"), owner).allowed  # tried, which tells them apart
+    assert not ledger.admit(("first", "other"), lambda part: False).allowed
+    ledger.record_success(("first", "other"), clock.now_ms())
+    assert ledger.assess(("first",)).verdict is Verdict.CLEAR
+    assert not ledger.admit(("bad", "other"), owner).allowed
+
+
+def test_trial_of_one_of_the_parts_shows_that_it_is_the_one():
+    clock = ManualClock()
+    ledger = CrashLedger(clock)
+    for number in range(PROOF_ENDS):
+        clock.current_ms += 2 * MOMENT_MS
+        ledger.record_end(f"e{number}@1", ("first", "bad"), clock.now_ms())
+    clock.current_ms += 2 * MOMENT_MS
+    assert ledger.admit(("other", "bad"), owner).allowed
+    ledger.record_end("e9@1", ("other", "bad"), clock.now_ms())
+    clock.current_ms += 2 * MOMENT_MS
+    assert not ledger.admit(("other", "bad"), owner).allowed
+    assert ledger.proven_with("bad") == set()
+
+
+def test_parts_proven_together_come_from_the_store_together():
+    clock = ManualClock()
+    ledger = CrashLedger(clock)
+    for part in ("first", "bad"):
+        ledger.mark_proven(part, ["bad", "first"])
+    ledger.mark_proven("unrelated", ["unrelated"])
+    clock.current_ms += 2 * MOMENT_MS
+    assert not ledger.admit(("first", "bad"), owner).allowed
+    assert not ledger.admit(("unrelated",), owner).allowed
+    assert ledger.admit(("first", "other"), owner).allowed
