Tell apart parts that share the blame, and miss fewer ends

Operators list and clear parts: corianderhaven parts; clearing voids the ends for all parts of the requests, as the evidence would fall on a companion otherwise (test of the tool, red at first).

--- a/libraries/cli/src/corianderhaven/cli/_main.py
+++ b/libraries/cli/src/corianderhaven/cli/_main.py
@@ -23,6 +23,7 @@
     EXIT_UNKNOWN,
     print_error,
 )
+from ._parts_command import parts
 from ._run_plot import picture
 
 COMMANDS = {
@@ -39,6 +40,7 @@
     "vms": site_commands.vms,
     "why": site_commands.why,
     "drain": site_commands.drain,
+    "parts": parts,
     "load": load,
     "losses": losses,
     "picture": picture,
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_crashing_prompts.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_crashing_prompts.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from corianderhaven.cli import main
 from corianderhaven.common import MS_PER_S, ConnectionLostError
 from corianderhaven.daemon._fleet_daemon import FleetDaemon
 from corianderhaven.daemon.tests.hosted_site import (
@@ -234,6 +235,30 @@
     asyncio.run(scenario())
 
 
+def test_operator_lists_and_clears_a_part(capsys):
+    async def scenario():
+        async with site_with_many_replicas(daemons=2) as (site, daemons):
+            site.crashing_parts = {BAD_PART}
+            async with Load(site, daemons, [BAD_PROMPT], BAD_INTERVAL_MS):
+                await wait_until(lambda: is_proven(daemons[0]), 2 * CONTACT_MS / MS_PER_S)
+            site.crashing_parts = set()
+            await run_tool("parts", "--peer", daemons[0].settings.peers)
+            rows = [line.split() for line in capsys.readouterr().out.splitlines()]
+            assert [BAD_PART, "proven"] in [row[:2] for row in rows]
+            await run_tool("parts", "--peer", daemons[0].settings.peers, "--clear", BAD_PART)
+            await wait_until(lambda: not any(is_proven(daemon) for daemon in daemons))
+            for daemon in daemons:
+                sent = Sent(site.clock.now_ms(), BAD_PROMPT)
+                await send(daemon, "small", sent)
+                assert sent.served
+
+    asyncio.run(scenario())
+
+
+async def run_tool(*arguments):
+    assert await asyncio.to_thread(main, list(arguments)) == 0
+
+
 def is_proven(daemon):
     assessment = daemon.gateway.crash_guard.ledger.assess((BAD_PART,))
     return assessment.verdict is Verdict.PROVEN
--- a/libraries/gateway/src/corianderhaven/gateway/_crash_evidence.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_evidence.py
@@ -14,7 +14,9 @@
 MAX_ENDS_OF_MOMENT = 3  # below PROOF_ENDS, and two more ends at other times complete a proof
 FIRST_PAUSE_MS = 3_600_000.0
 MAX_PAUSE_MS = 24 * 3_600_000.0
-EVIDENCE_MS = 60_000.0
+EVIDENCE_MS = 60_000.0  # for which a part stays suspected
+# Ends count towards a proof for longer: a part may come at any rate.
+MEMORY_MS = 3_600_000.0
 PROOF_EVIDENCE_MS = 48 * 3_600_000.0
 MAX_ENDS = 16
 MAX_PART_LENGTH = 64
@@ -133,6 +135,11 @@
         """Return when the ends no longer count."""
         return self.last_end_ms + evidence_lifetime_ms(self.total)
 
+    def suspected_until_ms(self):
+        """Return when a part that isn't proven is no longer suspected."""
+        lasting_ms = PROOF_EVIDENCE_MS if self.total >= PROOF_ENDS else EVIDENCE_MS
+        return self.last_end_ms + lasting_ms
+
     def expires_ms(self):
         """Return when neither ends nor the last sound answer are needed any more."""
         kept_ms = PROOF_EVIDENCE_MS if self.was_proven else EVIDENCE_MS
@@ -226,4 +233,4 @@
 
 def evidence_lifetime_ms(total):
     """Return how long `total` ends count after the last of them, in ms."""
-    return PROOF_EVIDENCE_MS if total >= PROOF_ENDS else EVIDENCE_MS
+    return PROOF_EVIDENCE_MS if total >= PROOF_ENDS else MEMORY_MS
--- a/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
@@ -18,8 +18,11 @@
 PROBE_TIMEOUT_MS = 60.0  # as for any connection to an endpoint
 # An endpoint that ended refuses connections at once, and until it has started again. One that is
 # cut off or stands still answers nothing, and its end shows in its entry, if at all.
-PROBE_DELAYS_MS = (0.0, 150.0, 500.0, 1_500.0)
+# The entry of one that started again at once under another id stands for some heartbeats.
+PROBE_DELAYS_MS = (150.0, 500.0, 1_500.0, 4_000.0)
+REPLICA_RISK_PAUSE_MS = 5_000.0  # in which another replica of the model may be formed
 CHECK_INTERVAL_MS = 1_000.0
+DIGEST_CACHE_MS = 50.0  # half of the shortest exchange interval
 
 
 class OpeningPhase:
@@ -91,10 +94,12 @@
         self.ledger.on_cleared = lambda part: self._note_verdict(part, False)
         self.on_verdict = lambda part, proven: None
         self.checks = {}
+        self.first_probes = set()
+        self.latest_digest = (-1e12, {})
 
     def close(self):
         """Abandon the checks under way."""
-        for task in tuple(self.checks.values()):
+        for task in (*self.checks.values(), *self.first_probes):
             task.cancel()
 
     def check(self, metadata, has_other_replica=True):
@@ -107,9 +112,11 @@
             Whether its model stays served if the request ends its endpoint.
         """
         admission = self.ledger.admit(metadata.shared_parts, self.is_trial_owner)
-        if admission.part is None or (admission.allowed and has_other_replica):
+        if admission.part is None:
             return None
         evidence = self.ledger.assess((admission.part,))
+        if admission.allowed and (has_other_replica or self._may_risk_replica(evidence)):
+            return None
         retry_after_ms = max(admission.retry_after_ms, CHECK_INTERVAL_MS)
         self.decisions.record(
             "part_rejected",
@@ -123,6 +130,13 @@
         _metrics.PART_REJECTIONS.labels(evidence.verdict.name.lower()).inc()
         return Refusal("a part of the prompt ended endpoints", retry_after_ms)
 
+    def _may_risk_replica(self, evidence):
+        """Return whether a suspected part may be tried on a model's only replica.
+
+        Without any trial a sound part would stay rejected, with trials at will the model unserved.
+        """
+        return evidence.age_ms > REPLICA_RISK_PAUSE_MS and self.is_trial_owner(evidence.part)
+
     def may_resume(self, parts):
         """Return whether a request whose answer broke off may go to another endpoint."""
         return self.ledger.assess(parts).verdict is Verdict.CLEAR
@@ -140,7 +154,15 @@
             opening.finish()
             return
         opening.finish()
-        ended_ms = self.clock.now_ms()
+        # Its caller may leave meanwhile, which must not end the check.
+        first = asyncio.get_running_loop().create_task(
+            self._check_end(opening, self.clock.now_ms())
+        )
+        self.first_probes.add(first)
+        first.add_done_callback(self.first_probes.discard)
+        await asyncio.shield(first)
+
+    async def _check_end(self, opening, ended_ms):
         endpoint = opening.endpoint
         key = (endpoint.id, endpoint.started_ms)
         has_ended = await self._probe(endpoint)
@@ -155,6 +177,21 @@
         elif has_ended:
             self._record_end(opening, ended_ms)
 
+    def _was_leaving(self, endpoint, known):
+        """Return whether an endpoint said that it leaves, so that its end was planned."""
+        former = self.directory.departed.get(endpoint.id)
+        states = [state for state in (endpoint, known, former) if state is not None]
+        return any(s.leaving and s.started_ms == endpoint.started_ms for s in states)
+
+    def digest(self):
+        """Return the evidence for peers, worked out once for several of them."""
+        made_ms, digest = self.latest_digest
+        now = self.clock.now_ms()
+        if now - made_ms >= DIGEST_CACHE_MS:
+            digest = self.ledger.digest()
+            self.latest_digest = (now, digest)
+        return digest
+
     def is_trial_owner(self, part):
         """Return whether this daemon is the one that may try a part now."""
         own_name = self.peers.own_name
@@ -193,7 +230,7 @@
 
     async def _check_later(self, endpoint):
         """Return whether an endpoint turns out to have ended."""
-        for delay_ms in PROBE_DELAYS_MS[1:]:
+        for delay_ms in PROBE_DELAYS_MS:
             await asyncio.sleep(delay_ms / MS_PER_S)
             has_ended = await self._probe(endpoint)
             if has_ended is not None:
@@ -204,6 +241,8 @@
     async def _probe(self, endpoint):
         """Return whether an endpoint has ended, or None if that can't be told."""
         known = self.directory.get(endpoint.id)
+        if self._was_leaving(endpoint, known):
+            return False
         if known is None or known.started_ms != endpoint.started_ms:
             return True
         try:
--- a/libraries/gateway/src/corianderhaven/gateway/_crash_ledger.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_ledger.py
@@ -233,11 +233,17 @@
             self._update_verdicts()
 
     def clear(self, part):
-        """Clear a part, given in full or as listed, as a sound answer that begins now would."""
+        """Clear a part, given in full or as listed, as a sound answer that begins now would.
+
+        The ends in its evidence then say nothing of the other parts of these requests either.
+        """
         part = self._known_id(part)
-        self._current(part)
-        # Kept without a record too: peers may have one.
-        self._add(part, {}, self.clock.now_ms())
+        record = self._current(part)
+        ends = record.counted.keys() if record is not None else set()
+        others = [p for p, r in self.records.items() if not ends.isdisjoint(r.counted)]
+        # The part is kept without a record too: peers may have one.
+        for cleared in {part, *others}:
+            self._add(cleared, {}, self.clock.now_ms())
         self._update_verdicts()
 
     def mark_proven(self, part, group=()):
@@ -311,6 +317,8 @@
         if record is None:
             return None
         now = self.clock.now_ms()
+        if record.verdict is Verdict.SUSPECTED and now > record.suspected_until_ms():
+            record.verdict = Verdict.CLEAR
         if record.counted and now > record.evidence_until_ms():
             record.ends = {}
             record.update()
@@ -325,9 +333,12 @@
         record = self.records.get(part)
         if record is None or cleared_ms <= record.cleared_ms:
             return False
+        counted = record.counted
         record.cleared_ms = cleared_ms
-        record.changed_ms = self.clock.now_ms()
         record.update()
+        if record.counted == counted:
+            return False
+        record.changed_ms = self.clock.now_ms()
         return True
 
     def _merge_part(self, part, received):
@@ -415,8 +426,10 @@
         # A part with one end less than a proof takes may explain all but one of another's.
         least = PROOF_ENDS - SUSPECT_ENDS + 1
         candidates = [r for r in self.records.values() if r.weight >= least]
+        candidates.sort(key=lambda r: -r.weight)
         changed = []
-        for part, record in self.records.items():
+        strongest_first = sorted(self.records.items(), key=lambda item: -item[1].weight)
+        for part, record in strongest_first:
             verdict = self._new_verdict(record, candidates)
             if Verdict.PROVEN in (verdict, record.verdict) and verdict is not record.verdict:
                 changed.append((part, verdict))
@@ -425,11 +438,14 @@
         for part, verdict in changed:
             (self.on_proven if verdict is Verdict.PROVEN else self.on_cleared)(part)
 
-    @staticmethod
-    def _new_verdict(record, candidates):
+    def _new_verdict(self, record, candidates):
         if record.weight < SUSPECT_ENDS:
             return Verdict.CLEAR
-        if record.weight < PROOF_ENDS:
-            return Verdict.SUSPECTED
-        explained = any(record.is_explained_by(other) for other in candidates)
-        return Verdict.SUSPECTED if explained else Verdict.PROVEN
+        explanations = [other for other in candidates if record.is_explained_by(other)]
+        # A part that was only in answers with a proven one needs no caution of its own.
+        if any(other.verdict is Verdict.PROVEN for other in explanations):
+            return Verdict.CLEAR
+        if explanations or record.weight < PROOF_ENDS:
+            is_old = self.clock.now_ms() > record.suspected_until_ms()
+            return Verdict.CLEAR if is_old else Verdict.SUSPECTED
+        return Verdict.PROVEN
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -51,7 +51,7 @@
             # The caller has already waited for an endpoint, and may have part of the answer.
             resumed=context.attempts > 0,
             excluded=context.excluded,
-            parts=metadata.shared_parts,
+            parts=() if context.sound else metadata.shared_parts,
         )
 
     def queue(self, service, engine, model):
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -137,7 +137,7 @@
             heads,
             self.replica_view.local_suspicions(),
             zone=self.settings.zone,
-            parts=self.crash_guard.ledger.digest(),
+            parts=self.crash_guard.digest(),
         )
 
     def _add_peer_suspicions(self, suspects, daemon):
@@ -223,7 +223,7 @@
                 result = await self.sender.send_streaming(context, endpoint, estimator, late)
                 if result is AttemptResult.COMPLETE:
                     estimator.record_duration(self.clock.now_ms() - sent_ms)
-                    context.opening.record_sound()
+                    await self._record_complete(context)
                 elif result is AttemptResult.BROKEN:
                     await self.crash_guard.record_break(context.opening)
             finally:
@@ -232,6 +232,13 @@
             if not await self._finish_attempt(context, endpoint, result):
                 return
 
+    async def _record_complete(self, context):
+        """Record a complete answer; one that ended with its connection may have been cut off."""
+        if context.ended_with_connection and not context.sound:
+            await self.crash_guard.record_break(context.opening)
+        else:
+            context.opening.record_sound()
+
     async def _acquire(self, context, queue, estimator, engine, model):
         """Return an endpoint for a request once there is one, or a `Refusal`."""
         refusal = self._check_parts(context, model)
--- a/libraries/gateway/src/corianderhaven/gateway/_request_context.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_context.py
@@ -49,6 +49,8 @@
         Opening phase of the present attempt at an engine.
     sound : bool
         Whether an endpoint lived on after it had begun to write on the prompt.
+    ended_with_connection : bool
+        Whether only the end of its connection showed the end of the answer.
     """
 
     request: object
@@ -73,6 +75,7 @@
     attempt_events: int = 0
     opening: object = None
     sound: bool = False
+    ended_with_connection: bool = False
 
     @property
     def started_ms(self):
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -315,6 +315,7 @@
                 await self._forward(context, stream, events)
         if context.splitter.partial or (head.ends_with_connection and not context.has_events):
             return AttemptResult.BROKEN
+        context.ended_with_connection = head.ends_with_connection
         await context.caller.send_end()
         return AttemptResult.COMPLETE
 
