Release the endpoint of a request whose caller left when it was just assigned

What callers saw: nothing at once; each such request took a place at its endpoint for good, so that a daemon saw heads as fuller than they were. Cause: the queue decided, and the task was cancelled before it ran on. The test is red without the change (no release). Also a test that what waits with a rejected part leaves the queue.

--- a/libraries/gateway/src/corianderhaven/gateway/_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_admission.py
@@ -144,6 +144,11 @@
         Returns how many requests per ms the replicas can accept from this daemon.
     held_for_ms : callable
         Returns how long all replicas want no requests from this daemon; 0.0 if any takes them.
+
+    Attributes
+    ----------
+    release_endpoint : callable
+        Takes an endpoint that was picked for a request and won't be used.
     """
 
     def __init__(self, clock, pick_endpoint, has_replica, capacity_per_ms, held_for_ms=lambda: 0.0):
@@ -151,6 +156,7 @@
         self.pick_endpoint = pick_endpoint
         self.has_replica = has_replica
         self.held_for_ms = held_for_ms
+        self.release_endpoint = lambda endpoint: None
         self.waiting = WaitingRequests()
         self.rates = QueueRates(clock, capacity_per_ms)
         self.no_replica_since_ms = None
@@ -215,10 +221,20 @@
         self.assign()
         try:
             return await queued.decision
+        except asyncio.CancelledError:
+            self._give_back(queued.decision)
+            raise
         finally:
             if queued in self.waiting:
                 self.waiting.remove(queued)
 
+    def _give_back(self, decision):
+        """Release the endpoint of a request whose caller left when it was just assigned."""
+        if decision.done() and not decision.cancelled():
+            endpoint = decision.result()
+            if not isinstance(endpoint, Refusal):
+                self.release_endpoint(endpoint)
+
     def assign(self):
         """Assign free endpoints to waiting requests in order.
 
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -66,6 +66,7 @@
                 lambda: self._capacity_per_ms(service, engine, model),
                 lambda: self.held_for_ms(self.replica_view.available_heads(service, model.name)),
             )
+            queue.release_endpoint = lambda endpoint: self.release(endpoint, queue)
         return queue
 
     def _capacity_per_ms(self, service, engine, model):
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_admission.py
@@ -202,3 +202,46 @@
         return {q.resumed: outcome for q, outcome, _ in log}
 
     assert run_in_virtual_time(scenario) == {True: "late", False: "refused"}
+
+
+def test_endpoint_is_released_if_the_caller_leaves_when_it_was_just_assigned():
+    """Each such request took a place at its endpoint for good."""
+
+    async def scenario():
+        free, picked, released = [], [], []
+
+        def pick(queued):
+            picked.extend(free[:1])
+            return free.pop() if free else None
+
+        queue = AdmissionQueue(ManualClock(), pick, lambda: True, lambda: 1.0)
+        queue.release_endpoint = released.append
+        task = asyncio.create_task(queue.acquire(QueuedRequest(0, 0.0, 1e9, 1e9)))
+        await asyncio.sleep(0)
+        free.append("endpoint")
+        queue.assign()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return picked, released
+
+    assert asyncio.run(scenario()) == (["endpoint"], ["endpoint"])
+
+
+def test_requests_that_wait_with_a_rejected_part_leave_the_queue_at_once():
+    async def scenario():
+        queue = AdmissionQueue(ManualClock(), lambda queued: None, lambda: True, lambda: 1.0)
+        waiting = [
+            asyncio.create_task(queue.acquire(QueuedRequest(0, 0.0, 1e9, 1e9, parts=parts)))
+            for parts in (("bad",), ("sound",), ())
+        ]
+        await asyncio.sleep(0)
+        refusal = Refusal("a part of the prompt ended endpoints", 1.0)
+        queue.reject(lambda parts: "bad" in parts, refusal)
+        await asyncio.sleep(0)
+        done = [task.done() and task.result() for task in waiting]
+        for task in waiting:
+            task.cancel()
+        return done, refusal
+
+    done, refusal = asyncio.run(scenario())
+    assert done == [refusal, False, False]
