Bound trials whose result is never known, and write a proof again after a restore

A trial now counts as an end until it turns out sound, and what is proven and missing in the store is written.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -297,6 +297,7 @@
         )
         self.proven_parts.mark_proven = guard.ledger.mark_proven
         self.proven_parts.proven_with = guard.ledger.proven_with
+        self.proven_parts.list_proven = guard.ledger.proven_parts
         self.proven_parts.writes_first = guard.is_trial_owner
         self.gateway.on_proven_part = self.proven_parts.note
         self.exchange = PeerExchange(
--- a/libraries/fleet/src/corianderhaven/fleet/_proven_parts.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_proven_parts.py
@@ -49,6 +49,8 @@
         Called with a part's id that the store holds as proven, and its group.
     proven_with : callable
         Returns the other parts that are proven together with a part.
+    list_proven : callable
+        Returns the parts that this daemon knows to be proven.
     writes_first : callable
         Returns whether this daemon is the one to write about a part.
     """
@@ -61,6 +63,7 @@
         self.decisions = decisions
         self.mark_proven = lambda part, group: None
         self.proven_with = lambda part: ()
+        self.list_proven = lambda: ()
         self.writes_first = lambda part: True
         self.pending = {}
         self.applied = {}
@@ -91,6 +94,7 @@
                     await self.woken.wait()
             self.woken.clear()
             self._apply_stored()
+            self._note_missing()
             for part, (wanted, due_ms) in list(self.pending.items()):
                 if self._stored(part) == wanted:
                     self.pending.pop(part)
@@ -106,6 +110,14 @@
             if stored is not None and stored.proven and stored.part not in self.pending:
                 self.mark_proven(stored.part, stored.group)
 
+    def _note_missing(self):
+        """Have what a restored store lacks written again."""
+        if not self.watcher.store_reachable:
+            return
+        for part in self.list_proven():
+            if part not in self.pending and self._stored(part) is None:
+                self.note(part, True)
+
     def _decode(self, key, item):
         try:
             return msgspec.json.decode(item.value, type=StoredPart)
--- a/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
@@ -142,7 +142,16 @@
         return self.ledger.assess(parts).verdict is Verdict.CLEAR
 
     def begin(self, metadata, endpoint):
-        """Return the `OpeningPhase` of an attempt that is sent now."""
+        """Return the `OpeningPhase` of an attempt that is sent now.
+
+        The trial of a proven part counts as an end until it turns out sound: its result may
+        never be known, and no other daemon is to try the part at the same time.
+        """
+        if self.ledger.is_proven(metadata.shared_parts):
+            now = self.clock.now_ms()
+            self.ledger.record_end(
+                f"trial:{self.peers.own_name}@{round(now)}", metadata.shared_parts, now
+            )
         return OpeningPhase(self, metadata.request_id, endpoint, metadata.shared_parts)
 
     async def record_break(self, opening):
--- a/libraries/gateway/src/corianderhaven/gateway/_crash_ledger.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_ledger.py
@@ -232,6 +232,10 @@
         if changed:
             self._update_verdicts()
 
+    def proven_parts(self):
+        """Return the parts that are proven."""
+        return [part for part, r in self.records.items() if r.verdict is Verdict.PROVEN]
+
     def clear(self, part):
         """Clear a part, given in full or as listed, as a sound answer that begins now would.
 
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_crash_guard.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_crash_guard.py
@@ -8,7 +8,12 @@
 from corianderhaven.common import Clock, DecisionLog, ManualClock
 from corianderhaven.fleet import Endpoint, EndpointDirectory, PeerTable
 from corianderhaven.gateway import RequestMetadata, Verdict
-from corianderhaven.gateway._crash_evidence import MOMENT_MS, PROOF_ENDS, SUSPECT_ENDS
+from corianderhaven.gateway._crash_evidence import (
+    FIRST_PAUSE_MS,
+    MOMENT_MS,
+    PROOF_ENDS,
+    SUSPECT_ENDS,
+)
 from corianderhaven.gateway._crash_guard import CrashGuard
 from corianderhaven.standins import free_address
 
@@ -120,3 +125,20 @@
         clock.current_ms += 1_000.0
     assert len(ends) >= PROOF_ENDS
     assert sum(t > ends[PROOF_ENDS - 1] + 3_000.0 for t in ends) <= 3
+
+
+def test_trials_whose_result_is_never_known_are_bounded():
+    """Each turn's owner tried a proven part once a second after the pause: 60 in a minute."""
+    clock = ManualClock()
+    guard = make_guard(clock)
+    for number in range(PROOF_ENDS):
+        guard.ledger.record_end(f"e{number}", PARTS, clock.now_ms())
+        clock.current_ms += 2 * MOMENT_MS
+    clock.current_ms += FIRST_PAUSE_MS
+    trials = 0
+    for _ in range(60):
+        if guard.check(REQUEST) is None:
+            guard.begin(REQUEST, make_endpoint("127.0.0.1:1")).finish()
+            trials += 1
+        clock.current_ms += 1_000.0
+    assert trials == 1
