--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -43,9 +43,10 @@
     read_node_file,
 )
 
+from ._parts_api import PARTS_PATH, answer_parts
+
 STORE_PREFIX = "corianderhaven/"
 KEEPER_KEY = STORE_PREFIX + "keeper"
-PARTS_PATH = b"/operators/parts"
 PARTS_PREFIX = STORE_PREFIX + "parts/"
 DAEMONS_PREFIX = STORE_PREFIX + "daemons/"
 DRAIN_NOTICE_MS = 2_600.0  # two readiness checks one second apart, and their latency
@@ -61,12 +62,6 @@
 RELOADABLE_SETTINGS = ("grace_ms", "stall_ms", "retry_ratio", "retry_slack", "retry_window_ms")
 
 
-class ClearedPart(msgspec.Struct):
-    """An operator's request to clear a part of prompts."""
-
-    part: str
-
-
 class FleetDaemon:
     """Runs the listeners, endpoint directory, replica keeper and gateway of one VM.
 
@@ -385,29 +380,6 @@
         status = 200 if self.ready and request.target.startswith(READY_PATH) else 503
         await caller.send_response(status, [], b"")
 
-    async def _handle_parts(self, request, caller):
-        """List the parts of prompts with evidence, or clear one, for an operator."""
-        ledger = self.gateway.crash_guard.ledger
-        if request.method == b"POST":
-            try:
-                part = msgspec.json.decode(request.body, type=ClearedPart).part
-            except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-                await caller.send_response(400, [], str(error).encode())
-                return
-            self.decisions.record("part_cleared_by_operator", part=part)
-            ledger.clear(part)
-        listed = [
-            {
-                "part": listed.part,
-                "verdict": listed.verdict.name.lower(),
-                "ends": len(listed.ends),
-                "last_end_age_ms": round(min(listed.ends.values(), default=-1.0)),
-                "proven_with": sorted(ledger.proven_with(listed.part)),
-            }
-            for listed in ledger.listing()
-        ]
-        await caller.send_response(200, [], msgspec.json.encode({"parts": listed}))
-
     async def _handle_peer(self, request, caller):
         if request.target == DIGEST_PATH.encode():
             try:
@@ -420,7 +392,8 @@
         elif request.target == STATE_PATH.encode():
             await caller.send_response(200, [], msgspec.json.encode(self._make_state()))
         elif request.target == PARTS_PATH:
-            await self._handle_parts(request, caller)
+            ledger = self.gateway.crash_guard.ledger
+            await answer_parts(ledger, self.decisions, request, caller)
         elif request.target == b"/metrics":
             self.gateway.refresh_metrics()
             await caller.send_response(200, [], prometheus_client.generate_latest())
--- a/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
@@ -102,20 +102,20 @@
         for task in (*self.checks.values(), *self.first_probes):
             task.cancel()
 
-    def check(self, metadata, has_other_replica=True):
+    def check(self, metadata, has_other_replica=lambda: True):
         """Return a `Refusal` if a request may not be sent to an endpoint now, or None.
 
         Parameters
         ----------
         metadata : RequestMetadata
-        has_other_replica : bool
-            Whether its model stays served if the request ends its endpoint.
+        has_other_replica : callable
+            Returns whether its model stays served if the request ends its endpoint.
         """
         admission = self.ledger.admit(metadata.shared_parts, self.is_trial_owner)
         if admission.part is None:
             return None
         evidence = self.ledger.assess((admission.part,))
-        if admission.allowed and (has_other_replica or self._may_risk_replica(evidence)):
+        if admission.allowed and (has_other_replica() or self._may_risk_replica(evidence)):
             return None
         retry_after_ms = max(admission.retry_after_ms, CHECK_INTERVAL_MS)
         self.decisions.record(
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -258,8 +258,12 @@
     def _check_parts(self, context, model):
         if context.sound:
             return None
-        heads = self.replica_view.available_heads(context.service.name, model.name)
-        return self.crash_guard.check(context.metadata, len(heads) > 1)
+
+        def has_other_replica():
+            heads = self.replica_view.available_heads(context.service.name, model.name)
+            return len(heads) > 1
+
+        return self.crash_guard.check(context.metadata, has_other_replica)
 
     def _note_verdict(self, part, proven):
         """Reject what waits with a part that is proven to end endpoints."""
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_crash_guard.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_crash_guard.py
@@ -106,9 +106,9 @@
         clock.current_ms += 2 * MOMENT_MS
     assert guard.ledger.assess(("first",)).verdict is Verdict.SUSPECTED
     request = replace(REQUEST, shared_parts=("first",))
-    assert guard.check(request, has_other_replica=False) is not None
+    assert guard.check(request, has_other_replica=lambda: False) is not None
     rejected_ms = 0.0
-    while guard.check(request, has_other_replica=False) is not None:
+    while guard.check(request, has_other_replica=lambda: False) is not None:
         clock.current_ms += 1_000.0
         rejected_ms += 1_000.0
         assert rejected_ms < MAX_REJECTED_MS
@@ -119,7 +119,7 @@
     guard = make_guard(clock)
     ends = []
     for _ in range(1_200):
-        if guard.check(REQUEST, has_other_replica=False) is None:
+        if guard.check(REQUEST, has_other_replica=lambda: False) is None:
             ends.append(clock.now_ms())
             guard.ledger.record_end(f"e{len(ends)}", PARTS, clock.now_ms())
         clock.current_ms += 1_000.0
