Give the stand-in's answer with endless bytes the body of its worker

Cause: the stand-in's fault sent a whole answer (length 5) with a body that no worker gives, so the invariant was right and the daemon too. The fault now sends the worker's own body before the bytes without end. The test of that fault compares with the body of the worker that ran the request, where it compared with the constant: stricter.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
@@ -198,7 +198,8 @@
         assert not (draft.status == 200 and draft.complete)
         assert draft.status in (200, 502)
         if part == "body":
-            assert (issue.status, issue.body) == (200, b"whole")
+            (run,) = [run for run in site.runs if run.request_id == issue.request_id]
+            assert (issue.status, issue.body) == (200, b"whole answer of " + run.worker.encode())
         elif part == "head":
             assert issue.status == 502
         assert site.run_counts()[issue.request_id] == 1
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -510,7 +510,8 @@
         lines = [b"HTTP/1.1 200 OK"]
         lines += [k + b": " + v for k, v in self._response_headers(worker, request)]
         if worker.faults.endless == "body":
-            lines += [b"content-length: 5", b"", b"whole"]
+            body = _plain_body(worker)
+            lines += [b"content-length: %d" % len(body), b"", body]
         await caller.write(b"\r\n".join(lines))
         while not caller.lost:
             await caller.write(ENDLESS_BLOCK)
@@ -530,7 +531,7 @@
         )
 
     async def _answer_plain(self, worker, request, caller):
-        body = b"whole answer of " + worker.id.encode()
+        body = _plain_body(worker)
         headers = self._response_headers(worker, request)
         if worker.faults.unframed:
             await _send_unframed_head(caller, headers)
@@ -608,6 +609,10 @@
     await caller.write(b"\r\n".join([*lines, b"", b""]))
 
 
+def _plain_body(worker):
+    return b"whole answer of " + worker.id.encode()
+
+
 async def _keep_address(worker_id, address):
     """Return the address unchanged, so that the worker advertises its listener."""
     return address
