Log a check of an endpoint's end that fails

Read as a newcomer: the exception of a check in the background was dropped. Test with an endpoint whose address can't be read. Second matter; no decision changes.

--- a/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
@@ -212,7 +212,12 @@
             self.ledger.merge(records)
 
     def _note_result(self, opening, ended_ms, task):
-        if not task.cancelled() and task.exception() is None and task.result():
+        if task.cancelled():
+            return
+        if task.exception() is not None:
+            reason = repr(task.exception())
+            self.decisions.record("end_check_failed", endpoint=opening.endpoint.id, reason=reason)
+        elif task.result():
             self._record_end(opening, ended_ms)
 
     def _record_end(self, opening, ended_ms):
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_crash_guard.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_crash_guard.py
@@ -142,3 +142,17 @@
             trials += 1
         clock.current_ms += 1_000.0
     assert trials == 1
+
+
+def test_check_that_fails_is_logged():
+    async def run():
+        endpoint = make_endpoint("no address")
+        guard = make_guard(Clock(), endpoint)
+        opening = guard.begin(REQUEST, endpoint)
+        task = asyncio.create_task(guard._check_later(endpoint))
+        await asyncio.gather(task, return_exceptions=True)
+        guard._note_result(opening, 0.0, task)
+        guard.close()
+        return guard.decisions.find("e1")
+
+    assert "end_check_failed" in str(asyncio.run(run()))
