--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -68,6 +68,8 @@
         Reset a connection when a second request comes on it, without running it.
     late_copy_ms : float or None
         Send a second copy of a plain answer after this time.
+    limits : tuple of str
+        Values of the header in which the worker names its limit of requests per second.
     """
 
     shed: bool = False
@@ -87,6 +89,7 @@
     shed_for_s: float | None = None
     drop_idle: bool = False
     late_copy_ms: float | None = None
+    limits: tuple = ()
 
 
 @dataclass
@@ -137,6 +140,7 @@
     refused_count: int = 0
     misdirected_count: int = 0
     used_connections: set = field(default_factory=set)
+    arrivals_ms: list = field(default_factory=list)
     expiry: object = None
 
 
@@ -420,15 +424,20 @@
             await asyncio.sleep(3600.0)
         if request.target == b"/api/report" and engine is not None:
             body = msgspec.json.encode(self.engines.report(engine))
-            await caller.send_response(200, self._leaving_header(worker), body)
+            await caller.send_response(200, self._statements(worker), body)
         elif (
             request.target == b"/api/order"
             and engine is not None
             and self._is_meant(worker, request)
         ):
             status = self.engines.order(engine, msgspec.json.decode(request.body))
-            await caller.send_response(status, self._leaving_header(worker), b"")
-        elif worker.faults.drop_idle and caller in worker.used_connections:
+            await caller.send_response(status, self._statements(worker), b"")
+        else:
+            worker.arrivals_ms.append(self.clock.now_ms())
+            await self._answer_request(worker, request, caller)
+
+    async def _answer_request(self, worker, request, caller):
+        if worker.faults.drop_idle and caller in worker.used_connections:
             caller.close()
         elif not self._is_meant(worker, request):
             worker.misdirected_count += 1
@@ -436,7 +445,7 @@
                 421,
                 [
                     (b"corianderhaven-instance-id", worker.id.encode()),
-                    *self._leaving_header(worker),
+                    *self._statements(worker),
                 ],
                 b"",
             )
@@ -452,9 +461,11 @@
         """Return whether a request expects this worker, or none in particular."""
         return request.header("corianderhaven-expect-instance") in (None, worker.id)
 
-    def _leaving_header(self, worker):
+    def _statements(self, worker):
+        """Return the headers in which a worker tells of itself, whatever it answers."""
         leaving = worker.leaving or worker.faults.server_leaving
-        return [(b"server-leaving", b"1")] if leaving else []
+        headers = [(b"server-leaving", b"1")] if leaving else []
+        return headers + [(b"server-limit", limit.encode()) for limit in worker.faults.limits]
 
     def _response_headers(self, worker, request):
         request_id = request.header("corianderhaven-attempt-id") or ""
@@ -466,13 +477,13 @@
             (b"corianderhaven-attempt-id", request_id.encode()),
             (b"corianderhaven-server-stamp", stamp.encode()),
             (b"corianderhaven-instance-load", load.encode()),
-            *self._leaving_header(worker),
+            *self._statements(worker),
         ]
 
     async def _run(self, worker, request, caller):
         faults, engine = worker.faults, worker.engine
         not_run_headers = [(b"corianderhaven-not-executed", b"1")]
-        not_run_headers += self._leaving_header(worker)
+        not_run_headers += self._statements(worker)
         if faults.shed:
             worker.refused_count += 1
             if faults.shed_for_s is not None:
