Read the limits that endpoints name, share them and log them

Callers see no change.

Change: an answer's Server-Limit is decoded in platform/, kept by incarnation with the time of its evidence, told to peers when it changes and to daemons that start, logged as endpoint_limit (value, value before, source, age) and counted by the gauge limited_endpoints. Values that can't be obeyed (zero, negative, not a number, none that can be read) are logged and taken for 0.25 a second; of several the lowest counts. An answer to a request that was sent before the limit was last named doesn't end it. Nothing heeds limits yet.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -307,6 +307,9 @@
         self.exchange.config_version = lambda: self.active_config.version
         self.exchange.apply_state = self._apply_state
         self.gateway.on_leaving = self._note_leaving
+        self.orders.on_limit = lambda endpoint, limit_per_s: (
+            self.gateway.endpoint_limits.record_answer(endpoint, limit_per_s, self.clock.now_ms())
+        )
         self.gateway.joined = lambda: self.joined
         self.peers.on_leaving = self._apply_leaving
         self.peers.on_peer_state = self._observe_peer
@@ -353,7 +356,12 @@
             endpoint_id: (former.started_ms, former.entry_number, former.leaving)
             for endpoint_id, former in self.directory.departed.items()
         }
-        return PeerState(self.active_config.value, self.active_config.version, departed)
+        return PeerState(
+            self.active_config.value,
+            self.active_config.version,
+            departed,
+            self.gateway.endpoint_limits.records(),
+        )
 
     def _apply_state(self, state, peer):
         """Take over what a peer knows and the store may have lost."""
@@ -361,6 +369,7 @@
             "peer_state", peer=peer, config=state.config_version, departed=len(state.departed)
         )
         self.directory.add_departed(state.departed)
+        self.gateway.endpoint_limits.merge(state.limits, peer)
         if state.config_version > self.active_config.version:
             self.active_config.update(state.config, None)
 
--- a/libraries/fleet/src/corianderhaven/fleet/_digests.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_digests.py
@@ -41,6 +41,24 @@
     cleared_age_ms: float = -1
 
 
+class LimitRecord(msgspec.Struct, array_like=True):
+    """Limit on requests per second that an incarnation of an endpoint has named.
+
+    Parameters
+    ----------
+    started_ms : int
+        Start time of the incarnation.
+    rate_per_s : float or None
+        None once the limit has ended.
+    age_ms : float
+        Age of the evidence.
+    """
+
+    started_ms: int
+    rate_per_s: float | None = None
+    age_ms: float = 0.0
+
+
 class Digest(msgspec.Struct):
     """State that a daemon reports about itself.
 
@@ -64,6 +82,8 @@
         Endpoints that said recently that they leave, with their start times in ms.
     parts : dict of str to PartRecord
         Evidence about parts of prompts, the daemon's own and what it has from others.
+    limits : dict of str to LimitRecord
+        Limits of endpoints that have changed recently, by endpoint id, like `parts`.
     """
 
     daemon: str
@@ -78,6 +98,7 @@
     config_version: int = 0
     leaving: dict[str, int] = {}
     parts: dict[str, PartRecord] = {}
+    limits: dict[str, LimitRecord] = {}
 
 
 class ZoneSummary(msgspec.Struct):
@@ -121,6 +142,7 @@
         tenure=digest.tenure,
         config_version=digest.config_version,
         parts=digest.parts,
+        limits=digest.limits,
     )
 
 
--- a/libraries/fleet/src/corianderhaven/fleet/_peer_state.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peer_state.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from ._digests import LimitRecord
+
 STATE_PATH = "/peer/state"
 
 
@@ -15,11 +17,14 @@
     departed : dict of str to (int, int, bool)
         Former or leaving endpoints: start time in ms, number of the last entry, and whether the
         endpoint said that it leaves.
+    limits : dict of str to LimitRecord
+        Limits that endpoints have named, by endpoint id.
     """
 
     config: bytes = b""
     config_version: int = 0
     departed: dict[str, tuple[int, int, bool]] = {}
+    limits: dict[str, LimitRecord] = {}
 
 
 def decode_state(body):
--- a/libraries/fleet/src/corianderhaven/fleet/_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peers.py
@@ -77,6 +77,7 @@
         self.on_leaving = lambda leaving, daemon: None
         self.on_peer_state = lambda digest: None
         self.on_parts = lambda parts: None
+        self.on_limits = lambda limits, daemon: None
         self.make_feed_request = lambda peer_name: None
         self.answer_feed = lambda request: None
         self.on_feed = lambda feed, peer_name: None
@@ -121,6 +122,7 @@
         self.totals_outdated = True
         self.on_peer_state(digest)
         self.on_parts(digest.parts)
+        self.on_limits(digest.limits, peer.name)
         self._notify(digest, peer.name)
         for summary in message.zones:
             self._store_summary(summary, peer, now)
--- a/libraries/gateway/src/corianderhaven/gateway/__init__.py
+++ b/libraries/gateway/src/corianderhaven/gateway/__init__.py
@@ -5,6 +5,7 @@
 from ._connection_pool import ConnectionPool, declared_idle_ms
 from ._crash_evidence import Admission, Assessment, ListedPart, Verdict
 from ._crash_ledger import CrashLedger
+from ._endpoint_limits import EndpointLimits
 from ._event_stream import EventSplitter
 from ._gateway import Gateway
 from ._latency_estimator import LatencyEstimator
@@ -25,6 +26,7 @@
     "Assessment",
     "AttemptMetadata",
     "CrashLedger",
+    "EndpointLimits",
     "EventSplitter",
     "Gateway",
     "LatencyEstimator",
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -9,6 +9,7 @@
 from ._admission import Refusal, dispatch_periodically
 from ._crash_guard import CrashGuard
 from ._dispatcher import DEFAULT_GOAL_MS, Dispatcher
+from ._endpoint_limits import SHARED_MS, EndpointLimits
 from ._event_stream import EventSplitter
 from ._load_tracker import LoadTracker
 from ._replica_view import ReplicaView
@@ -63,12 +64,15 @@
         peers.on_parts = self.crash_guard.merge
         self.on_proven_part = lambda part, proven: None
         self.retry_budget = RetryBudget(clock, settings, peers.fleet_size)
+        self.endpoint_limits = EndpointLimits(clock, decisions)
+        peers.on_limits = self.endpoint_limits.merge
         self.silence_detector = SilenceDetector(clock, peers)
         self.sender = Sender(
             wire, self.load_tracker, self.silence_detector, clock, decisions, settings.ip
         )
         self.sender.may_retry = lambda service: self.retry_budget.remaining(service) >= 1.0
         self.sender.spend_retry = lambda service: self.retry_budget.try_spend(service)
+        self.sender.on_limit = self.endpoint_limits.record_answer
         self.route_table = None
         self.on_suspicion = lambda head_id, reason: None
         self.on_request = lambda: None
@@ -108,6 +112,7 @@
     def refresh_metrics(self):
         """Update the gauges before a scrape."""
         _metrics.IN_FLIGHT.set(self.in_flight)
+        _metrics.LIMITED_ENDPOINTS.set(self.endpoint_limits.count())
         for (_, model), queue in self.dispatcher.queues.items():
             _metrics.WAITING.labels(model).set(len(queue.waiting))
         services = self.active_config.config.services.values() if self.active_config.config else ()
@@ -138,6 +143,7 @@
             self.replica_view.local_suspicions(),
             zone=self.settings.zone,
             parts=self.crash_guard.digest(),
+            limits=self.endpoint_limits.records(SHARED_MS),
         )
 
     def _add_peer_suspicions(self, suspects, daemon):
@@ -414,6 +420,7 @@
             known_ids = {endpoint.id for endpoint in self.directory.endpoints()}
             self.load_tracker.prune(known_ids)
             self.replica_view.prune(known_ids)
+            self.endpoint_limits.prune(known_ids)
             self.sender.pool.prune()
 
     async def _check_silence(self):
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -90,6 +90,9 @@
         Counts such a repetition; returns False when it is not allowed any more.
     on_leaving : callable
         Called with an `Endpoint` that says in an answer that it leaves.
+    on_limit : callable
+        Called for each answer with the `Endpoint`, the limit that it names, and the time in ms at
+        which the request was sent.
     """
 
     def __init__(self, wire, load_tracker, silence_detector, clock, decisions, source_ip=None):
@@ -103,6 +106,7 @@
         self.clock = clock
         self.source_ip = source_ip
         self.on_leaving = lambda endpoint: None
+        self.on_limit = lambda endpoint, limit_per_s, sent_ms: None
 
     async def send_buffered(self, context, endpoint, timeout_ms=None):
         """Send a request and forward the answer once it is complete."""
@@ -124,7 +128,7 @@
             return AttemptResult.BROKEN
         finally:
             attempt.close()
-        result = self._classify_response(context, endpoint, head)
+        result = self._classify_response(attempt, head)
         sound = result in (AttemptResult.COMPLETE, AttemptResult.NOT_RUN)
         failed = not sound and not self.load_tracker.held_for_ms(endpoint)
         self.load_tracker.record_result(endpoint.id, failed)
@@ -159,7 +163,7 @@
             head = await self._request_head(attempt)
             if head is None:
                 return AttemptResult.NOT_SENT
-            result = self._classify_response(context, endpoint, head)
+            result = self._classify_response(attempt, head)
             if result is AttemptResult.FAILED:
                 body = await attempt.connection.read_body()
                 context.error_response = (head.status, self.wire.caller_headers(head), body)
@@ -259,6 +263,7 @@
 
     async def _send(self, attempt):
         context, endpoint = attempt.context, attempt.endpoint
+        attempt.sent_ms = self.clock.now_ms()
         remaining_ms = context.deadline_ms - self.clock.now_ms() - DEADLINE_SLACK_MS
         metadata = AttemptMetadata(
             endpoint.id,
@@ -272,11 +277,12 @@
         request = context.request
         await attempt.connection.send(request.method, request.target, headers, request.body)
 
-    def _classify_response(self, context, endpoint, head):
+    def _classify_response(self, attempt, head):
         """Return the result that a response's status and headers indicate."""
+        context, endpoint = attempt.context, attempt.endpoint
         response = self.wire.read_response(head)
         if response.endpoint_id in (None, endpoint.id):
-            self._record_statements(endpoint, response)
+            self._record_statements(attempt, response)
         if response.request_id not in (None, context.metadata.request_id):
             return AttemptResult.BROKEN
         if response.not_run:
@@ -288,8 +294,10 @@
             return AttemptResult.BROKEN
         return AttemptResult.COMPLETE
 
-    def _record_statements(self, endpoint, response):
+    def _record_statements(self, attempt, response):
         """Record what an endpoint says of itself in an answer."""
+        endpoint = attempt.endpoint
+        self.on_limit(endpoint, response.limit_per_s, attempt.sent_ms)
         if response.load is not None:
             self.load_tracker.record_load(endpoint.id, response.load)
         if response.leaving:
--- a/libraries/gateway/src/corianderhaven/gateway/_wire.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_wire.py
@@ -69,6 +69,9 @@
         How long the endpoint, which refused the request, wants no other from this daemon.
     endpoint_id : str or None
         The endpoint that answers, if it says so.
+    limit_per_s : float or None
+        Requests per second that the endpoint takes from all daemons together; NaN if it names a
+        limit that can't be read, None if it names none.
     """
 
     request_id: str | None
@@ -79,6 +82,7 @@
     leaving: bool = False
     retry_after_ms: float | None = None
     endpoint_id: str | None = None
+    limit_per_s: float | None = None
 
 
 class WireFormat(ABC):
