Send to endpoints that name a limit only under permits of the whole fleet

The class: a bound for the fleet that nobody holds for the fleet.

Ruled out: a share of the limit for each daemon (starves where daemons are many and limits small, and one token a daemon breaks the bound); the permits of one endpoint come from one daemon instead, a hub of its zone, spread evenly in time. They are asked for ahead, as many as requests are expected, so a request seldom waits; plain services wait in a queue like the engines'. Each refused caller is told a place of its own. In a cut each side issues its part. A request repeated after a dropped connection needs a permit too.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -19,6 +19,7 @@
 )
 from corianderhaven.fleet import (
     DIGEST_PATH,
+    PERMITS_PATH,
     STATE_PATH,
     ActiveConfig,
     EndpointDirectory,
@@ -28,10 +29,14 @@
     PeerExchange,
     PeerState,
     PeerTable,
+    PermitClient,
+    PermitIssuer,
+    PermitRequest,
     ProvenParts,
     ReplicaKeeper,
     StoreEra,
     StoreWatcher,
+    decode_permits,
 )
 from corianderhaven.gateway import Gateway
 from corianderhaven.hosting import (
@@ -150,6 +155,7 @@
     def close(self):
         """Stop all tasks and listeners without draining."""
         self.exchange.close()
+        self.permit_client.close()
         self.proven_parts.close()
         self.gateway.close()
         self.keeper.close()
@@ -286,6 +292,13 @@
             self.clock,
             self.decisions,
         )
+        self.permit_issuer = PermitIssuer(self.peers, self.clock)
+        self.permit_issuer.may_issue = lambda: self.joined
+        self.permit_client = PermitClient(
+            self.peers, self.permit_issuer, self.decisions, settings.ip
+        )
+        self.permit_client.on_offer = self.gateway.permits.apply_offer
+        self.gateway.permits.request = self.permit_client.request
         guard = self.gateway.crash_guard
         self.proven_parts = ProvenParts(
             self.store, self.watcher, PARTS_PREFIX, self.clock, self.decisions
@@ -398,6 +411,8 @@
             except ValueError as error:
                 self.decisions.record("digest_unreadable", reason=str(error))
                 await caller.send_response(400, [], b"")
+        elif request.target == PERMITS_PATH.encode():
+            await self._answer_permits(request, caller)
         elif request.target == STATE_PATH.encode():
             await caller.send_response(200, [], msgspec.json.encode(self._make_state()))
         elif request.target == PARTS_PATH:
@@ -409,6 +424,14 @@
         else:
             await caller.send_response(404, [], b"")
 
+    async def _answer_permits(self, request, caller):
+        try:
+            reply = self.permit_issuer.answer(decode_permits(request.body, PermitRequest))
+            await caller.send_response(200, [], msgspec.json.encode(reply))
+        except ValueError as error:
+            self.decisions.record("permit_request_unreadable", reason=str(error))
+            await caller.send_response(400, [], b"")
+
 
 def serve_node_file(path):
     """Run a daemon with the settings in a node file; returns the exit code."""
--- a/libraries/fleet/src/corianderhaven/fleet/__init__.py
+++ b/libraries/fleet/src/corianderhaven/fleet/__init__.py
@@ -30,6 +30,17 @@
 from ._peer_exchange import PeerExchange
 from ._peer_state import STATE_PATH, PeerState
 from ._peers import PeerTable
+from ._permit_client import PermitClient
+from ._permit_issuer import (
+    MAX_ADVANCE_MS,
+    PERMIT_LIFETIME_MS,
+    PERMITS_PATH,
+    PermitIssuer,
+    PermitOffer,
+    PermitRequest,
+    PermitWish,
+    decode_permits,
+)
 from ._proven_parts import ProvenParts
 from ._replicas import Replica, group_replicas, is_serving, model_of, replica_name
 from ._store_era import StoreEra
@@ -80,7 +91,16 @@
     "NodeSettings",
     "OrderResult",
     "PartRecord",
+    "MAX_ADVANCE_MS",
+    "PERMITS_PATH",
+    "PERMIT_LIFETIME_MS",
+    "PermitClient",
+    "PermitIssuer",
+    "PermitOffer",
+    "PermitRequest",
+    "PermitWish",
     "ProvenParts",
+    "decode_permits",
     "PeerExchange",
     "PeerMessage",
     "PeerState",
--- a/libraries/fleet/src/corianderhaven/fleet/_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peers.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from corianderhaven.common import rendezvous_order
+
 from ._digests import (
     Digest,
     DirectSummary,
@@ -30,6 +32,7 @@
 CACHE_MS_PER_DAEMON = 3.0  # keeps a hub's work independent of the number of its members
 MAX_CACHE_MS = 50.0
 UNREACHABLE_MS = 1_000.0  # time until an unreachable daemon may be a hub again
+ISSUER_UNREACHABLE_MS = 3_000.0  # or issue permits again, unless it has sent a message
 
 
 @dataclass
@@ -171,13 +174,33 @@
         sizes[self.zone] += 1
         return sum(min(size, HUBS_PER_ZONE) for size in sizes.values())
 
-    def hubs(self, zone):
-        """Return the known hubs of a zone; None stands for this daemon."""
+    def permit_issuer(self, endpoint_id, zone):
+        """Return the peer that issues the permits of an endpoint; None stands for this daemon.
+
+        It is a hub of the endpoint's zone, or of another one if none of that zone is reachable.
+        """
+        zones = {p.zone for p in self.peers.values()} | {self.zone}
+        others = rendezvous_order(zones - {zone}, endpoint_id)
+        candidates = (self.hubs(z, ISSUER_UNREACHABLE_MS) for z in (zone, *others))
+        hubs = {
+            p.name if p is not None else self.own_name: p for p in next(filter(None, candidates))
+        }
+        return hubs[rendezvous_order(hubs, endpoint_id)[0]]
+
+    def is_permit_issuer(self, endpoint_id, zone):
+        """Return whether this daemon issues the permits of an endpoint, as far as it knows."""
+        return self.permit_issuer(endpoint_id, zone) is None
+
+    def hubs(self, zone, unreachable_ms=UNREACHABLE_MS):
+        """Return the known hubs of a zone; None stands for this daemon.
+
+        Daemons that were found unreachable within `unreachable_ms` are left out.
+        """
         now = self.clock.now_ms()
         named = {
             p.name: p
             for p in self.peers.values()
-            if p.zone == zone and now - p.unreachable_since_ms > UNREACHABLE_MS
+            if p.zone == zone and now - p.unreachable_since_ms > unreachable_ms
         }
         if zone == self.zone:
             named[self.own_name] = None
--- /dev/null
+++ b/libraries/fleet/src/corianderhaven/fleet/_permit_issuer.py
@@ -0,0 +1,159 @@
+"""Permits to send requests to endpoints that limit their rate. Performs no I/O.
+
+A limit is one for all daemons together, so one daemon at a time issues the permits of an endpoint:
+a hub of the endpoint's availability zone, or of another zone if that has none left. The issuer
+spreads permits evenly in time (generic cell rate algorithm). When it changes, the next one starts
+with no permits in hand. While daemons are cut off from each other, issuers of both sides reduce
+their rate to the part of the fleet that they hear from.
+"""
+
+import msgspec
+
+from corianderhaven.common import MS_PER_S
+
+PERMITS_PATH = "/peer/permits"
+MAX_ADVANCE_MS = 1_000.0  # for which a permit may be reserved; bounds what a lost issuer leaves
+PERMIT_LIFETIME_MS = 1_000.0  # from the time from which it may be used
+BURST_INTERVALS = 1.0  # by which unused permits may be made up for
+# Of an endpoint's previous issuer, permits may still be used for a while.
+TAKEOVER_MS = 500.0
+# The sides of a cut issue this much of the limit together, and more than their part alone.
+CUT_FACTOR = 1.3
+NOT_ISSUER_WAIT_MS = 300.0  # by then views of the daemons agree again
+MAX_LINE_MS = 10_000.0
+FORGET_MS = 60_000.0
+MIN_RATE_PER_S = 0.25
+MAX_WISHES = 64
+
+
+class PermitWish(msgspec.Struct, array_like=True):
+    """Wish for one permit.
+
+    Parameters
+    ----------
+    endpoint : str
+        Endpoint id.
+    started_ms : int
+        Start time of its incarnation.
+    zone : str
+        Availability zone of the endpoint.
+    rate_per_s : float
+        Limit as the requesting daemon knows it.
+    """
+
+    endpoint: str
+    started_ms: int
+    zone: str
+    rate_per_s: float
+
+
+class PermitOffer(msgspec.Struct, array_like=True):
+    """Answer to a wish.
+
+    Parameters
+    ----------
+    granted : bool
+    wait_ms : float
+        Time until the permit may be used, or until it is worth asking again.
+    """
+
+    granted: bool
+    wait_ms: float
+
+
+class PermitRequest(msgspec.Struct):
+    """Wishes of a daemon."""
+
+    daemon: str
+    wishes: list[PermitWish] = []
+
+
+class PermitReply(msgspec.Struct):
+    """Offers by endpoint id."""
+
+    offers: dict[str, PermitOffer] = {}
+
+
+def decode_permits(body, kind):
+    """Return the `PermitRequest` or `PermitReply` in a body; raises ValueError if unreadable."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise ValueError(str(error)) from None
+
+
+class Schedule:
+    """Times of the permits of one incarnation of an endpoint.
+
+    Parameters
+    ----------
+    started_ms : int
+    next_ms : float
+        Time of the next permit at an even rate.
+    """
+
+    def __init__(self, started_ms, next_ms):
+        self.started_ms = started_ms
+        self.next_ms = next_ms
+        self.line_ms = next_ms
+
+    def issue(self, now, interval_ms):
+        """Return the `PermitOffer` for the next permit."""
+        self.next_ms = max(self.next_ms, now - BURST_INTERVALS * interval_ms)
+        wait_ms = max(0.0, self.next_ms - now)
+        if wait_ms <= MAX_ADVANCE_MS:
+            self.next_ms += interval_ms
+            return PermitOffer(True, wait_ms)
+        # Those who ask in vain are told different times, in the order in which they asked.
+        self.line_ms = min(max(self.line_ms, self.next_ms) + interval_ms, now + MAX_LINE_MS)
+        return PermitOffer(False, self.line_ms - interval_ms - MAX_ADVANCE_MS - now)
+
+
+class PermitIssuer:
+    """Issues the permits of the endpoints that this daemon is responsible for.
+
+    Parameters
+    ----------
+    table : PeerTable
+    clock : Clock
+
+    Attributes
+    ----------
+    may_issue : callable
+        Returns whether this daemon knows its peers.
+    """
+
+    def __init__(self, table, clock):
+        self.table = table
+        self.clock = clock
+        self.schedules = {}
+        self.may_issue = lambda: True
+
+    def answer(self, request):
+        """Return the `PermitReply` to a `PermitRequest`."""
+        return PermitReply({w.endpoint: self.offer(w) for w in request.wishes[:MAX_WISHES]})
+
+    def offer(self, wish):
+        """Return the `PermitOffer` for a wish."""
+        if not self.may_issue() or not self.table.is_permit_issuer(wish.endpoint, wish.zone):
+            return PermitOffer(False, NOT_ISSUER_WAIT_MS)
+        now = self.clock.now_ms()
+        interval_ms = MS_PER_S / (max(MIN_RATE_PER_S, wish.rate_per_s) * self._share())
+        schedule = self.schedules.get(wish.endpoint)
+        if schedule is None or schedule.started_ms != wish.started_ms:
+            self._forget_unused(now)
+            schedule = Schedule(wish.started_ms, now + max(TAKEOVER_MS, interval_ms))
+            self.schedules[wish.endpoint] = schedule
+        return schedule.issue(now, interval_ms)
+
+    def _share(self):
+        """Return the part of a limit that the daemons in contact with this one may use."""
+        heard = 1 + self.table.reporting_daemons()
+        return min(1.0, CUT_FACTOR * heard / self.table.fleet_size())
+
+    def _forget_unused(self, now):
+        self.schedules = {
+            i: schedule
+            for i, schedule in self.schedules.items()
+            if now - schedule.next_ms < FORGET_MS
+        }
--- a/libraries/gateway/src/corianderhaven/gateway/_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_admission.py
@@ -19,6 +19,7 @@
 CAPACITY_CACHE_MS = 20.0  # less than the interval of checks
 MIN_RETRY_AFTER_MS = 300.0
 OVERLOAD_RETRY_AFTER_MS = 1_200.0  # most of a typical answer: slots are freed by then
+MAX_RETRY_AFTER_MS = 10_000.0  # later promises can't be foreseen
 NO_REPLICA_RETRY_AFTER_MS = 1_000.0
 QUEUE_CHECK_INTERVAL_MS = 50.0
 
@@ -99,6 +100,10 @@
         """Count a request that was given an endpoint."""
         self.dispatches.append(self.clock.now_ms())
 
+    def arrivals_per_ms(self):
+        """Return the recent rate of arrivals."""
+        return self._count(self.arrivals) / self._window_ms()
+
     def throughput_per_ms(self):
         """Return the recent rate of dispatches, or the replicas' capacity if higher."""
         recent = max(1, self._count(self.dispatches)) / self._window_ms()
@@ -113,7 +118,7 @@
 
     def spare_throughput_per_ms(self):
         """Return the throughput that arrivals leave to late requests; 0.0 in overload."""
-        arrivals = self._count(self.arrivals) / self._window_ms()
+        arrivals = self.arrivals_per_ms()
         throughput = self.throughput_per_ms()
         if arrivals > OVERLOAD_RATIO * throughput:
             return 0.0
@@ -149,6 +154,8 @@
     ----------
     release_endpoint : callable
         Takes an endpoint that was picked for a request and won't be used.
+    is_limited : callable
+        Returns whether limits that endpoints name bound the throughput.
     """
 
     def __init__(self, clock, pick_endpoint, has_replica, capacity_per_ms, held_for_ms=lambda: 0.0):
@@ -157,6 +164,8 @@
         self.has_replica = has_replica
         self.held_for_ms = held_for_ms
         self.release_endpoint = lambda endpoint: None
+        self.is_limited = lambda: False
+        self.promised_ms = -1e12
         self.waiting = WaitingRequests()
         self.rates = QueueRates(clock, capacity_per_ms)
         self.no_replica_since_ms = None
@@ -189,12 +198,27 @@
         if no_replica_ms > MAX_WAIT_WITHOUT_REPLICA_MS and not self.has_replica():
             return Refusal("no replica serves the model", NO_REPLICA_RETRY_AFTER_MS)
         wait_ms = self.expected_wait_ms(queued)
+        if wait_ms is None and self.is_limited():
+            return Refusal("endpoints at their limits", self._promise_place(now))
         if wait_ms is None:
             return Refusal("overloaded", OVERLOAD_RETRY_AFTER_MS)
         if now + wait_ms > queued.deadline_cutoff_ms:
             return Refusal("can't be served in time", max(MIN_RETRY_AFTER_MS, wait_ms / 2))
         return None
 
+    def _promise_place(self, now):
+        """Return the time until a place is free behind the waiting requests and earlier promises.
+
+        Each refused caller gets a place of its own, so that they don't come back together. Places
+        too far ahead are not promised; then those promised first are promised again.
+        """
+        interval_ms = 1.0 / self.rates.throughput_per_ms()
+        earliest_ms = now + max(MIN_RETRY_AFTER_MS, (len(self.waiting) + 1) * interval_ms)
+        self.promised_ms = max(self.promised_ms + interval_ms, earliest_ms)
+        if self.promised_ms > now + MAX_RETRY_AFTER_MS:
+            self.promised_ms = earliest_ms
+        return self.promised_ms - now
+
     def _check_held(self, queued):
         """Return a `Refusal` if all replicas refuse for longer than the request can wait."""
         held_ms = self.held_for_ms()
--- a/libraries/gateway/src/corianderhaven/gateway/_choice.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_choice.py
@@ -39,6 +39,7 @@
     limit=None,
     daemons=1,
     zone_daemons=1,
+    reserved=(),
 ):
     """Return the least loaded endpoint of a random sample.
 
@@ -57,12 +58,15 @@
         Endpoints with this many requests or more are full.
     daemons, zone_daemons : int
         See `sample_candidates`.
+    reserved : sequence of Endpoint
+        Endpoints that this daemon holds a place at, which are always considered.
     """
 
     def best_of(candidates):
         return _least_loaded(candidates, load_tracker, zone, slots, limit)
 
     sample = sample_candidates(endpoints, zone, daemons, zone_daemons)
+    sample += [e for e in reserved if e not in sample]
     return best_of(sample) or (best_of(endpoints) if len(sample) < len(endpoints) else None)
 
 
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -1,11 +1,18 @@
 """Admission queues, latency estimators and endpoint selection of all services."""
 
-from ._admission import AdmissionQueue, QueuedRequest
+import itertools
+import math
+
+from corianderhaven.common import MS_PER_S
+from corianderhaven.fleet import PERMIT_LIFETIME_MS
+
+from ._admission import AdmissionQueue, QueuedRequest, QueueRates
 from ._choice import choose_endpoint
 from ._latency_estimator import LatencyEstimator
 
 MIN_ANSWER_FRACTION = 0.5  # of the time of an answer; with less left, an attempt is useless
 DEFAULT_GOAL_MS = 500.0
+PLAIN_WAIT_FRACTION = 0.5  # of the goal; an answer of a plain service takes about the rest
 
 
 class Dispatcher:
@@ -20,16 +27,20 @@
     zone : str
         Own availability zone.
     clock : Clock
+    permits : SendPermits
     """
 
-    def __init__(self, directory, replica_view, load_tracker, peers, zone, clock):
+    def __init__(self, directory, replica_view, load_tracker, peers, zone, clock, permits):
         self.directory = directory
         self.replica_view = replica_view
         self.load_tracker = load_tracker
         self.peers = peers
         self.zone = zone
         self.clock = clock
+        self.permits = permits
         self.queues = {}
+        self.plain_queues = {}
+        self.plain_rates = {}
         self.estimators = {}
 
     def queued_request(self, context, estimator, engine):
@@ -66,18 +77,35 @@
                 lambda: self._capacity_per_ms(service, engine, model),
                 lambda: self.held_for_ms(self.replica_view.available_heads(service, model.name)),
             )
+            queue.is_limited = lambda: self._are_limited(
+                self.replica_view.available_heads(service, model.name)
+            )
             queue.release_endpoint = lambda endpoint: self.release(endpoint, queue)
         return queue
 
     def _capacity_per_ms(self, service, engine, model):
         """Return how many requests per ms the open replicas can accept from this daemon."""
         heads = self.replica_view.available_heads(service, model.name)
-        own = sum(self.load_tracker.entry(head.id).own_in_flight for head in heads)
-        others = sum(self.peers.peer_requests_at(head.id) for head in heads)
-        daemons = 1 + self.peers.reporting_daemons()
-        share = (own + 1) / (own + others + daemons)
         duration_ms = self.estimator(service, engine, model).duration_ms()
-        return share * len(heads) * engine.slots / duration_ms
+        capacity = sum(self._rate_per_ms(head, engine.slots / duration_ms) for head in heads)
+        return self._own_share(heads) * capacity
+
+    def _rate_per_ms(self, endpoint, unlimited_per_ms):
+        """Return how many requests per ms an endpoint takes from all daemons."""
+        limit_per_s = self.permits.limits.rate_per_s(endpoint)
+        if limit_per_s is None:
+            return unlimited_per_ms
+        return min(unlimited_per_ms, limit_per_s / MS_PER_S)
+
+    def _own_share(self, endpoints):
+        """Return the share of this daemon in the requests at endpoints."""
+        own = sum(self.load_tracker.entry(e.id).own_in_flight for e in endpoints)
+        others = sum(self.peers.peer_requests_at(e.id) for e in endpoints)
+        daemons = 1 + self.peers.reporting_daemons()
+        return (own + 1) / (own + others + daemons)
+
+    def _are_limited(self, endpoints):
+        return any(self.permits.is_limited(e) for e in endpoints)
 
     def estimator(self, service, engine, model):
         """Return the latency estimator of a model, a new one when its engine spec changed."""
@@ -90,22 +118,43 @@
         heads = self.replica_view.available_heads(service, model)
         heads = self.load_tracker.accepting(heads)
         heads = [h for h in heads if h.id not in queued.excluded] or heads
-        limit = engine.slots + 1
+        queue = self.queues[service, model]
+        return self._choose(heads, queue.rates, len(queue.waiting), engine.slots, engine.slots + 1)
+
+    def _choose(self, endpoints, rates, waiting, slots=None, limit=None):
+        """Return the endpoint for a request and count the request there, or None."""
+        limited = [e for e in endpoints if self.permits.is_limited(e)]
+        demand = math.ceil(rates.arrivals_per_ms() * PERMIT_LIFETIME_MS)
+        if limited:
+            self.permits.ask(limited, demand, waiting)
         endpoint = choose_endpoint(
-            heads,
+            [e for e in endpoints if self.permits.accepts(e)],
             self.load_tracker,
             self.zone,
-            engine.slots,
+            slots,
             limit,
             **self._daemon_counts(),
+            reserved=[e for e in limited if self.permits.accepts(e)],
         )
-        if endpoint is not None:
-            self.load_tracker.entry(endpoint.id).own_in_flight += 1
+        if endpoint is None or not self.permits.try_take(endpoint):
+            return None
+        self.load_tracker.entry(endpoint.id).own_in_flight += 1
+        if limited:
+            self.permits.ask(limited, demand, max(0, waiting - 1))
         return endpoint
 
+    def assign_waiting(self):
+        """Assign endpoints to waiting requests, as a permit may be used now."""
+        for queue in itertools.chain(self.queues.values(), self.plain_queues.values()):
+            if queue.waiting:
+                queue.assign()
+
     def held_for_ms(self, endpoints):
         """Return how long none of the endpoints takes requests; 0.0 if one does or none exist."""
-        return min((self.load_tracker.held_for_ms(e) for e in endpoints), default=0.0)
+        waits_ms = (
+            max(self.load_tracker.held_for_ms(e), self.permits.wait_ms(e)) for e in endpoints
+        )
+        return min(waits_ms, default=0.0)
 
     def _daemon_counts(self):
         """Return how many daemons, including this one, choose among the same endpoints."""
@@ -116,16 +165,72 @@
 
     def plain_endpoints(self, context):
         """Return the endpoints of a service without an engine that accept requests."""
-        return [e for e in self.directory.endpoints(context.service.name) if not e.leaving]
+        return self._plain_endpoints(context.service.name)
+
+    def _plain_endpoints(self, service):
+        return [e for e in self.directory.endpoints(service) if not e.leaving]
 
     def pick_plain_endpoint(self, context):
         """Return an endpoint of a service without an engine and count the request, or None."""
-        accepting = self.load_tracker.accepting(self.plain_endpoints(context))
-        endpoints = [e for e in accepting if e.id not in context.excluded]
-        endpoint = choose_endpoint(endpoints, self.load_tracker, self.zone, **self._daemon_counts())
-        if endpoint is not None:
-            self.load_tracker.entry(endpoint.id).own_in_flight += 1
-        return endpoint
+        return self._pick_plain(context.service.name, context.excluded)
+
+    def _pick_plain(self, service, excluded):
+        accepting = self.load_tracker.accepting(self._plain_endpoints(service))
+        endpoints = [e for e in accepting if e.id not in excluded]
+        queue = self.plain_queues.get(service)
+        waiting = len(queue.waiting) if queue is not None else 0
+        return self._choose(endpoints, self._plain_rates(service), waiting)
+
+    def record_plain_arrival(self, service):
+        """Count a request for a service without an engine."""
+        self._plain_rates(service).record_arrival()
+
+    def _plain_rates(self, service):
+        rates = self.plain_rates.get(service)
+        if rates is None:
+            rates = self.plain_rates[service] = QueueRates(self.clock, lambda: 0.0)
+        return rates
+
+    def waits_for_permits(self, context):
+        """Return whether a request for a service without an engine may wait for a permit."""
+        endpoints = [e for e in self.plain_endpoints(context) if e.id not in context.excluded]
+        queue = self.plain_queues.get(context.service.name)
+        return self._are_limited(endpoints) or bool(queue is not None and queue.waiting)
+
+    def plain_queue(self, service):
+        """Return the queue of requests that wait for permits of a service without an engine."""
+        queue = self.plain_queues.get(service)
+        if queue is None:
+            queue = self.plain_queues[service] = AdmissionQueue(
+                self.clock,
+                lambda queued: self._pick_plain(service, queued.excluded),
+                lambda: bool(self._plain_endpoints(service)),
+                lambda: self._plain_capacity_per_ms(service),
+                lambda: self.held_for_ms(self._plain_endpoints(service)),
+            )
+            queue.is_limited = lambda: True
+            queue.release_endpoint = self.release
+        return queue
+
+    def plain_queued_request(self, context):
+        """Return the `QueuedRequest` of a request for a service without an engine."""
+        goal_ms = context.route.goal_ms or DEFAULT_GOAL_MS
+        deadline_cutoff_ms = context.deadline_ms - goal_ms
+        return QueuedRequest(
+            priority=context.priority,
+            arrived_ms=self.clock.now_ms(),
+            goal_cutoff_ms=min(
+                context.started_ms + goal_ms * PLAIN_WAIT_FRACTION, deadline_cutoff_ms
+            ),
+            deadline_cutoff_ms=deadline_cutoff_ms,
+            resumed=context.attempts > 0,
+            excluded=context.excluded,
+        )
+
+    def _plain_capacity_per_ms(self, service):
+        endpoints = self._plain_endpoints(service)
+        capacity = sum(self._rate_per_ms(e, e.slots / DEFAULT_GOAL_MS) for e in endpoints)
+        return self._own_share(endpoints) * capacity
 
     def release(self, endpoint, queue=None):
         """Remove a request that has ended from its endpoint's count."""
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -16,6 +16,7 @@
 from ._request_context import AttemptResult, RequestContext
 from ._retry_budget import RetryBudget
 from ._routes import RouteTable
+from ._send_permits import SendPermits
 from ._sender import Sender
 from ._silence_detector import CHECK_INTERVAL_MS, SilenceDetector
 
@@ -56,22 +57,31 @@
         peers.on_suspects = self._add_peer_suspicions
         self.load_tracker = LoadTracker(clock, peers)
         self.replica_view = ReplicaView(directory, active_config, clock)
+        self.endpoint_limits = EndpointLimits(clock, decisions)
+        peers.on_limits = self.endpoint_limits.merge
+        self.permits = SendPermits(clock, self.endpoint_limits, settings.zone)
+        self.permits.on_permit = self._assign_later
         self.dispatcher = Dispatcher(
-            directory, self.replica_view, self.load_tracker, peers, settings.zone, clock
+            directory,
+            self.replica_view,
+            self.load_tracker,
+            peers,
+            settings.zone,
+            clock,
+            self.permits,
         )
         self.crash_guard = CrashGuard(directory, peers, clock, decisions, settings.ip)
         self.crash_guard.on_verdict = self._note_verdict
         peers.on_parts = self.crash_guard.merge
         self.on_proven_part = lambda part, proven: None
         self.retry_budget = RetryBudget(clock, settings, peers.fleet_size)
-        self.endpoint_limits = EndpointLimits(clock, decisions)
-        peers.on_limits = self.endpoint_limits.merge
         self.silence_detector = SilenceDetector(clock, peers)
         self.sender = Sender(
             wire, self.load_tracker, self.silence_detector, clock, decisions, settings.ip
         )
         self.sender.may_retry = lambda service: self.retry_budget.remaining(service) >= 1.0
         self.sender.spend_retry = lambda service: self.retry_budget.try_spend(service)
+        self.sender.may_send_now = self.permits.try_take
         self.sender.on_limit = self.endpoint_limits.record_answer
         self.route_table = None
         self.on_suspicion = lambda head_id, reason: None
@@ -89,6 +99,7 @@
         loop = asyncio.get_running_loop()
         self.tasks = [
             loop.create_task(dispatch_periodically(self.dispatcher.queues, self.clock)),
+            loop.create_task(dispatch_periodically(self.dispatcher.plain_queues, self.clock)),
             loop.create_task(self._check_silence()),
             loop.create_task(self._prune_endpoints()),
         ]
@@ -281,12 +292,11 @@
 
     async def _serve_plain(self, context):
         self.retry_budget.record_request(context.service.name)
+        self.dispatcher.record_plain_arrival(context.service.name)
         while True:
-            endpoint = self.dispatcher.pick_plain_endpoint(context)
-            if endpoint is None:
-                held_ms = self.dispatcher.held_for_ms(self.dispatcher.plain_endpoints(context))
-                retry_after_ms = held_ms or PLAIN_RETRY_AFTER_MS
-                await self._end_unserved(context, "no endpoint", retry_after_ms)
+            endpoint = await self._acquire_plain(context)
+            if isinstance(endpoint, Refusal):
+                await self._end_unserved(context, endpoint.reason, endpoint.retry_after_ms)
                 return
             try:
                 result = await self.sender.send_buffered(
@@ -297,6 +307,25 @@
             if not await self._finish_attempt(context, endpoint, result):
                 return
 
+    async def _acquire_plain(self, context):
+        """Return an endpoint of a service without an engine, or a `Refusal`."""
+        if self.dispatcher.waits_for_permits(context):
+            queue = self.dispatcher.plain_queue(context.service.name)
+            queued_ms = self.clock.now_ms()
+            endpoint = await queue.acquire(self.dispatcher.plain_queued_request(context))
+            context.waited_ms += self.clock.now_ms() - queued_ms
+            return endpoint
+        endpoint = self.dispatcher.pick_plain_endpoint(context)
+        if endpoint is not None:
+            return endpoint
+        held_ms = self.dispatcher.held_for_ms(self.dispatcher.plain_endpoints(context))
+        return Refusal("no endpoint", held_ms or PLAIN_RETRY_AFTER_MS)
+
+    def _assign_later(self, wait_ms):
+        """Assign endpoints to waiting requests when a permit may be used."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(wait_ms / MS_PER_S, self.dispatcher.assign_waiting)
+
     def _attempt_timeout_ms(self, context):
         """Return the timeout of an attempt, or None when it can't be retried elsewhere."""
         can_fail_over = context.can_fail_over()
@@ -421,6 +450,7 @@
             self.load_tracker.prune(known_ids)
             self.replica_view.prune(known_ids)
             self.endpoint_limits.prune(known_ids)
+            self.permits.prune(known_ids)
             self.sender.pool.prune()
 
     async def _check_silence(self):
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -88,6 +88,8 @@
         Returns whether a request of a service may be sent once more now.
     spend_retry : callable
         Counts such a repetition; returns False when it is not allowed any more.
+    may_send_now : callable
+        Returns whether an endpoint may get one more request, and counts it.
     on_leaving : callable
         Called with an `Endpoint` that says in an answer that it leaves.
     on_limit : callable
@@ -101,6 +103,7 @@
         self.pool = ConnectionPool(clock)
         self.may_retry = lambda service: True
         self.spend_retry = lambda service: True
+        self.may_send_now = lambda endpoint: True
         self.load_tracker = load_tracker
         self.silence_detector = silence_detector
         self.clock = clock
@@ -251,7 +254,8 @@
             since_use_ms=rest_ms,
             reason=reason or "no answer",
         )
-        if reason is None or not self.spend_retry(attempt.context.service.name):
+        may_repeat = reason is not None and self.may_send_now(endpoint)
+        if not may_repeat or not self.spend_retry(attempt.context.service.name):
             raise ConnectionLostError(reason or "no answer")
         return None
 
