--- a/libraries/fleet/src/corianderhaven/fleet/_permit_issuer.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_permit_issuer.py
@@ -12,7 +12,9 @@
 from corianderhaven.common import MS_PER_S
 
 PERMITS_PATH = "/peer/permits"
-MAX_ADVANCE_MS = 1_000.0  # for which a permit may be reserved; bounds what a lost issuer leaves
+# For which a permit may be reserved. It bounds what a lost issuer leaves; more would also expire with
+# requests that are gone before they may use it.
+MAX_ADVANCE_MS = 200.0
 PERMIT_LIFETIME_MS = 1_000.0  # from the time from which it may be used
 BURST_INTERVALS = 1.0  # by which unused permits may be made up for
 # Of an endpoint's previous issuer, permits may still be used for a while.
@@ -20,7 +22,9 @@
 # The sides of a cut issue this much of the limit together, and more than their part alone.
 CUT_FACTOR = 1.3
 NOT_ISSUER_WAIT_MS = 300.0  # by then views of the daemons agree again
-MAX_LINE_MS = 10_000.0
+# Daemons whose wishes were denied come back one after the other, but at most so much later than
+# the next permit: those that no longer want it must not keep it from others.
+MAX_LINE_MS = 1_000.0
 FORGET_MS = 60_000.0
 MIN_RATE_PER_S = 0.25
 MAX_WISHES = 64
@@ -104,9 +108,9 @@
         if wait_ms <= MAX_ADVANCE_MS:
             self.next_ms += interval_ms
             return PermitOffer(True, wait_ms)
-        # Those who ask in vain are told different times, in the order in which they asked.
-        self.line_ms = min(max(self.line_ms, self.next_ms) + interval_ms, now + MAX_LINE_MS)
-        return PermitOffer(False, self.line_ms - interval_ms - MAX_ADVANCE_MS - now)
+        ask_again_ms = max(self.line_ms, self.next_ms)
+        self.line_ms = min(ask_again_ms + interval_ms, self.next_ms + MAX_LINE_MS)
+        return PermitOffer(False, ask_again_ms - MAX_ADVANCE_MS - now)
 
 
 class PermitIssuer:
--- a/libraries/gateway/src/corianderhaven/gateway/__init__.py
+++ b/libraries/gateway/src/corianderhaven/gateway/__init__.py
@@ -13,6 +13,7 @@
 from ._replica_view import ReplicaView
 from ._retry_budget import RetryBudget
 from ._routes import RouteTable
+from ._send_permits import SendPermits
 from ._silence_detector import ActiveStream, SilenceDetector
 from ._waiting_requests import WaitingRequests
 from ._wire import AttemptMetadata, RequestMetadata, ResponseMetadata, WireFormat
@@ -39,6 +40,7 @@
     "ResponseMetadata",
     "RetryBudget",
     "RouteTable",
+    "SendPermits",
     "SilenceDetector",
     "Verdict",
     "WaitingRequests",
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -124,9 +124,11 @@
     def _choose(self, endpoints, rates, waiting, slots=None, limit=None):
         """Return the endpoint for a request and count the request there, or None."""
         limited = [e for e in endpoints if self.permits.is_limited(e)]
-        demand = math.ceil(rates.arrivals_per_ms() * PERMIT_LIFETIME_MS)
+        # At a low rate, permits asked for ahead would mostly expire unused.
+        demand = math.floor(rates.arrivals_per_ms() * PERMIT_LIFETIME_MS)
         if limited:
-            self.permits.ask(limited, demand, waiting)
+            needed = max(waiting, 1) if len(limited) == len(endpoints) else waiting
+            self.permits.ask(limited, demand, needed)
         endpoint = choose_endpoint(
             [e for e in endpoints if self.permits.accepts(e)],
             self.load_tracker,
--- a/libraries/gateway/src/corianderhaven/gateway/_send_permits.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_send_permits.py
@@ -115,13 +115,13 @@
         demand : int
             Requests expected while a permit is valid.
         waiting : int
-            Requests that wait now.
+            Requests that wait now, and for which no other endpoint has a place.
         """
         now = self.clock.now_ms()
         limited = [e for e in endpoints if self.is_limited(e)]
         states = {e.id: self._state(e) for e in limited}
         outstanding = sum(state.is_outstanding(now) for state in states.values())
-        wanted = max(1, demand) + waiting - outstanding
+        wanted = demand + waiting - outstanding
         free = [
             e
             for e in limited
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_admission.py
@@ -1,6 +1,7 @@
 """Tests of queueing and refusal of requests, in virtual time."""
 
 import asyncio
+import itertools
 import random
 
 import pytest
@@ -245,3 +246,18 @@
 
     done, refusal = asyncio.run(scenario())
     assert done == [refusal, False, False]
+
+
+def test_refused_callers_under_limits_are_told_places_of_their_own():
+    """Callers that are told the same time come back together, and are refused together."""
+    clock = ManualClock()
+    queue = AdmissionQueue(clock, lambda queued: None, lambda: True, lambda: 0.002)
+    queue.is_limited = lambda: True
+    for _ in range(100):
+        queue.rates.record_arrival()
+    late = clock.now_ms() - 1.0
+    queued = QueuedRequest(0, clock.now_ms(), late, clock.now_ms() + 4_000.0)
+    told = [queue.check_refusal(queued).retry_after_ms for _ in range(15)]
+    assert told == sorted(told)
+    gaps = [later - earlier for earlier, later in itertools.pairwise(told)]
+    assert min(gaps) >= 499.0  # the throughput is two a second
