--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_endpoint_limits.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_endpoint_limits.py
@@ -1,12 +1,11 @@
 """Tests of limits that endpoints name, over several daemons."""
 
 import asyncio
-import itertools
-from contextlib import asynccontextmanager
 
 import pytest
 
-from corianderhaven.common import MS_PER_S, ConnectionLostError
+from corianderhaven.common import MS_PER_S
+from corianderhaven.daemon.tests.hosted_load import load, wait_ms
 from corianderhaven.daemon.tests.hosted_site import (
     heads,
     hosted_site,
@@ -26,33 +25,6 @@
 MIN_REPLICAS = 3
 
 
-@asynccontextmanager
-async def load(daemons, send, interval_ms):
-    """Send a request to each daemon in turn at intervals; yields the answers."""
-    answers, stopped = [], asyncio.Event()
-
-    async def send_one(group, daemon):
-        try:
-            answers.append(await send(daemon))
-        except ConnectionLostError:
-            answers.append(None)
-
-    async def run():
-        async with asyncio.TaskGroup() as group:
-            for daemon in itertools.cycle(daemons):
-                if stopped.is_set():
-                    return
-                group.create_task(send_one(group, daemon))
-                await asyncio.sleep(interval_ms / MS_PER_S)
-
-    task = asyncio.create_task(run())
-    try:
-        yield answers
-    finally:
-        stopped.set()
-        await task
-
-
 def most_in_window(times_ms, from_ms):
     """Return the largest number of times in a window that begins at `from_ms` or later."""
     times = sorted(t for t in times_ms if t >= from_ms)
@@ -66,11 +38,6 @@
     assert most <= allowed, f"{worker.id}: {most} requests in {WINDOW_MS:.0f} ms, {allowed} allowed"
 
 
-async def wait_ms(clock, duration_ms):
-    until_ms = clock.now_ms() + duration_ms
-    await wait_until(lambda: clock.now_ms() >= until_ms, 2 * duration_ms / MS_PER_S + 1.0)
-
-
 def use_of_limit(worker, limit, from_ms, until_ms):
     """Return the share of the requests allowed by `limit` that a worker got in a time."""
     count = sum(from_ms <= t < until_ms for t in worker.arrivals_ms)
--- a/libraries/fleet/src/corianderhaven/fleet/_permit_issuer.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_permit_issuer.py
@@ -12,7 +12,7 @@
 from corianderhaven.common import MS_PER_S
 
 PERMITS_PATH = "/peer/permits"
-# For which a permit may be reserved. It bounds what a lost issuer leaves; more would also expire with
+# For which a permit may be reserved. It bounds what a lost issuer leaves; more would expire with
 # requests that are gone before they may use it.
 MAX_ADVANCE_MS = 200.0
 PERMIT_LIFETIME_MS = 1_000.0  # from the time from which it may be used
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -106,7 +106,10 @@
 
 
 class ArrivalWithPart(NamedTuple):
-    """A request that reached a worker and holds a crashing part; `request_id` is the caller's."""
+    """A request that reached a worker and crashes it; `request_id` is the caller's.
+
+    `part` is the crashing part of its prompt, or its target.
+    """
 
     at_ms: float
     request_id: str
@@ -115,7 +118,7 @@
 
 
 class WorkerEnd(NamedTuple):
-    """The end of a worker under a crashing part."""
+    """The end of a worker under a crashing part or target."""
 
     at_ms: float
     worker: str
@@ -166,13 +169,15 @@
     crashing_parts : set of str
         IDs of prompt parts, in lower case. An engine ends when it is about to write the first
         event of a request with one of them before its last part.
+    crashing_targets : set of str
+        Targets of requests under which any worker ends that begins to run them.
     crash_restart_ms : float
-        Time from such an end until the engine starts again at the same address.
+        Time from such an end until the worker starts again at the same address.
     new_id_after_crash : bool
-        Whether the engine then has a new ID; the entry of the old one expires as usual.
+        Whether the worker then has a new ID; the entry of the old one expires as usual.
     ended_workers : list of WorkerEnd
     arrivals_with_part : list of ArrivalWithPart
-        Requests with a crashing part that reached a worker, whatever it answered.
+        Requests with a crashing part or target that reached a worker, whatever it answered.
     """
 
     def __init__(
@@ -196,6 +201,7 @@
         self.keys = {"team-a": ["key-a"], "team-b": ["key-b"]}
         self.routes = default_routes()
         self.crashing_parts = set()
+        self.crashing_targets = set()
         self.crash_restart_ms = 3_000.0
         self.new_id_after_crash = False
         self.ended_workers = []
@@ -320,10 +326,12 @@
         self.servers.append(worker.server)
 
     def _parts_that_crash(self, request):
-        """Return the crashing parts of a request; its last part is its own and never crashes."""
+        """Return the crashing parts of a request, without its last part, and a crashing target."""
         entries = (request.header("corianderhaven-prompt-prefix") or "").split(",")[:-1]
         parts = [entry.partition(":")[0].strip().lower() for entry in entries]
-        return [part for part in parts if part in self.crashing_parts]
+        target = request.target.decode("latin-1")
+        targets = [target] if target in self.crashing_targets else []
+        return [part for part in parts if part in self.crashing_parts] + targets
 
     def _record_arrival(self, worker, request):
         request_id = request.header("corianderhaven-attempt-id") or ""
@@ -333,12 +341,13 @@
             )
 
     def _crash(self, worker, part):
-        """End an engine as a crash does, and start it again after `crash_restart_ms`."""
-        if not worker.engine.alive:
+        """End a worker as a crash does, and start it again after `crash_restart_ms`."""
+        if not worker.listed:
             return  # another request of the same instant has ended it
         self.ended_workers.append(WorkerEnd(self.clock.now_ms(), worker.id, part))
         self.kill(worker.id)
-        worker.engine.group = None
+        if worker.engine is not None:
+            worker.engine.group = None
         self.tasks.append(asyncio.get_running_loop().create_task(self._restart(worker)))
 
     async def _restart(self, worker):
@@ -349,7 +358,8 @@
         else:
             worker.expiry.cancel()
             worker.leaving = False
-            self.engines.restart(worker.id)
+            if worker.engine is not None:
+                self.engines.restart(worker.id)
         while True:
             try:
                 await self._listen(worker, address)
@@ -359,20 +369,21 @@
         worker.listed = True
 
     def _add_successor(self, worker):
-        """Add an engine with a new ID on the host of an ended one."""
+        """Add a worker with a new ID on the host of an ended one."""
         old = worker.engine
         successor = HostedWorker(new_id("e"), worker.service, worker.zone, listed=False)
         successor.address = worker.address
-        successor.engine = self.engines.add(
-            HostedEngine(
-                successor.id,
-                old.zone,
-                old.domain,
-                old.address,
-                started_ms=old.started_ms + 1,
-                staged=list(self.engines.staged(old)),
+        if old is not None:
+            successor.engine = self.engines.add(
+                HostedEngine(
+                    successor.id,
+                    old.zone,
+                    old.domain,
+                    old.address,
+                    started_ms=old.started_ms + 1,
+                    staged=list(self.engines.staged(old)),
+                )
             )
-        )
         self.workers[successor.id] = successor
         return successor
 
@@ -511,6 +522,8 @@
             caller.abort_response()
         elif faults.fail:
             await caller.send_response(500, self._response_headers(worker, request), b"failed")
+        elif parts := self._parts_that_crash(request):
+            self._crash(worker, parts[0])
         elif engine is not None:
             await self._stream_events(worker, request, caller)
         else:
@@ -569,9 +582,6 @@
         caller.abort_response()
 
     async def _stream_events(self, worker, request, caller):
-        if parts := self._parts_that_crash(request):
-            self._crash(worker, parts[0])
-            return
         first = int(request.header("last-event-id") or 0) + 1
         headers = [
             *self._response_headers(worker, request),
