Blame whole requests under which endpoints end, at plain services too

Cause: the ledger of ends knew parts of prompts only (hypothesis 1). A request without a prompt made no evidence, answers of services without an engine weren't watched at all, and a break was taken for bad luck of the endpoint and sent to the next one.

Change: a digest of method, path, caller and body stands in the same ledger as a part of its own, with a proof at three ends and at most two ends of one moment counted; answers of plain services are watched, clear it and are checked before each send. Large bodies are digested in pieces.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_crashing_prompts.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_crashing_prompts.py
@@ -37,6 +37,7 @@
 SOUND_INTERVAL_MS = 50.0
 MIN_REPLICAS = 12
 own_parts = itertools.count(0x1000)
+own_paths = itertools.count()
 
 
 @asynccontextmanager
@@ -103,8 +104,9 @@
         ("corianderhaven-token-count", "120,40"),
         ("corianderhaven-prompt-prefix", f"{sent.prompt},{next(own_parts):x}:20"),
     ]
+    path = f"/draft/{next(own_paths)}"  # no two requests with a part are alike
     try:
-        answer = await send_request(daemon, "/draft/x", "POST", body=b"{}", headers=headers)
+        answer = await send_request(daemon, path, "POST", body=b"{}", headers=headers)
     except ConnectionLostError:
         sent.served = False
     else:
--- a/libraries/gateway/src/corianderhaven/gateway/_crash_evidence.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_evidence.py
@@ -1,4 +1,7 @@
-"""Evidence that one part of prompts ends the endpoints that answer it."""
+"""Evidence that a request, or one part of prompts, ends the endpoints that answer it.
+
+A request as a whole stands in the ledger as a part of its own, by a digest of its contents.
+"""
 
 import hashlib
 import math
@@ -7,11 +10,15 @@
 
 SUSPECT_ENDS = 2
 PROOF_ENDS = 5
+# A request that comes again is the same to the letter, so fewer ends tell than of a part, which is
+# in many requests.
+REQUEST_PROOF_ENDS = 3
 CLEARANCE_MS = 1_000.0  # an end so soon after a sound answer has another cause
 # The loss of a rack ends many endpoints at once. However many they are, they can't prove anything
 # alone; that takes an end at another time.
 MOMENT_MS = 1_000.0  # daemons notice the same loss at slightly different times
 MAX_ENDS_OF_MOMENT = 3  # below PROOF_ENDS, and two more ends at other times complete a proof
+MAX_REQUEST_ENDS_OF_MOMENT = 2
 FIRST_PAUSE_MS = 3_600_000.0
 MAX_PAUSE_MS = 24 * 3_600_000.0
 EVIDENCE_MS = 60_000.0  # for which a part stays suspected
@@ -24,6 +31,8 @@
 # Begins the incarnation that stands for the PROOF_ENDS ends of a proof read from the store.
 STORE_INCARNATION = "store:"
 SHORTENED_PREFIX = "blake2b:"
+REQUEST_PREFIX = "request:"
+REQUEST_DIGEST_BYTES = 16
 NEVER_MS = -math.inf
 
 
@@ -35,6 +44,59 @@
     PROVEN = 2
 
 
+@dataclass(frozen=True)
+class Thresholds:
+    """Numbers of ends that count.
+
+    Parameters
+    ----------
+    proof : int
+        Ends that prove.
+    of_moment : int
+        Ends at the same moment that count at most.
+    shared : int
+        Ends from which on peers are told again and again.
+    """
+
+    proof: int
+    of_moment: int
+    shared: int
+
+
+PART_THRESHOLDS = Thresholds(PROOF_ENDS, MAX_ENDS_OF_MOMENT, SUSPECT_ENDS)
+REQUEST_THRESHOLDS = Thresholds(REQUEST_PROOF_ENDS, MAX_REQUEST_ENDS_OF_MOMENT, SUSPECT_ENDS)
+
+
+def thresholds_of(part):
+    """Return the `Thresholds` of a part, or of a request as a whole."""
+    return REQUEST_THRESHOLDS if part.startswith(REQUEST_PREFIX) else PART_THRESHOLDS
+
+
+class RequestDigest:
+    """Part that stands for a request as a whole, made from its contents.
+
+    Parameters
+    ----------
+    method, target : bytes
+    account : str
+        Client account; empty for an anonymous caller.
+    """
+
+    def __init__(self, method, target, account):
+        self.digest = hashlib.blake2b(digest_size=REQUEST_DIGEST_BYTES)
+        for value in (method, target, account.encode()):
+            self.digest.update(b"%d:" % len(value))
+            self.digest.update(value)
+
+    def update(self, piece):
+        """Add the next piece of the body."""
+        self.digest.update(piece)
+
+    def part(self):
+        """Return the part."""
+        return REQUEST_PREFIX + self.digest.hexdigest()
+
+
 @dataclass(frozen=True)
 class Assessment:
     """Evidence against the worst part of a prompt.
@@ -91,6 +153,7 @@
 
     Parameters
     ----------
+    thresholds : Thresholds
     ends : dict of str to float
         Times at which endpoint incarnations ended, in ms. Ends before the last sound answer stay,
         so that a peer's later time of the same end doesn't count.
@@ -105,6 +168,7 @@
         long, so the time of the sound answer is kept as long.
     """
 
+    thresholds: Thresholds = PART_THRESHOLDS
     ends: dict = field(default_factory=dict)
     cleared_ms: float = NEVER_MS
     verdict: Verdict = Verdict.CLEAR
@@ -119,25 +183,25 @@
         """Compute the fields that follow from `ends` and `cleared_ms`."""
         since_ms = self.cleared_ms + CLEARANCE_MS
         self.counted = {i: t for i, t in self.ends.items() if t > since_ms}
-        self.total = count_ends(self.counted)
-        self.weight = weigh_ends(self.counted)
+        self.total = count_ends(self.counted, self.thresholds)
+        self.weight = weigh_ends(self.counted, self.thresholds)
         self.last_end_ms = max(self.counted.values(), default=NEVER_MS)
 
     def trim(self):
         """Remove ends beyond `MAX_ENDS` and return them."""
         removed = {}
         while len(self.ends) > MAX_ENDS:
-            incarnation = least_needed_end(self.ends)
+            incarnation = least_needed_end(self.ends, self.thresholds)
             removed[incarnation] = self.ends.pop(incarnation)
         return removed
 
     def evidence_until_ms(self):
         """Return when the ends no longer count."""
-        return self.last_end_ms + evidence_lifetime_ms(self.total)
+        return self.last_end_ms + evidence_lifetime_ms(self.total, self.thresholds)
 
     def suspected_until_ms(self):
         """Return when a part that isn't proven is no longer suspected."""
-        lasting_ms = PROOF_EVIDENCE_MS if self.total >= PROOF_ENDS else EVIDENCE_MS
+        lasting_ms = PROOF_EVIDENCE_MS if self.total >= self.thresholds.proof else EVIDENCE_MS
         return self.last_end_ms + lasting_ms
 
     def expires_ms(self):
@@ -150,7 +214,7 @@
 
         They came at the same moment, or another part explains them as well.
         """
-        return self.verdict is Verdict.SUSPECTED and self.total >= PROOF_ENDS
+        return self.verdict is Verdict.SUSPECTED and self.total >= self.thresholds.proof
 
     def is_explained_by(self, other):
         """Return whether these ends have more likely to do with another part of the requests.
@@ -165,12 +229,12 @@
 
     def is_shared(self, now_ms):
         """Return whether daemons tell each other: it restricts requests, or did, or is new."""
-        restricts = self.verdict is not Verdict.CLEAR or self.was_proven
-        return restricts or now_ms - self.changed_ms <= SHARED_MS
+        restricts = self.verdict is not Verdict.CLEAR and self.total >= self.thresholds.shared
+        return restricts or self.was_proven or now_ms - self.changed_ms <= SHARED_MS
 
     def pause_ms(self):
         """Return the time from the last end to the next trial of a proven part."""
-        doublings = max(0, self.total - PROOF_ENDS)
+        doublings = max(0, self.total - self.thresholds.proof)
         return min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2.0**doublings)
 
 
@@ -185,6 +249,11 @@
     return SHORTENED_PREFIX + hashlib.blake2b(data, digest_size=24).hexdigest()
 
 
+def caller_part(part):
+    """Return the id of a part that a caller names, which never stands for a request as a whole."""
+    return f"part:{part}" if part.startswith(REQUEST_PREFIX) else part
+
+
 def store_incarnation(group):
     """Return the incarnation of a proof in the store of parts that are proven together."""
     data = "\0".join(sorted(group)).encode(errors="surrogatepass")
@@ -197,20 +266,20 @@
     return min(times, default=None)
 
 
-def count_ends(ends):
+def count_ends(ends, thresholds=PART_THRESHOLDS):
     """Return the number of ended endpoints, with those that a proof in the store stands for."""
     proven_ms = proof_ms(ends)
     if proven_ms is None:
         return len(ends)
     later = sum(ended_ms > proven_ms for ended_ms in ends.values())
-    return max(len(ends) - 1, PROOF_ENDS + later)
+    return max(len(ends) - 1, thresholds.proof + later)
 
 
-def weigh_ends(ends):
-    """Return the number of ends of which at most `MAX_ENDS_OF_MOMENT` are at the same moment."""
+def weigh_ends(ends, thresholds=PART_THRESHOLDS):
+    """Return the number of ends with a limit on those at the same moment."""
     if proof_ms(ends) is not None:
-        return max(PROOF_ENDS, count_ends(ends))
-    return sum(min(len(moment), MAX_ENDS_OF_MOMENT) for moment in group_by_moment(ends))
+        return max(thresholds.proof, count_ends(ends, thresholds))
+    return sum(min(len(moment), thresholds.of_moment) for moment in group_by_moment(ends))
 
 
 def group_by_moment(ends):
@@ -224,13 +293,13 @@
     return moments
 
 
-def least_needed_end(ends):
+def least_needed_end(ends, thresholds):
     """Return the end that adds least to the evidence: one of many at a moment, or the oldest."""
     moments = group_by_moment(ends)
     most = max(moments, key=len)
-    return most[-1] if len(most) > MAX_ENDS_OF_MOMENT else moments[0][0]
+    return most[-1] if len(most) > thresholds.of_moment else moments[0][0]
 
 
-def evidence_lifetime_ms(total):
+def evidence_lifetime_ms(total, thresholds=PART_THRESHOLDS):
     """Return how long `total` ends count after the last of them, in ms."""
-    return PROOF_EVIDENCE_MS if total >= PROOF_ENDS else MEMORY_MS
+    return PROOF_EVIDENCE_MS if total >= thresholds.proof else MEMORY_MS
--- a/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
@@ -10,7 +10,7 @@
 
 from . import _metrics
 from ._admission import Refusal
-from ._crash_evidence import Verdict
+from ._crash_evidence import REQUEST_PREFIX, RequestDigest, Verdict
 from ._crash_ledger import CrashLedger
 
 # An endpoint that a prompt ends writes a few events at most.
@@ -22,9 +22,29 @@
 PROBE_DELAYS_MS = (150.0, 500.0, 1_500.0, 4_000.0)
 REPLICA_RISK_PAUSE_MS = 5_000.0  # in which another replica of the model may be formed
 CHECK_INTERVAL_MS = 1_000.0
+DIGEST_PIECE_BYTES = 65_536  # well under a ms
 DIGEST_CACHE_MS = 50.0  # half of the shortest exchange interval
 
 
+async def digest_request(request, account):
+    """Return the part that stands for a `CallerRequest` as a whole.
+
+    Yields between pieces of a large body, so that other requests don't wait for it.
+    """
+    digest = RequestDigest(request.method, request.target, account.name if account else "")
+    for first in range(0, len(request.body), DIGEST_PIECE_BYTES):
+        if first:
+            await asyncio.sleep(0)
+        digest.update(request.body[first : first + DIGEST_PIECE_BYTES])
+    return digest.part()
+
+
+def reason_for(part):
+    """Return why requests with a part that ended endpoints are refused."""
+    subject = "the request" if part.startswith(REQUEST_PREFIX) else "a part of the prompt"
+    return f"{subject} ended endpoints"
+
+
 class OpeningPhase:
     """An attempt from its send until its answer is past its first events.
 
@@ -53,6 +73,11 @@
             self.record_sound()
         return count >= OPENING_EVENTS
 
+    def record_answer(self):
+        """Record a whole answer to a request without events: its endpoint lived on."""
+        self.began_ms = self.guard.clock.now_ms()
+        self.record_sound()
+
     def record_sound(self):
         """Record that the endpoint lived on after it had begun to write."""
         if not self.over and self.began_ms is not None:
@@ -111,7 +136,7 @@
         has_other_replica : callable
             Returns whether its model stays served if the request ends its endpoint.
         """
-        admission = self.ledger.admit(metadata.shared_parts, self.is_trial_owner)
+        admission = self.ledger.admit(metadata.blamed_parts, self.is_trial_owner)
         if admission.part is None:
             return None
         evidence = self.ledger.assess((admission.part,))
@@ -128,7 +153,7 @@
             retry_after_ms=round(retry_after_ms),
         )
         _metrics.PART_REJECTIONS.labels(evidence.verdict.name.lower()).inc()
-        return Refusal("a part of the prompt ended endpoints", retry_after_ms)
+        return Refusal(reason_for(admission.part), retry_after_ms)
 
     def _may_risk_replica(self, evidence):
         """Return whether a suspected part may be tried on a model's only replica.
@@ -147,12 +172,12 @@
         The trial of a proven part counts as an end until it turns out sound: its result may
         never be known, and no other daemon is to try the part at the same time.
         """
-        if self.ledger.is_proven(metadata.shared_parts):
+        if self.ledger.is_proven(metadata.blamed_parts):
             now = self.clock.now_ms()
             self.ledger.record_end(
-                f"trial:{self.peers.own_name}@{round(now)}", metadata.shared_parts, now
+                f"trial:{self.peers.own_name}@{round(now)}", metadata.blamed_parts, now
             )
-        return OpeningPhase(self, metadata.request_id, endpoint, metadata.shared_parts)
+        return OpeningPhase(self, metadata.request_id, endpoint, metadata.blamed_parts)
 
     async def record_break(self, opening):
         """Find out whether the endpoint ended in the opening phase of an answer that broke off.
--- a/libraries/gateway/src/corianderhaven/gateway/_crash_ledger.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_ledger.py
@@ -18,7 +18,7 @@
     MAX_PART_LENGTH,
     MOMENT_MS,
     NEVER_MS,
-    PROOF_ENDS,
+    REQUEST_PREFIX,
     SUSPECT_ENDS,
     Admission,
     Assessment,
@@ -29,6 +29,7 @@
     evidence_lifetime_ms,
     shorten,
     store_incarnation,
+    thresholds_of,
 )
 
 SUSPECTED_RETRY_MS = 1_000.0
@@ -40,6 +41,8 @@
 # newer with each exchange, until it cleared ends that came after it.
 CLEARED_TOLERANCE_MS = 500.0
 MAX_PARTS = 256
+MAX_REQUESTS = 512  # each request that an ordinary loss breaks off in its beginning takes a place
+EXPIRY_INTERVAL_MS = 1_000.0
 RECENT_MS = 5_000.0  # covers the spread of an end's record to the daemon that had a sound answer
 MAX_RECENT_PARTS = 4_096
 MAX_IN_FLIGHT_PARTS = 4_096
@@ -72,6 +75,7 @@
         # time, and never get old.
         self.forgotten = OrderedDict()
         self.in_flight = {}
+        self.expired_ms = NEVER_MS
         self.on_proven = lambda part: None
         self.on_cleared = lambda part: None
 
@@ -206,8 +210,9 @@
         Ends before the last sound answer are included: to a daemon that noticed such an end
         later, it would otherwise still count.
         """
-        self.expire()
         now = self.clock.now_ms()
+        if now - self.expired_ms >= EXPIRY_INTERVAL_MS:
+            self.expire()
         # Ages are rounded down. Rounded up, an end would get older with each exchange.
         return {
             part: PartRecord(
@@ -284,6 +289,7 @@
 
     def expire(self):
         """Drop evidence that is too old to count."""
+        self.expired_ms = self.clock.now_ms()
         for part in list(self.records):
             self._current(part)
         self._drop_old_successes()
@@ -351,7 +357,7 @@
         if received.cleared_age_ms >= 0.0:
             cleared_ms = max(cleared_ms, now - received.cleared_age_ms)
         ends = {}
-        if self._is_learnable(received.ends):
+        if self._is_learnable(received.ends, thresholds_of(part)):
             ends = {i: now - max(0.0, age_ms) for i, age_ms in received.ends.items()}
         record = self._current(part)
         if record is None:
@@ -362,19 +368,22 @@
         return self._add(part, ends, cleared_ms)
 
     @staticmethod
-    def _is_learnable(ages):
+    def _is_learnable(ages, thresholds):
         """Return whether received ends are young enough for all to keep them for a while."""
         if not ages:
             return False
-        total = count_ends({i: -age_ms for i, age_ms in ages.items()})
-        return min(ages.values()) <= evidence_lifetime_ms(total) - LEARNING_MARGIN_MS
+        total = count_ends({i: -age_ms for i, age_ms in ages.items()}, thresholds)
+        lifetime_ms = evidence_lifetime_ms(total, thresholds)
+        return min(ages.values()) <= lifetime_ms - LEARNING_MARGIN_MS
 
     def _add(self, part, ends, cleared_ms):
         """Add ends and a sound answer; returns whether this changed anything."""
         ends = {i: min(t, self.forgotten.get((part, i), math.inf)) for i, t in ends.items()}
         record = self.records.get(part)
         if record is None:
-            record = PartEvidence(ends, cleared_ms, changed_ms=self.clock.now_ms())
+            record = PartEvidence(
+                thresholds_of(part), ends, cleared_ms, changed_ms=self.clock.now_ms()
+            )
             self._trim(part, record)
             return self._insert(part, record)
         earlier = {i: t for i, t in ends.items() if t < record.ends.get(i, math.inf)}
@@ -398,10 +407,11 @@
 
     def _insert(self, part, record):
         """Insert a record if there is place, or one with less evidence makes place."""
-        if len(self.records) >= MAX_PARTS:
+        if not self._has_place_for(part):
             self.expire()
-        if len(self.records) >= MAX_PARTS:
-            weakest = min(self.records, key=lambda part: self._rank(self.records[part]))
+        if not self._has_place_for(part):
+            same_kind = self._records_like(part)
+            weakest = min(same_kind, key=lambda part: self._rank(self.records[part]))
             other = self.records[weakest]
             if other.verdict is Verdict.PROVEN or self._rank(other) >= self._rank(record):
                 self._remember(part, record.ends)
@@ -411,11 +421,20 @@
         self.records[part] = record
         return True
 
+    def _has_place_for(self, part):
+        most = MAX_REQUESTS if part.startswith(REQUEST_PREFIX) else MAX_PARTS
+        return len(self.records) < most or len(self._records_like(part)) < most
+
+    def _records_like(self, part):
+        """Return the parts of prompts in the ledger, or the requests: neither displaces others."""
+        is_request = part.startswith(REQUEST_PREFIX)
+        return [p for p in self.records if p.startswith(REQUEST_PREFIX) == is_request]
+
     @staticmethod
     def _rank(record):
         """Return a key that sorts records by how much they deserve their place."""
         latest_ms = max(record.last_end_ms, record.cleared_ms)
-        return record.weight >= PROOF_ENDS, record.total, latest_ms
+        return record.weight >= record.thresholds.proof, record.total, latest_ms
 
     def _drop_old_successes(self):
         oldest_ms = self.clock.now_ms() - RECENT_MS
@@ -428,11 +447,19 @@
     def _update_verdicts(self):
         """Compute all verdicts: ends of one part may explain those of another."""
         # A part with one end less than a proof takes may explain all but one of another's.
-        least = PROOF_ENDS - SUSPECT_ENDS + 1
-        candidates = [r for r in self.records.values() if r.weight >= least]
+        candidates = [
+            r
+            for r in self.records.values()
+            if r.weight >= r.thresholds.proof - SUSPECT_ENDS + 1 and r.weight >= SUSPECT_ENDS
+        ]
         candidates.sort(key=lambda r: -r.weight)
         changed = []
-        strongest_first = sorted(self.records.items(), key=lambda item: -item[1].weight)
+        uncertain = (
+            item
+            for item in self.records.items()
+            if item[1].weight >= SUSPECT_ENDS or item[1].verdict is not Verdict.CLEAR
+        )
+        strongest_first = sorted(uncertain, key=lambda item: -item[1].weight)
         for part, record in strongest_first:
             verdict = self._new_verdict(record, candidates)
             if Verdict.PROVEN in (verdict, record.verdict) and verdict is not record.verdict:
@@ -449,7 +476,7 @@
         # A part that was only in answers with a proven one needs no caution of its own.
         if any(other.verdict is Verdict.PROVEN for other in explanations):
             return Verdict.CLEAR
-        if explanations or record.weight < PROOF_ENDS:
+        if explanations or record.weight < record.thresholds.proof:
             is_old = self.clock.now_ms() > record.suspected_until_ms()
             return Verdict.CLEAR if is_old else Verdict.SUSPECTED
         return Verdict.PROVEN
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -1,6 +1,5 @@
 """Admission queues, latency estimators and endpoint selection of all services."""
 
-import itertools
 import math
 
 from corianderhaven.common import MS_PER_S
@@ -62,7 +61,7 @@
             # The caller has already waited for an endpoint, and may have part of the answer.
             resumed=context.attempts > 0,
             excluded=context.excluded,
-            parts=() if context.sound else metadata.shared_parts,
+            parts=() if context.sound else metadata.blamed_parts,
         )
 
     def queue(self, service, engine, model):
@@ -147,10 +146,14 @@
 
     def assign_waiting(self):
         """Assign endpoints to waiting requests, as a permit may be used now."""
-        for queue in itertools.chain(self.queues.values(), self.plain_queues.values()):
+        for queue in self.all_queues():
             if queue.waiting:
                 queue.assign()
 
+    def all_queues(self):
+        """Return the queues of all models and services."""
+        return [*self.queues.values(), *self.plain_queues.values()]
+
     def held_for_ms(self, endpoints):
         """Return how long none of the endpoints takes requests; 0.0 if one does or none exist."""
         waits_ms = (
@@ -227,6 +230,7 @@
             deadline_cutoff_ms=deadline_cutoff_ms,
             resumed=context.attempts > 0,
             excluded=context.excluded,
+            parts=context.metadata.blamed_parts,
         )
 
     def _plain_capacity_per_ms(self, service):
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -7,7 +7,7 @@
 
 from . import _metrics
 from ._admission import Refusal, dispatch_periodically
-from ._crash_guard import CrashGuard
+from ._crash_guard import CrashGuard, digest_request, reason_for
 from ._dispatcher import DEFAULT_GOAL_MS, Dispatcher
 from ._endpoint_limits import SHARED_MS, EndpointLimits
 from ._event_stream import EventSplitter
@@ -184,6 +184,7 @@
         service = self.route_table.choose_service(route)
         limit_ms = min(metadata.deadline_ms or route.timeout_ms, route.timeout_ms)
         deadline_ms = request.received_ms + limit_ms - ANSWER_MARGIN_MS
+        metadata.whole_part = await digest_request(request, account)
         context = RequestContext(request, metadata, route, account, service, caller, deadline_ms)
         context.splitter = EventSplitter(metadata.last_event_id)
         await self._serve(context)
@@ -285,8 +286,8 @@
     def _note_verdict(self, part, proven):
         """Reject what waits with a part that is proven to end endpoints."""
         if proven:
-            refusal = Refusal("a part of the prompt ended endpoints", PART_RETRY_AFTER_MS)
-            for queue in self.dispatcher.queues.values():
+            refusal = Refusal(reason_for(part), PART_RETRY_AFTER_MS)
+            for queue in self.dispatcher.all_queues():
                 queue.reject(self.crash_guard.ledger.is_proven, refusal)
         self.on_proven_part(part, proven)
 
@@ -298,29 +299,48 @@
             if isinstance(endpoint, Refusal):
                 await self._end_unserved(context, endpoint.reason, endpoint.retry_after_ms)
                 return
+            context.opening = self.crash_guard.begin(context.metadata, endpoint)
             try:
                 result = await self.sender.send_buffered(
                     context, endpoint, self._attempt_timeout_ms(context)
                 )
+                if result in (AttemptResult.COMPLETE, AttemptResult.FAILED):
+                    context.opening.record_answer()
+                elif result is AttemptResult.BROKEN:
+                    await self.crash_guard.record_break(context.opening)
             finally:
+                context.opening.finish()
                 self.dispatcher.release(endpoint)
             if not await self._finish_attempt(context, endpoint, result):
                 return
 
     async def _acquire_plain(self, context):
         """Return an endpoint of a service without an engine, or a `Refusal`."""
+        refusal = self._check_plain(context)
+        if refusal is not None:
+            return refusal
         if self.dispatcher.waits_for_permits(context):
             queue = self.dispatcher.plain_queue(context.service.name)
             queued_ms = self.clock.now_ms()
             endpoint = await queue.acquire(self.dispatcher.plain_queued_request(context))
             context.waited_ms += self.clock.now_ms() - queued_ms
-            return endpoint
+            refusal = self._check_plain(context)  # what is known may have changed meanwhile
+            if isinstance(endpoint, Refusal) or refusal is None:
+                return endpoint
+            self.dispatcher.release(endpoint)
+            return refusal
         endpoint = self.dispatcher.pick_plain_endpoint(context)
         if endpoint is not None:
             return endpoint
         held_ms = self.dispatcher.held_for_ms(self.dispatcher.plain_endpoints(context))
         return Refusal("no endpoint", held_ms or PLAIN_RETRY_AFTER_MS)
 
+    def _check_plain(self, context):
+        def has_other_endpoint():
+            return len(self.dispatcher.plain_endpoints(context)) > 1
+
+        return self.crash_guard.check(context.metadata, has_other_endpoint)
+
     def _assign_later(self, wait_ms):
         """Assign endpoints to waiting requests when a permit may be used."""
         loop = asyncio.get_running_loop()
@@ -355,6 +375,7 @@
             last_event=context.splitter.last_event_id,
             events=context.attempt_events,
             parts=context.metadata.shared_parts[:MAX_LOGGED_PARTS],
+            whole_part=context.metadata.whole_part,
             budget=round(self.retry_budget.remaining(context.service.name), 1),
         )
         context.excluded.add(endpoint.id)
@@ -375,7 +396,7 @@
     def _may_resume(self, context, result):
         if result is not AttemptResult.BROKEN or context.sound:
             return True
-        return self.crash_guard.may_resume(context.metadata.shared_parts)
+        return self.crash_guard.may_resume(context.metadata.blamed_parts)
 
     def _suspect(self, endpoint, reason):
         if endpoint.membership is not None:
--- a/libraries/gateway/src/corianderhaven/gateway/_wire.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_wire.py
@@ -3,6 +3,8 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
+from ._crash_evidence import caller_part
+
 
 @dataclass
 class RequestMetadata:
@@ -22,6 +24,8 @@
         Event after which the caller resumes a stream.
     shared_parts : tuple of str
         Ids of the parts of the prompt that other requests may hold as well.
+    whole_part : str
+        Id that stands for the request as a whole, the same whenever it comes again.
     """
 
     request_id: str
@@ -33,6 +37,13 @@
     length_hint: int | None = None
     last_event_id: str | None = None
     shared_parts: tuple = ()
+    whole_part: str = ""
+
+    @property
+    def blamed_parts(self):
+        """Return the parts that may be to blame if an endpoint ends under the request."""
+        parts = tuple(map(caller_part, self.shared_parts))
+        return (*parts, self.whole_part) if self.whole_part else parts
 
 
 @dataclass
--- a/libraries/gateway/src/corianderhaven/gateway/tests/crash_fleet.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/crash_fleet.py
@@ -20,6 +20,9 @@
 CRASHES_FROM_MS = 2_000.0
 BURST_MS = 3_000.0
 CRASHING = "crashing"
+CRASHING_REQUEST = "request:crashing"
+POPULAR_REQUESTS = 5
+ENDS_TO_KNOW = {CRASHING: 5, CRASHING_REQUEST: 3}
 LOSS_SHARE = 0.15
 DOMAINS = 8
 
@@ -36,6 +39,8 @@
         When 15 % of the endpoints end at once.
     domain_losses_ms : tuple of float
         When all endpoints of one of the domains end at once.
+    culprit : str
+        What crashes endpoints: a part of prompts, or a request that comes again as a whole.
     """
 
     daemons: int = 6
@@ -47,6 +52,7 @@
     domain_losses_ms: tuple = ()
     callers: int = 6
     duration_ms: float = 12_000.0
+    culprit: str = CRASHING
 
 
 @dataclass
@@ -67,6 +73,8 @@
         Longest time for which a daemon suspected a sound part without pause, by part.
     sound, sound_refused : int
         Sound requests, and those of them that were refused at the first attempt.
+    ends_to_know : int
+        Crashes after which the target counts the sends that follow.
     """
 
     crashes_ms: list = field(default_factory=list)
@@ -76,6 +84,7 @@
     suspicion_ms: dict = field(default_factory=dict)
     sound: int = 0
     sound_refused: int = 0
+    ends_to_know: int = 5
 
     def crashes_until_proof(self):
         """Return how many endpoints had ended when the first daemon had a proof, or None."""
@@ -84,10 +93,10 @@
         return sum(crashed_ms <= self.proof_ms for crashed_ms in self.crashes_ms)
 
     def late_sends(self):
-        """Return the sends later than `CONTACT_MS` after the fifth crash."""
-        if len(self.crashes_ms) < 5:
+        """Return the sends later than `CONTACT_MS` after the crash that makes the culprit known."""
+        if len(self.crashes_ms) < self.ends_to_know:
             return 0
-        since_ms = sorted(self.crashes_ms)[4] + CONTACT_MS
+        since_ms = sorted(self.crashes_ms)[self.ends_to_know - 1] + CONTACT_MS
         return sum(sent_ms > since_ms for sent_ms in self.sends_ms)
 
 
@@ -119,7 +128,8 @@
         self.shape = shape
         self.random = random.Random(seed)
         self.clock = ManualClock(0.0)
-        self.figures = Figures()
+        self.culprit = shape.culprit
+        self.figures = Figures(ends_to_know=ENDS_TO_KNOW[shape.culprit])
         self.names = [f"daemon-{n}" for n in range(shape.daemons)]
         self.ledgers = [CrashLedger(self.clock) for _ in self.names]
         self.endpoints = [SimulatedEndpoint(n) for n in range(shape.endpoints)]
@@ -171,18 +181,24 @@
         parts = [f"caller-{caller}", f"document-{caller}-{self.random.randrange(8)}"]
         if self.random.random() < 0.3:
             parts.append(f"rare-{self.random.randrange(200)}")
+        if self.culprit == CRASHING_REQUEST:
+            popular = self.random.random() < 0.3
+            number = self.random.randrange(POPULAR_REQUESTS) if popular else next(self.order)
+            parts.append(f"request:{'popular' if popular else 'own'}-{number}")
         return tuple(parts)
 
     def crashing_parts(self):
         """Return the crashing part at any place among the parts of sound requests."""
         parts = list(self.sound_parts())
+        if self.culprit == CRASHING_REQUEST:
+            return (*parts[:-1], CRASHING_REQUEST)
         parts.insert(self.random.randrange(len(parts) + 1), CRASHING)
         return tuple(parts)
 
     def request(self, parts, daemon=None):
         daemon = self.random.randrange(self.shape.daemons) if daemon is None else daemon
         admitted = self.send(daemon, parts)
-        if CRASHING not in parts:
+        if self.culprit not in parts:
             self.figures.sound += 1
             self.figures.sound_refused += not admitted
 
@@ -195,7 +211,7 @@
         attempt = Attempt(daemon, parts, admission.resumable and not resumed, ledger.begin(parts))
         endpoint = self.random.choice(up)
         endpoint.attempts.add(attempt)
-        if CRASHING in parts:
+        if self.culprit in parts:
             self.figures.sends_ms.append(self.clock.now_ms())
         self.after(self.random.uniform(*OPENING_MS), self.write, endpoint, attempt)
         return True
@@ -206,7 +222,7 @@
     def write(self, endpoint, attempt):
         if attempt not in endpoint.attempts:
             return
-        if CRASHING in attempt.parts:
+        if self.culprit in attempt.parts:
             self.figures.crashes_ms.append(self.clock.now_ms())
             self.end(endpoint)
             return
@@ -266,7 +282,7 @@
         self.ledgers[number].merge(received)
 
     def record_proof(self, part):
-        if part != CRASHING:
+        if part != self.culprit:
             self.figures.falsely_proven.add(part)
         elif self.figures.proof_ms is None:
             self.figures.proof_ms = self.clock.now_ms()
@@ -277,7 +293,7 @@
             (number, listed.part)
             for number, ledger in enumerate(self.ledgers)
             for listed in ledger.listing()
-            if listed.verdict is not Verdict.CLEAR and listed.part != CRASHING
+            if listed.verdict is not Verdict.CLEAR and listed.part != self.culprit
         }
         for key in suspected:
             since_ms = self.suspected_since_ms.setdefault(key, now)
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -136,6 +136,7 @@
     address: str = ""
     engine: object = None
     entry_count: int = 0
+    started_ms: int = 1
     listed: bool = True
     leaving: bool = False
     faults: WorkerFaults = field(default_factory=WorkerFaults)
@@ -358,6 +359,7 @@
         else:
             worker.expiry.cancel()
             worker.leaving = False
+            worker.started_ms += 1
             if worker.engine is not None:
                 self.engines.restart(worker.id)
         while True:
@@ -425,7 +427,7 @@
             "state": "draining" if worker.leaving else "ready",
             "cold_remaining_ms": 0,
             "sequence": worker.entry_count,
-            "born": 1,
+            "born": worker.started_ms,
         }
 
     async def _answer_worker(self, worker, request, caller):
