Add limits and crashing requests to the faults of the soak

Change: worker_names_limit (a limit, a lower one, none) and request_crashes_workers (a request to a plain service or an engine that comes again and again). The weights change what older seeds plan. A test plays each alone: no promise broken, all kinds of request served again.

--- a/libraries/soak/src/corianderhaven/soak/_callers.py
+++ b/libraries/soak/src/corianderhaven/soak/_callers.py
@@ -15,7 +15,7 @@
 MEAN_PAUSE_S = 0.15  # between two requests of one caller
 VERSION_LAGS = [0, 0, 3]  # consecutive configuration versions differ by 3
 ABANDON_PROBABILITY = 0.04  # that a caller disconnects before the response
-CRASHING_PROBABILITY = 0.1  # that a draft holds a crashing part while there is one
+CRASHING_PROBABILITY = 0.1  # that a request crashes its workers while there is such a one
 SHARED_PART = "5c1e07a2"
 SOUND_PARTS = ["91bd3f06", "e4402b7d", "38f2c6aa"]
 KIND_WEIGHTS = {"draft": 5, "issue": 3, "status": 2, "version": 1}
@@ -101,6 +101,11 @@
     def _path(self, attempt):
         if attempt.kind == "version":
             return f"/version-{attempt.version}/x"
+        crashing = sorted(
+            t for t in self.site.crashing_targets if t.startswith(f"/{attempt.kind}/")
+        )
+        if crashing and self.rng.random() < CRASHING_PROBABILITY:
+            return self.rng.choice(crashing)
         return f"/{attempt.kind}/{attempt.id}"
 
     def _headers(self, attempt, body):
--- a/libraries/soak/src/corianderhaven/soak/_fault_injector.py
+++ b/libraries/soak/src/corianderhaven/soak/_fault_injector.py
@@ -6,6 +6,8 @@
 from corianderhaven.standins import ENGINE_SERVICE, PLAIN_SERVICE, WorkerFaults, default_routes
 
 SLOW_STORE_MS = 120.0  # 30 times the usual response time of the store
+NAMED_LIMITS = ("3.0", "0.5")  # requests per second, as on the wire
+CRASHING_KINDS = ("status", "issue", "draft")
 LINK_DELAY_MS = 40.0  # below the connect timeout
 REPLACEMENT_DELAY_S = 0.5  # until an empty VM replaces a lost one
 # Worker and misbehaviour are derived from one selector; the factor keeps a worker's position from
@@ -234,6 +236,23 @@
         await asyncio.sleep(fault.duration_s)
         self.site.crashing_parts.discard(part)
 
+    async def request_crashes_workers(self, fault):
+        """Let one request come again and again that ends each worker that runs it."""
+        kind = CRASHING_KINDS[int(fault.selector * len(CRASHING_KINDS)) % len(CRASHING_KINDS)]
+        target = f"/{kind}/crashing-{next(self.part_numbers):x}"
+        self.site.crashing_targets.add(target)
+        await asyncio.sleep(fault.duration_s)
+        self.site.crashing_targets.discard(target)
+
+    async def worker_names_limit(self, fault):
+        """Let a worker name a limit, a lower one after a while, and none in the end."""
+        live = [w for w in self.site.workers.values() if w.listed]
+        worker = self._select(live, fault)
+        for limit in NAMED_LIMITS:
+            worker.faults = WorkerFaults(limits=(limit,))
+            await asyncio.sleep(fault.duration_s / len(NAMED_LIMITS))
+        worker.faults = WorkerFaults()
+
     async def caller_links_reset(self, fault):
         self._select(self.daemons, fault).caller_link.reset()
 
--- a/libraries/soak/src/corianderhaven/soak/_faults.py
+++ b/libraries/soak/src/corianderhaven/soak/_faults.py
@@ -30,6 +30,8 @@
     "caller_links_reset": 2,
     "config_change": 5,
     "prompt_part_crashes_engines": 2,
+    "request_crashes_workers": 2,
+    "worker_names_limit": 3,
 }
 
 
--- a/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
+++ b/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
@@ -262,3 +262,27 @@
     assert report.faults == {"prompt_part_crashes_engines": 1}
     assert run.site.ended_workers
     assert run.site.crashing_parts == set()
+
+
+def play_one_fault(tmp_path, monkeypatch, kind, selector):
+    faults = [Fault(kind, 0.5, 2.0, selector)]
+    monkeypatch.setattr(_soak_run, "plan_faults", lambda seed, seconds: faults)
+    run = SoakRun(7, 4.0, 3, str(tmp_path))
+    report = asyncio.run(run.run())
+    assert report.breaches == []
+    assert report.recovered_s is not None
+    assert report.faults == {kind: 1}
+    return run
+
+
+@pytest.mark.parametrize("selector", [0.0, 0.5, 0.9])
+def test_request_that_crashes_workers_leaves_all_kinds_served(tmp_path, monkeypatch, selector):
+    run = play_one_fault(tmp_path, monkeypatch, "request_crashes_workers", selector)
+    assert run.site.ended_workers
+    assert run.site.crashing_targets == set()
+
+
+@pytest.mark.parametrize("selector", [0.0, 0.99])
+def test_worker_that_names_limits_leaves_all_kinds_served(tmp_path, monkeypatch, selector):
+    run = play_one_fault(tmp_path, monkeypatch, "worker_names_limit", selector)
+    assert not any(worker.faults.limits for worker in run.site.workers.values())
