Pass large configurations on to daemons without the store in time

The class: a timeout for small messages on a large one, with repetition of the whole.

Change: the configuration is sent compressed, once compressed for all that ask; the fetch has a timeout of its own and a task of its own, one at a time, while digests go on.

Tests: a state that takes 0.9 s arrives, with digests meanwhile; one with 1,160 routes takes less than a fifth of the configuration's bytes; both failed on the code before (no state in 2.7 s; 133 % of the bytes).

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -37,6 +37,7 @@
     StoreEra,
     StoreWatcher,
     decode_permits,
+    encode_state,
 )
 from corianderhaven.gateway import Gateway
 from corianderhaven.hosting import (
@@ -414,7 +415,7 @@
         elif request.target == PERMITS_PATH.encode():
             await self._answer_permits(request, caller)
         elif request.target == STATE_PATH.encode():
-            await caller.send_response(200, [], msgspec.json.encode(self._make_state()))
+            await caller.send_response(200, [], encode_state(self._make_state()))
         elif request.target == PARTS_PATH:
             ledger = self.gateway.crash_guard.ledger
             await answer_parts(ledger, self.decisions, request, caller)
--- a/libraries/fleet/src/corianderhaven/fleet/__init__.py
+++ b/libraries/fleet/src/corianderhaven/fleet/__init__.py
@@ -28,7 +28,7 @@
 from ._keeper import ReplicaKeeper
 from ._keeper_lease import KeeperLease
 from ._peer_exchange import PeerExchange
-from ._peer_state import STATE_PATH, PeerState
+from ._peer_state import STATE_PATH, PeerState, encode_state
 from ._peers import PeerTable
 from ._permit_client import PermitClient
 from ._permit_issuer import (
@@ -101,6 +101,7 @@
     "PermitWish",
     "ProvenParts",
     "decode_permits",
+    "encode_state",
     "PeerExchange",
     "PeerMessage",
     "PeerState",
--- a/libraries/fleet/src/corianderhaven/fleet/_peer_exchange.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peer_exchange.py
@@ -15,6 +15,7 @@
 MAX_EXCHANGE_INTERVAL_MS = 200.0  # a third of the time for which digests are valid
 # An exchange costs a hub about 1 ms of CPU time: 66 per second use a fifteenth of a core.
 EXCHANGE_INTERVAL_MS_PER_DAEMON = 15.0
+STATE_TIMEOUT_MS = 1_500.0  # a peer that has gone silent holds up the next one no longer
 EXCHANGE_TIMEOUT_MS = 400.0  # less than the time for which digests are valid
 PEER_UPDATE_INTERVAL_MS = 100.0  # a new peer waits no longer than the shortest exchange interval
 RECORD_LEASE_MS = 8_000.0
@@ -62,6 +63,7 @@
         self.decisions = decisions
         self.source_ip = source_ip
         self.exchanges = {}
+        self.fetch = None
         self.tasks = []
         self.record_lease = None
         self.record_written = False
@@ -81,7 +83,8 @@
 
     def close(self):
         """Stop all tasks; the registration expires with its lease."""
-        for task in (*self.tasks, *self.exchanges.values()):
+        fetches = [self.fetch] if self.fetch is not None else []
+        for task in (*self.tasks, *self.exchanges.values(), *fetches):
             task.cancel()
 
     def _forget_record(self):
@@ -172,7 +175,7 @@
             while True:
                 answered = await self._exchange_once(client, peer)
                 if answered and self._needs_state_of(peer):
-                    await self._fetch_state(client, peer)
+                    self._begin_fetch(peer)
                 if answered is not last_answered:
                     event = "peer_reached" if answered else "peer_lost"
                     self.decisions.record(event, peer=peer.name)
@@ -202,13 +205,24 @@
             return False
         return not self.state_received or digest.config_version > self.config_version()
 
-    async def _fetch_state(self, client, peer):
-        """Take over what a peer knows and the store may have lost."""
+    def _begin_fetch(self, peer):
+        """Take over the state of a peer, unless that of another one is on its way."""
+        if self.fetch is None or self.fetch.done():
+            self.fetch = asyncio.get_running_loop().create_task(self._fetch_state(peer))
+
+    async def _fetch_state(self, peer):
+        """Take over what a peer knows and the store may have lost.
+
+        Digests are exchanged meanwhile, as the state may take long over a narrow link.
+        """
+        client = AsyncHttpClient(peer.address, self.source_ip)
         try:
-            answer = await client.call("GET", STATE_PATH, b"", EXCHANGE_TIMEOUT_MS)
+            answer = await client.call("GET", STATE_PATH, b"", STATE_TIMEOUT_MS)
             state = decode_state(answer.body)
         except (ConnectionLostError, ValueError) as error:
             self.decisions.record("peer_state_failed", peer=peer.name, reason=str(error))
             return
+        finally:
+            client.close()
         self.state_received = True
         self.apply_state(state, peer.name)
--- a/libraries/fleet/src/corianderhaven/fleet/_peer_state.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peer_state.py
@@ -1,10 +1,15 @@
 """State that a daemon takes over from a peer when it starts, or is behind."""
 
+import functools
+import zlib
+
 import msgspec
 
 from ._digests import LimitRecord
 
 STATE_PATH = "/peer/state"
+COMPRESSION_LEVEL = 1  # the text of a configuration shrinks well at any level
+MAX_CONFIG_BYTES = 16 << 20  # several times what the store takes
 
 
 class PeerState(msgspec.Struct):
@@ -27,9 +32,41 @@
     limits: dict[str, LimitRecord] = {}
 
 
+class _PackedState(msgspec.Struct):
+    """A `PeerState` as sent, with its configuration compressed."""
+
+    packed_config: bytes
+    config_version: int = 0
+    departed: dict[str, tuple[int, int, bool]] = {}
+    limits: dict[str, LimitRecord] = {}
+
+
+def encode_state(state):
+    """Return the bytes of a `PeerState`."""
+    return msgspec.json.encode(
+        _PackedState(_pack(state.config), state.config_version, state.departed, state.limits)
+    )
+
+
 def decode_state(body):
     """Return the `PeerState` in `body`; raises ValueError if it can't be decoded."""
     try:
-        return msgspec.json.decode(body, type=PeerState)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        packed = msgspec.json.decode(body, type=_PackedState)
+        config = _unpack(packed.packed_config)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, zlib.error) as error:
         raise ValueError(str(error)) from None
+    return PeerState(config, packed.config_version, packed.departed, packed.limits)
+
+
+@functools.lru_cache(maxsize=1)
+def _pack(config):
+    """Compress a configuration, once for all daemons that ask for it at the same time."""
+    return zlib.compress(config, COMPRESSION_LEVEL)
+
+
+def _unpack(packed):
+    decompressor = zlib.decompressobj()
+    config = decompressor.decompress(packed, MAX_CONFIG_BYTES)
+    if not decompressor.eof:
+        raise ValueError("configuration cut short or too large")
+    return config
