--- a/libraries/fleet/src/corianderhaven/fleet/__init__.py
+++ b/libraries/fleet/src/corianderhaven/fleet/__init__.py
@@ -33,6 +33,7 @@
 from ._permit_client import PermitClient
 from ._permit_issuer import (
     MAX_ADVANCE_MS,
+    MIN_RATE_PER_S,
     PERMIT_LIFETIME_MS,
     PERMITS_PATH,
     PermitIssuer,
@@ -92,6 +93,7 @@
     "OrderResult",
     "PartRecord",
     "MAX_ADVANCE_MS",
+    "MIN_RATE_PER_S",
     "PERMITS_PATH",
     "PERMIT_LIFETIME_MS",
     "PermitClient",
--- a/libraries/fleet/src/corianderhaven/fleet/_permit_issuer.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_permit_issuer.py
@@ -26,6 +26,7 @@
 # the next permit: those that no longer want it must not keep it from others.
 MAX_LINE_MS = 1_000.0
 FORGET_MS = 60_000.0
+# A lower limit, and one that can't be read, still gets the requests that tell when it ends.
 MIN_RATE_PER_S = 0.25
 MAX_WISHES = 64
 
--- a/libraries/gateway/src/corianderhaven/gateway/_endpoint_limits.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_endpoint_limits.py
@@ -7,10 +7,8 @@
 import math
 from dataclasses import dataclass
 
-from corianderhaven.fleet import LimitRecord
+from corianderhaven.fleet import MIN_RATE_PER_S, LimitRecord
 
-# A lower limit, and one that can't be read, still gets the requests that tell when it ends.
-MIN_RATE_PER_S = 0.25
 SHARED_MS = 1_500.0  # several exchanges between daemons
 # Records lose their time in transit from their age, so an older one may look newer than this.
 MERGE_TOLERANCE_MS = 250.0
