--- a/libraries/soak/src/corianderhaven/soak/_fault_injector.py
+++ b/libraries/soak/src/corianderhaven/soak/_fault_injector.py
@@ -222,6 +222,8 @@
         if fault.selector < MIN_PLAIN_WORKER_SHARE:
             live = [w for w in live if w.service == PLAIN_SERVICE]
         worker = self._select(live, fault)
+        if worker is None:
+            return
         fields = MISBEHAVIOURS[
             int(fault.selector * MISBEHAVIOUR_MULTIPLIER % 1.0 * len(MISBEHAVIOURS))
         ]
@@ -248,6 +250,8 @@
         """Let a worker name a limit, a lower one after a while, and none in the end."""
         live = [w for w in self.site.workers.values() if w.listed]
         worker = self._select(live, fault)
+        if worker is None:
+            return
         for limit in NAMED_LIMITS:
             worker.faults = WorkerFaults(limits=(limit,))
             await asyncio.sleep(fault.duration_s / len(NAMED_LIMITS))
--- a/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
+++ b/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
@@ -17,6 +17,7 @@
     plan_faults,
 )
 from corianderhaven.soak._daemons import SoakDaemon
+from corianderhaven.soak._fault_injector import FaultInjector
 from corianderhaven.standins import ENGINE_SERVICE, HostingSite, WorkerFaults, small_models
 
 RUN_S = 5.0
@@ -286,3 +287,11 @@
 def test_worker_that_names_limits_leaves_all_kinds_served(tmp_path, monkeypatch, selector):
     run = play_one_fault(tmp_path, monkeypatch, "worker_names_limit", selector)
     assert not any(worker.faults.limits for worker in run.site.workers.values())
+
+
+@pytest.mark.parametrize("kind", ["worker_misbehaves", "worker_names_limit"])
+def test_fault_of_a_worker_is_left_out_while_all_have_ended(kind):
+    """A request had ended all plain workers, and the next fault ended the soak (seed 2986)."""
+    site = SimpleNamespace(workers={})
+    injector = FaultInjector(site, [], {}, None, None)
+    asyncio.run(getattr(injector, kind)(Fault(kind, 0.0, 0.1, 0.0)))
