--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_limit_fleet.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_limit_fleet.py
@@ -14,7 +14,7 @@
 MIN_USE = 0.9
 MIN_ALLOWED_IN_USE = 20
 LEAD_MS = 10_000.0
-SEEDS = range(2)
+SEEDS = range(3)
 
 
 def most_in_window(times_ms, from_ms):
