Log why the connection of a failed send failed, and count it by cause

Change: a reason in send_failed, the counter _connection_failures by cause, partitions of single daemons in the tests.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/hosted_site.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/hosted_site.py
@@ -32,7 +32,7 @@
 
 
 @asynccontextmanager
-async def hosted_site(daemons=1, site_fields=None, wait=True, **settings):
+async def hosted_site(daemons=1, site_fields=None, wait=True, daemon_zones=None, **settings):
     """Start a site and daemons, and wait until the daemons serve all models."""
     values = {
         "zones": ["a", "b"],
@@ -45,7 +45,9 @@
     try:
         for number in range(daemons):
             name = f"edge-a-{number + 1}"
-            daemon = FleetDaemon(node_settings(site, name, f"127.0.0.{number + 1}", **settings))
+            zone = {"zone": daemon_zones[number]} if daemon_zones else {}
+            fields = {**settings, **zone}
+            daemon = FleetDaemon(node_settings(site, name, f"127.0.0.{number + 1}", **fields))
             await daemon.start()
             running.append(daemon)
         if wait:
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -372,6 +372,7 @@
             request=context.metadata.request_id,
             endpoint=endpoint.id,
             result=result.value,
+            reason=context.failure,
             last_event=context.splitter.last_event_id,
             events=context.attempt_events,
             parts=context.metadata.shared_parts[:MAX_LOGGED_PARTS],
--- a/libraries/gateway/src/corianderhaven/gateway/_metrics.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_metrics.py
@@ -36,3 +36,8 @@
     "Requests sent to endpoints by the kind of connection.",
     ["service", "connection"],
 )
+CONNECTION_FAILURES = Counter(
+    PREFIX + "connection_failures",
+    "Connections to endpoints that could not be opened, by cause",
+    ["service", "cause"],
+)
--- a/libraries/gateway/src/corianderhaven/gateway/_request_context.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_context.py
@@ -51,6 +51,8 @@
         Whether an endpoint lived on after it had begun to write on the prompt.
     ended_with_connection : bool
         Whether only the end of its connection showed the end of the answer.
+    failure : str or None
+        Why the connection of the present attempt failed.
     """
 
     request: object
@@ -76,6 +78,7 @@
     opening: object = None
     sound: bool = False
     ended_with_connection: bool = False
+    failure: str | None = None
 
     @property
     def started_ms(self):
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -124,9 +124,11 @@
         except TimeoutError:
             if self.clock.now_ms() >= context.deadline_ms:
                 raise
+            context.failure = "no answer in time"
             self.load_tracker.record_result(endpoint.id, True)
             return AttemptResult.SILENT
-        except ConnectionLostError:
+        except ConnectionLostError as error:
+            context.failure = str(error)
             self.load_tracker.record_result(endpoint.id, True)
             return AttemptResult.BROKEN
         finally:
@@ -182,7 +184,8 @@
             if result is AttemptResult.COMPLETE:
                 self.pool.give_back(endpoint, attempt.release(), head)
             return result
-        except (ConnectionLostError, EventTooLargeError):
+        except (ConnectionLostError, EventTooLargeError) as error:
+            context.failure = str(error)
             self.load_tracker.record_result(endpoint.id, True)
             return AttemptResult.SILENT if stream.silent else AttemptResult.BROKEN
         finally:
@@ -199,6 +202,7 @@
         context, endpoint = attempt.context, attempt.endpoint
         context.attempts += 1
         context.attempt_events = 0
+        context.failure = None
         kept = self.pool.take(endpoint) if self._may_use_kept_connection(context) else None
         if kept is not None:
             head = await self._request_on_kept(attempt, kept)
@@ -208,7 +212,10 @@
             attempt.connection = await ClientConnection.open(
                 endpoint.address, CONNECT_TIMEOUT_MS, self.source_ip
             )
-        except ConnectionLostError:
+        except ConnectionLostError as error:
+            context.failure = str(error)
+            cause = "refused" if error.refused else "no answer"
+            _metrics.CONNECTION_FAILURES.labels(endpoint.service, cause).inc()
             self.load_tracker.record_result(endpoint.id, True)
             if kept is not None:
                 raise
