Tell a lost path from a failed endpoint before suspecting or blaming

Cause: a connection that failed was taken for the endpoint's end: the cut daemon suspected each head in turn, its peers adopted that, and a refused connection counted as the end of an endpoint under a request. Change: evidence per path and scope; before a suspicion or a blame, two other endpoints are connected to; peers don't adopt a suspicion of a head whose events they receive. Ruled out: the keeper, which was not cut in the first window.

--- a/libraries/gateway/src/corianderhaven/gateway/__init__.py
+++ b/libraries/gateway/src/corianderhaven/gateway/__init__.py
@@ -10,6 +10,7 @@
 from ._gateway import Gateway
 from ._latency_estimator import LatencyEstimator
 from ._load_tracker import LoadTracker
+from ._reachability import Reachability
 from ._replica_view import ReplicaView
 from ._retry_budget import RetryBudget
 from ._routes import RouteTable
@@ -34,6 +35,7 @@
     "ListedPart",
     "LoadTracker",
     "QueuedRequest",
+    "Reachability",
     "Refusal",
     "ReplicaView",
     "RequestMetadata",
--- a/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
@@ -12,10 +12,10 @@
 from ._admission import Refusal
 from ._crash_evidence import REQUEST_PREFIX, RequestDigest, Verdict
 from ._crash_ledger import CrashLedger
+from ._path_prober import CONNECT_TIMEOUT_MS
 
 # An endpoint that a prompt ends writes a few events at most.
 OPENING_EVENTS = 10
-PROBE_TIMEOUT_MS = 60.0  # as for any connection to an endpoint
 # An endpoint that ended refuses connections at once, and until it has started again. One that is
 # cut off or stands still answers nothing, and its end shows in its entry, if at all.
 # The entry of one that started again at once under another id stands for some heartbeats.
@@ -39,6 +39,10 @@
     return digest.part()
 
 
+async def _assume_sound(endpoint, failed_since_ms):
+    return True
+
+
 def reason_for(part):
     """Return why requests with a part that ended endpoints are refused."""
     subject = "the request" if part.startswith(REQUEST_PREFIX) else "a part of the prompt"
@@ -106,6 +110,9 @@
     ----------
     on_verdict : callable
         Called with a part's id and whether it is proven now, when that changes.
+    is_path_sound : coroutine function
+        Takes an `Endpoint` and the time from which on it failed. Returns whether other endpoints
+        can be reached, so that the failure is its own.
     """
 
     def __init__(self, directory, peers, clock, decisions, source_ip=None):
@@ -118,6 +125,7 @@
         self.ledger.on_proven = lambda part: self._note_verdict(part, True)
         self.ledger.on_cleared = lambda part: self._note_verdict(part, False)
         self.on_verdict = lambda part, proven: None
+        self.is_path_sound = _assume_sound
         self.checks = {}
         self.first_probes = set()
         self.latest_digest = (-1e12, {})
@@ -284,12 +292,15 @@
             return False
         if known is None or known.started_ms != endpoint.started_ms:
             return True
+        probed_ms = self.clock.now_ms()
         try:
             connection = await ClientConnection.open(
-                endpoint.address, PROBE_TIMEOUT_MS, self.source_ip
+                endpoint.address, CONNECT_TIMEOUT_MS, self.source_ip
             )
         except ConnectionLostError as error:
-            return True if error.refused else None
+            # A lost path may refuse connections too, although the endpoint lives on.
+            ended = error.refused and await self.is_path_sound(endpoint, probed_ms)
+            return True if ended else None
         connection.close()
         # It may be the next incarnation that listens already; then its entry follows.
         return None
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -12,6 +12,8 @@
 from ._endpoint_limits import SHARED_MS, EndpointLimits
 from ._event_stream import EventSplitter
 from ._load_tracker import LoadTracker
+from ._path_prober import PathProber
+from ._reachability import Reachability
 from ._replica_view import ReplicaView
 from ._request_context import AttemptResult, RequestContext
 from ._retry_budget import RetryBudget
@@ -76,8 +78,19 @@
         self.on_proven_part = lambda part, proven: None
         self.retry_budget = RetryBudget(clock, settings, peers.fleet_size)
         self.silence_detector = SilenceDetector(clock, peers)
+        self.reachability = Reachability(clock, decisions)
+        self.path_prober = PathProber(self.reachability, directory, clock, settings.ip)
+        self.reachability.on_lost = self.path_prober.wake
+        self.crash_guard.is_path_sound = self.path_prober.is_path_sound
+        self.silence_checks = {}
         self.sender = Sender(
-            wire, self.load_tracker, self.silence_detector, clock, decisions, settings.ip
+            wire,
+            self.load_tracker,
+            self.silence_detector,
+            self.reachability,
+            clock,
+            decisions,
+            settings.ip,
         )
         self.sender.may_retry = lambda service: self.retry_budget.remaining(service) >= 1.0
         self.sender.spend_retry = lambda service: self.retry_budget.try_spend(service)
@@ -102,11 +115,12 @@
             loop.create_task(dispatch_periodically(self.dispatcher.plain_queues, self.clock)),
             loop.create_task(self._check_silence()),
             loop.create_task(self._prune_endpoints()),
+            loop.create_task(self.path_prober.run()),
         ]
 
     def close(self):
         """Stop the periodic tasks."""
-        for task in self.tasks:
+        for task in (*self.tasks, *self.silence_checks.values()):
             task.cancel()
         self.sender.pool.close()
         self.crash_guard.close()
@@ -160,6 +174,9 @@
     def _add_peer_suspicions(self, suspects, daemon):
         for head_id, age_ms in suspects.items():
             head = self.directory.get(head_id)
+            # What this daemon sees itself counts for more: the other's path may be at fault.
+            if 0.0 <= self.silence_detector.last_activity_age_ms(head_id) <= RECENT_ACTIVITY_MS:
+                continue
             if head is not None and self.replica_view.add_peer_suspicion(head, age_ms):
                 self.on_suspicion(head_id, f"told by {daemon}")
 
@@ -380,11 +397,7 @@
             budget=round(self.retry_budget.remaining(context.service.name), 1),
         )
         context.excluded.add(endpoint.id)
-        # A failed connection may be one lost packet if the endpoint was active recently.
-        active = self.silence_detector.is_active(endpoint.id, RECENT_ACTIVITY_MS)
-        unreachable = result is AttemptResult.NOT_SENT and not active
-        # An endpoint that is no longer the head looks idle, and would be chosen repeatedly.
-        if unreachable or result in (AttemptResult.SILENT, AttemptResult.MISDIRECTED):
+        if await self._is_suspect(endpoint, result):
             self._suspect(endpoint, result.value)
         may_go_on = context.attempts < MAX_ATTEMPTS and context.can_retry(result)
         if may_go_on and self._may_resume(context, result):
@@ -394,6 +407,18 @@
         await self._end_unserved(context, f"send {result.value}", NOT_RUN_RETRY_AFTER_MS)
         return False
 
+    async def _is_suspect(self, endpoint, result):
+        """Return whether the result of an attempt makes its endpoint suspect."""
+        if result is AttemptResult.NOT_SENT:
+            sound = await self.path_prober.is_path_sound(endpoint, self.clock.now_ms())
+            # A failed connection may be one lost packet if the endpoint was active recently.
+            active = self.silence_detector.is_active(endpoint.id, RECENT_ACTIVITY_MS)
+            return sound and not active
+        if result is AttemptResult.SILENT:
+            return not self.reachability.is_scope_lost(endpoint)
+        # An endpoint that is no longer the head looks idle, and would be chosen repeatedly.
+        return result is AttemptResult.MISDIRECTED
+
     def _may_resume(self, context, result):
         if result is not AttemptResult.BROKEN or context.sound:
             return True
@@ -473,23 +498,37 @@
             self.replica_view.prune(known_ids)
             self.endpoint_limits.prune(known_ids)
             self.permits.prune(known_ids)
+            self.reachability.prune(self.directory.endpoints())
             self.sender.pool.prune()
 
     async def _check_silence(self):
         while True:
             await asyncio.sleep(CHECK_INTERVAL_MS / MS_PER_S)
             for head_id in self.silence_detector.silent_heads():
-                self._fail_over_streams(head_id)
+                if head_id not in self.silence_checks:
+                    self._begin_silence_check(head_id)
             for stream in self.silence_detector.stalled_streams():
                 self._fail_over_stalled(stream)
 
-    def _fail_over_streams(self, head_id):
-        """Fail over the streams of a silent head, within the retry budget and if others serve."""
-        activity = self.silence_detector.heads.get(head_id)
+    def _begin_silence_check(self, head_id):
+        task = asyncio.get_running_loop().create_task(self._check_silent_head(head_id))
+        self.silence_checks[head_id] = task
+        task.add_done_callback(lambda done: self.silence_checks.pop(head_id, None))
+
+    async def _check_silent_head(self, head_id):
+        """Suspect a silent head unless the path to it is lost, and fail over its streams."""
         head = self.directory.get(head_id)
         if head is None or head.membership is None:
             return
-        self._suspect(head, "streams silent")
+        if await self.path_prober.is_path_sound(head, self.clock.now_ms()):
+            self._suspect(head, "streams silent")
+        self._fail_over_streams(head)
+
+    def _fail_over_streams(self, head):
+        """Fail over the streams of a silent head, within the retry budget and if others serve."""
+        activity = self.silence_detector.heads.get(head.id)
+        if activity is None:
+            return
         model = model_of(head.membership.replica)
         allowed = int(self.retry_budget.remaining(head.service))
         others = self.replica_view.available_heads(head.service, model)
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -7,13 +7,11 @@
 from . import _metrics
 from ._connection_pool import ConnectionPool
 from ._event_stream import EventTooLargeError
+from ._path_prober import CONNECT_TIMEOUT_MS
 from ._request_context import AttemptResult
 from ._silence_detector import ActiveStream
 from ._wire import AttemptMetadata
 
-# Twenty times the latency within a region. TCP resends a lost first packet only after a second,
-# but the first event of another endpoint must still arrive in time.
-CONNECT_TIMEOUT_MS = 60.0
 DEADLINE_SLACK_MS = 10.0  # the endpoint stops before this daemon does
 # A head under a burst answers late too; a request sent again would add to its load.
 KEPT_STREAM_TIMEOUT_MS = 1_000.0
@@ -78,6 +76,7 @@
     wire : WireFormat
     load_tracker : LoadTracker
     silence_detector : SilenceDetector
+    reachability : Reachability
     clock : Clock
     decisions : DecisionLog
     source_ip : str or None
@@ -97,7 +96,16 @@
         which the request was sent.
     """
 
-    def __init__(self, wire, load_tracker, silence_detector, clock, decisions, source_ip=None):
+    def __init__(
+        self,
+        wire,
+        load_tracker,
+        silence_detector,
+        reachability,
+        clock,
+        decisions,
+        source_ip=None,
+    ):
         self.wire = wire
         self.decisions = decisions
         self.pool = ConnectionPool(clock)
@@ -106,6 +114,7 @@
         self.may_send_now = lambda endpoint: True
         self.load_tracker = load_tracker
         self.silence_detector = silence_detector
+        self.reachability = reachability
         self.clock = clock
         self.source_ip = source_ip
         self.on_leaving = lambda endpoint: None
@@ -179,7 +188,7 @@
                 return result
             if running < estimator.engine.slots:
                 estimator.record_first_event(predicted_ms, self.clock.now_ms() - stream.sent_ms)
-            result = await self._forward_events(context, head, attempt.connection, stream)
+            result = await self._forward_events(attempt, head)
             self.load_tracker.record_result(endpoint.id, result is not AttemptResult.COMPLETE)
             if result is AttemptResult.COMPLETE:
                 self.pool.give_back(endpoint, attempt.release(), head)
@@ -216,13 +225,17 @@
             context.failure = str(error)
             cause = "refused" if error.refused else "no answer"
             _metrics.CONNECTION_FAILURES.labels(endpoint.service, cause).inc()
+            self.reachability.record_failed(endpoint)
             self.load_tracker.record_result(endpoint.id, True)
             if kept is not None:
                 raise
             return None
         _metrics.CONNECTIONS.labels(endpoint.service, "new").inc()
+        self.reachability.record_connected(endpoint)
         await self._send(attempt)
-        return await attempt.connection.read_head()
+        head = await attempt.connection.read_head()
+        self.reachability.record_data(endpoint)
+        return head
 
     def _may_use_kept_connection(self, context):
         """Return whether the request can be sent again if the kept connection was dropped."""
@@ -241,6 +254,7 @@
             if self.wire.read_response(head).request_id == attempt.context.metadata.request_id:
                 attempt.mark_kept(False, attempt.sent_ms)
                 self.pool.record_good(endpoint, kept)
+                self.reachability.record_data(endpoint)
                 _metrics.CONNECTIONS.labels(endpoint.service, "kept").inc()
                 return head
             reason = "answer of another request"
@@ -316,13 +330,15 @@
         if response.retry_after_ms:
             self.load_tracker.hold(endpoint, response.retry_after_ms)
 
-    async def _forward_events(self, context, head, connection, stream):
+    async def _forward_events(self, attempt, head):
+        context, stream = attempt.context, attempt.stream
         if not context.head_forwarded:
             await context.caller.send_head(head.status, self.wire.caller_headers(head))
             context.head_forwarded = True
         context.splitter.discard_partial()
         self.silence_detector.record_activity(stream)
-        while (chunk := await connection.read_chunk()) is not None:
+        while (chunk := await attempt.connection.read_chunk()) is not None:
+            self.reachability.record_data(attempt.endpoint)
             data_events = context.splitter.data_event_count
             events = context.splitter.feed(chunk)
             if context.splitter.data_event_count > data_events:
