Have a peer serve requests for endpoints that a daemon can't reach

Cause: a daemon could send to endpoints only by itself, so each request tried four of them and was refused, though peers that it reaches serve the same endpoints. Change: a request for endpoints out of reach goes, once, to a peer, which handles it like one of its own callers and never forwards it again; its refusals come back as they are, a stream that breaks off goes on at another peer, kept connections that still bring data are used first. Not ready or closing kept connections (ruled out): neither serves a kept connection's next request nor a zone that is cut off as a whole; tunnels of bytes: what an endpoint says (leaving, come back later, limits) would not reach the daemon whose address it sees.

--- a/libraries/common/src/corianderhaven/common/__init__.py
+++ b/libraries/common/src/corianderhaven/common/__init__.py
@@ -1,7 +1,7 @@
 """Clocks, exceptions with error codes, logging, identifiers, and HTTP clients and servers."""
 
 from ._async_client import AsyncHttpClient, ClientConnection, ResponseHead
-from ._async_connection import ConnectionLostError
+from ._async_connection import CONNECTION_HEADERS, ConnectionLostError
 from ._async_server import (
     AsyncHttpServer,
     CallerDisconnectedError,
@@ -39,6 +39,7 @@
     "AsyncHttpServer",
     "CallerDisconnectedError",
     "CallerRequest",
+    "CONNECTION_HEADERS",
     "ClientConnection",
     "Clock",
     "ConnectionLostError",
--- a/libraries/common/src/corianderhaven/common/_async_connection.py
+++ b/libraries/common/src/corianderhaven/common/_async_connection.py
@@ -14,6 +14,19 @@
 # The kernel drops a connection whose peer has vanished: sent data stays unacknowledged this long.
 TCP_USER_TIMEOUT_MS = 2_000
 MAX_UNREAD_BYTES = 1 << 18  # a peer that sends more than its reader takes has to wait
+# Headers that concern one connection only, and the framing that each connection sets itself.
+CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    )
+)
 
 
 class ConnectionLostError(Exception):
--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -39,7 +39,7 @@
     decode_permits,
     encode_state,
 )
-from corianderhaven.gateway import Gateway
+from corianderhaven.gateway import Gateway, is_forwarded
 from corianderhaven.hosting import (
     READY_PATH,
     HostingFormat,
@@ -64,6 +64,7 @@
 HUB_FOLLOW_AFTER_MS = 500.0  # several exchanges with the hubs that are missing
 FOLLOW_AFTER_MS = 1_500.0  # a hub has been replaced by the next one twice by then
 JOIN_TIMEOUT_MS = 1_500.0  # peers that the store lists may all be gone
+FORWARDING_BYTES = 1_024  # of headers that a daemon adds to a request that it forwards
 OPENED_ANNOUNCE_MS = 3_000.0  # by then every daemon has read the head's own entry
 RELOADABLE_SETTINGS = ("grace_ms", "stall_ms", "retry_ratio", "retry_slack", "retry_window_ms")
 
@@ -325,6 +326,7 @@
             self.gateway.endpoint_limits.record_answer(endpoint, limit_per_s, self.clock.now_ms())
         )
         self.gateway.joined = lambda: self.joined
+        self.gateway.accepts_forwarded = lambda: self.ready
         self.peers.on_leaving = self._apply_leaving
         self.peers.on_peer_state = self._observe_peer
         self.gateway.on_suspicion = self.keeper.suspect
@@ -398,6 +400,11 @@
             limits.header_timeout_ms,
             limits.idle_timeout_ms * IDLE_TIMEOUT_FACTOR,
         )
+        default = ServerLimits()
+        self.peers_server.limits = ServerLimits(
+            max(default.header_bytes, limits.header_bytes + FORWARDING_BYTES),
+            max(default.body_bytes, limits.body_bytes),
+        )
 
     async def _handle_readiness(self, request, caller):
         status = 200 if self.ready and request.target.startswith(READY_PATH) else 503
@@ -422,9 +429,18 @@
         elif request.target == b"/metrics":
             self.gateway.refresh_metrics()
             await caller.send_response(200, [], prometheus_client.generate_latest())
+        elif is_forwarded(request.target):
+            await self._handle_forwarded(request, caller)
         else:
             await caller.send_response(404, [], b"")
 
+    async def _handle_forwarded(self, request, caller):
+        try:
+            await self.gateway.handle_forwarded(request, caller)
+        except ValueError as error:
+            self.decisions.record("forwarded_request_unreadable", reason=str(error))
+            await caller.send_response(400, [], b"")
+
     async def _answer_permits(self, request, caller):
         try:
             reply = self.permit_issuer.answer(decode_permits(request.body, PermitRequest))
--- a/libraries/fleet/src/corianderhaven/fleet/_digests.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_digests.py
@@ -84,6 +84,8 @@
         Evidence about parts of prompts, the daemon's own and what it has from others.
     limits : dict of str to LimitRecord
         Limits of endpoints that have changed recently, by endpoint id, like `parts`.
+    lost_services : list of str
+        Services of which this daemon reaches no endpoint.
     """
 
     daemon: str
@@ -99,6 +101,7 @@
     leaving: dict[str, int] = {}
     parts: dict[str, PartRecord] = {}
     limits: dict[str, LimitRecord] = {}
+    lost_services: list[str] = []
 
 
 class ZoneSummary(msgspec.Struct):
@@ -117,6 +120,8 @@
         Age of the oldest included digest.
     made_ms : float
         Time since a daemon of the zone computed the summary.
+    lost_services : dict of str to list of str
+        Daemons that reach no endpoint of some services, with these services.
     """
 
     zone: str
@@ -129,10 +134,11 @@
     suspects: dict[str, float] = {}
     opened: dict[str, tuple[str, int, int]] = {}
     leaving: dict[str, int] = {}
+    lost_services: dict[str, list[str]] = {}
 
 
 def without_summarized_fields(digest):
-    """Return a digest without heads, suspicions and opened heads, which zone summaries contain."""
+    """Return a digest without the fields whose contents zone summaries contain."""
     return Digest(
         digest.daemon,
         digest.address,
@@ -224,6 +230,7 @@
             suspects=dict(self.summary.suspects),
             opened=dict(self.summary.opened),
             leaving=dict(self.summary.leaving),
+            lost_services={n: s for n, s in self.summary.lost_services.items() if n != daemon},
         )
         if digest is None:
             return summary
--- a/libraries/fleet/src/corianderhaven/fleet/_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peers.py
@@ -228,6 +228,21 @@
             if p.digest is not None and now - p.last_heard_ms < DIGEST_VALIDITY_MS
         ]
 
+    def reachable_peers(self):
+        """Return the peers that were not found unreachable lately."""
+        now = self.clock.now_ms()
+        return [p for p in self.peers.values() if now - p.unreachable_since_ms > UNREACHABLE_MS]
+
+    def daemons_without(self, service):
+        """Return the names of the daemons that report that they reach no endpoint of a service."""
+        now = self.clock.now_ms()
+        names = {p.name for p in self.fresh_peers() if service in p.digest.lost_services}
+        for received in self.summaries.values():
+            if now - received.made_ms < DIGEST_VALIDITY_MS:
+                lost = received.summary.lost_services
+                names.update(name for name, services in lost.items() if service in services)
+        return names - {self.own_name}
+
     def reporting_daemons(self):
         """Return the number of other daemons whose current load is known."""
         self._current_totals()
@@ -337,6 +352,8 @@
         merge_suspects(summary.suspects, own.suspects)
         summary.opened.update(own.opened)
         summary.leaving.update(own.leaving)
+        if own.lost_services:
+            summary.lost_services[self.own_name] = own.lost_services
         return summary
 
     def _valid_members(self):
@@ -362,6 +379,8 @@
             merge_suspects(summary.suspects, peer.digest.suspects, age_ms)
             summary.opened.update(peer.digest.opened)
             summary.leaving.update(peer.digest.leaving)
+            if peer.digest.lost_services:
+                summary.lost_services[peer.name] = peer.digest.lost_services
             summary.age_ms = max(summary.age_ms, age_ms)
         summary.store_reachable = any(p.digest.store_reachable for p in valid)
         return summary
--- a/libraries/gateway/src/corianderhaven/gateway/__init__.py
+++ b/libraries/gateway/src/corianderhaven/gateway/__init__.py
@@ -7,6 +7,7 @@
 from ._crash_ledger import CrashLedger
 from ._endpoint_limits import EndpointLimits
 from ._event_stream import EventSplitter
+from ._forwarding import ForwardingDaemon, choose_peer, forwarded_headers, is_forwarded, unwrap
 from ._gateway import Gateway
 from ._latency_estimator import LatencyEstimator
 from ._load_tracker import LoadTracker
@@ -30,6 +31,7 @@
     "CrashLedger",
     "EndpointLimits",
     "EventSplitter",
+    "ForwardingDaemon",
     "Gateway",
     "LatencyEstimator",
     "ListedPart",
@@ -48,5 +50,9 @@
     "WaitingRequests",
     "WireFormat",
     "choose_endpoint",
+    "choose_peer",
+    "forwarded_headers",
+    "is_forwarded",
     "queue_order",
+    "unwrap",
 ]
--- a/libraries/gateway/src/corianderhaven/gateway/_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_admission.py
@@ -40,6 +40,8 @@
         Parts of its prompt that other requests may hold as well.
     resumed : bool
         Whether an earlier attempt failed; such a request is not refused for overload.
+    may_repeat : bool
+        Whether it may be sent again if the next attempt fails.
     decision : asyncio.Future or None
         Resolves to an endpoint or a `Refusal`.
     """
@@ -49,6 +51,7 @@
     goal_cutoff_ms: float
     deadline_cutoff_ms: float
     resumed: bool = False
+    may_repeat: bool = True
     excluded: set = field(default_factory=set)
     parts: tuple = ()
     decision: asyncio.Future | None = None
@@ -62,6 +65,9 @@
     retry_after_ms: float
 
 
+PATHS_LOST = Refusal("paths lost", 0.0)  # the request has to be routed anew
+
+
 def queue_order(queued, now_ms):
     """Return the sort key of a queued request.
 
--- a/libraries/gateway/src/corianderhaven/gateway/_connection_pool.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_connection_pool.py
@@ -72,6 +72,15 @@
             kept.connection.close()
         return None
 
+    def has_idle(self, endpoint):
+        """Return whether `take` may return a connection to an endpoint."""
+        now = self.clock.now_ms()
+        limit_ms = self.limits[endpoint.service].limit_ms
+        return any(
+            c.connection.usable and now < min(c.until_ms, c.since_ms + limit_ms)
+            for c in self.idle.get(_key(endpoint), ())
+        )
+
     def give_back(self, endpoint, connection, head):
         """Keep a connection whose answer was read completely, or close it.
 
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -11,6 +11,7 @@
 
 MIN_ANSWER_FRACTION = 0.5  # of the time of an answer; with less left, an attempt is useless
 DEFAULT_GOAL_MS = 500.0
+RECENT_ACTIVITY_MS = 500.0  # of a head that others use; some exchanges of digests
 PLAIN_WAIT_FRACTION = 0.5  # of the goal; an answer of a plain service takes about the rest
 
 
@@ -27,9 +28,17 @@
         Own availability zone.
     clock : Clock
     permits : SendPermits
+    reachability : Reachability
+
+    Attributes
+    ----------
+    has_idle_connection : callable
+        Takes an `Endpoint`; returns whether a connection to it is kept that can be used.
     """
 
-    def __init__(self, directory, replica_view, load_tracker, peers, zone, clock, permits):
+    def __init__(
+        self, directory, replica_view, load_tracker, peers, zone, clock, permits, reachability
+    ):
         self.directory = directory
         self.replica_view = replica_view
         self.load_tracker = load_tracker
@@ -37,6 +46,8 @@
         self.zone = zone
         self.clock = clock
         self.permits = permits
+        self.reachability = reachability
+        self.has_idle_connection = lambda endpoint: False
         self.queues = {}
         self.plain_queues = {}
         self.plain_rates = {}
@@ -59,7 +70,8 @@
             goal_cutoff_ms=min(context.started_ms + goal_ms - first_event_ms, deadline_cutoff_ms),
             deadline_cutoff_ms=deadline_cutoff_ms,
             # The caller has already waited for an endpoint, and may have part of the answer.
-            resumed=context.attempts > 0,
+            resumed=context.resumed,
+            may_repeat=context.can_fail_over(),
             excluded=context.excluded,
             parts=() if context.sound else metadata.blamed_parts,
         )
@@ -113,9 +125,81 @@
             estimator = self.estimators[(service, model.name)] = LatencyEstimator(engine, model)
         return estimator
 
+    def in_reach(self, endpoints, may_repeat):
+        """Return the endpoints that a request can be sent to from this daemon.
+
+        Parameters
+        ----------
+        may_repeat : bool
+            Whether the request may use a kept connection, as it can be sent again if that fails.
+        """
+        paths = self.reachability
+        if not paths.any_lost:
+            return endpoints
+        return [
+            e
+            for e in endpoints
+            if paths.is_reachable(e)
+            or (
+                may_repeat
+                and paths.is_scope_lost(e)
+                and paths.keeps_connections(e)
+                and self.has_idle_connection(e)
+            )
+        ]
+
+    def lacks_path(self, context):
+        """Return whether a request has to go by another daemon, as no path from here is left.
+
+        It also goes by another one if the endpoints in reach are full and others are not.
+        """
+        if not self.reachability.any_lost:
+            return False
+        service, model = context.service, context.metadata.model
+        engine = service.engine
+        if engine is None or engine.model(model) is None:
+            endpoints, slots = self._plain_endpoints(service.name), None
+        else:
+            endpoints, slots = self.replica_view.available_heads(service.name, model), engine.slots
+        if not endpoints:
+            return service.name in self.reachability.lost_services()
+        in_reach = self.in_reach(endpoints, context.can_fail_over())
+        untried = [e for e in in_reach if e.id not in context.excluded]
+        if len(in_reach) == len(endpoints):
+            return False
+        if not untried or slots is None:
+            return not untried
+        return self._are_full(untried, slots) and not self._are_full(
+            [e for e in endpoints if self._is_lost_but_alive(e)], slots
+        )
+
+    def _are_full(self, endpoints, slots):
+        return all(self.load_tracker.occupancy(e.id) >= slots for e in endpoints)
+
+    def _is_lost_but_alive(self, endpoint):
+        """Return whether only the path to an endpoint is lost, as other daemons hear of it."""
+        if self.reachability.is_reachable(endpoint):
+            return False
+        seen_ms = self.peers.last_activity_ms(endpoint.id)
+        return seen_ms is not None and self.clock.now_ms() - seen_ms < RECENT_ACTIVITY_MS
+
+    def queues_without_path(self):
+        """Return the queues with waiting requests of which no endpoint is in reach any more."""
+        engine_queues = (
+            (queue, self.replica_view.available_heads(*key)) for key, queue in self.queues.items()
+        )
+        plain_queues = (
+            (queue, self._plain_endpoints(service)) for service, queue in self.plain_queues.items()
+        )
+        return [
+            queue
+            for queue, endpoints in (*engine_queues, *plain_queues)
+            if queue.waiting and not self.in_reach(endpoints, True)
+        ]
+
     def _pick_head(self, service, engine, model, queued):
         heads = self.replica_view.available_heads(service, model)
-        heads = self.load_tracker.accepting(heads)
+        heads = self.load_tracker.accepting(self.in_reach(heads, queued.may_repeat))
         heads = [h for h in heads if h.id not in queued.excluded] or heads
         queue = self.queues[service, model]
         return self._choose(heads, queue.rates, len(queue.waiting), engine.slots, engine.slots + 1)
@@ -190,10 +274,12 @@
 
     def pick_plain_endpoint(self, context):
         """Return an endpoint of a service without an engine and count the request, or None."""
-        return self._pick_plain(context.service.name, context.excluded)
+        may_repeat = context.can_fail_over()
+        return self._pick_plain(context.service.name, context.excluded, may_repeat)
 
-    def _pick_plain(self, service, excluded):
-        accepting = self.load_tracker.accepting(self._plain_endpoints(service))
+    def _pick_plain(self, service, excluded, may_repeat):
+        in_reach = self.in_reach(self._plain_endpoints(service), may_repeat)
+        accepting = self.load_tracker.accepting(in_reach)
         endpoints = [e for e in accepting if e.id not in excluded]
         queue = self.plain_queues.get(service)
         waiting = len(queue.waiting) if queue is not None else 0
@@ -221,7 +307,7 @@
         if queue is None:
             queue = self.plain_queues[service] = AdmissionQueue(
                 self.clock,
-                lambda queued: self._pick_plain(service, queued.excluded),
+                lambda queued: self._pick_plain(service, queued.excluded, queued.may_repeat),
                 lambda: bool(self._plain_endpoints(service)),
                 lambda: self._plain_capacity_per_ms(service),
                 lambda: self.held_for_ms(self._plain_endpoints(service)),
@@ -241,7 +327,8 @@
                 context.started_ms + goal_ms * PLAIN_WAIT_FRACTION, deadline_cutoff_ms
             ),
             deadline_cutoff_ms=deadline_cutoff_ms,
-            resumed=context.attempts > 0,
+            resumed=context.resumed,
+            may_repeat=context.can_fail_over(),
             excluded=context.excluded,
             parts=context.metadata.blamed_parts,
         )
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -6,13 +6,15 @@
 from corianderhaven.fleet import Digest, HeadDigest, model_of
 
 from . import _metrics
-from ._admission import Refusal, dispatch_periodically
+from ._admission import PATHS_LOST, Refusal, dispatch_periodically
 from ._crash_guard import CrashGuard, digest_request, reason_for
 from ._dispatcher import DEFAULT_GOAL_MS, Dispatcher
 from ._endpoint_limits import SHARED_MS, EndpointLimits
 from ._event_stream import EventSplitter
+from ._forwarding import DECLINED, unwrap
 from ._load_tracker import LoadTracker
 from ._path_prober import PathProber
+from ._peer_forwarder import PeerForwarder
 from ._reachability import Reachability
 from ._replica_view import ReplicaView
 from ._request_context import AttemptResult, RequestContext
@@ -24,6 +26,7 @@
 
 ANSWER_MARGIN_MS = 15.0  # to deliver the final answer to the caller
 MAX_ATTEMPTS = 4  # per request, including failed connections
+MAX_FORWARDS = 4  # per request, including peers that don't take it
 NOT_READY_RETRY_AFTER_MS = 500.0
 PLAIN_RETRY_AFTER_MS = 200.0
 NOT_RUN_RETRY_AFTER_MS = 400.0
@@ -63,6 +66,7 @@
         peers.on_limits = self.endpoint_limits.merge
         self.permits = SendPermits(clock, self.endpoint_limits, settings.zone)
         self.permits.on_permit = self._assign_later
+        self.reachability = Reachability(clock, decisions)
         self.dispatcher = Dispatcher(
             directory,
             self.replica_view,
@@ -71,6 +75,7 @@
             settings.zone,
             clock,
             self.permits,
+            self.reachability,
         )
         self.crash_guard = CrashGuard(directory, peers, clock, decisions, settings.ip)
         self.crash_guard.on_verdict = self._note_verdict
@@ -78,9 +83,8 @@
         self.on_proven_part = lambda part, proven: None
         self.retry_budget = RetryBudget(clock, settings, peers.fleet_size)
         self.silence_detector = SilenceDetector(clock, peers)
-        self.reachability = Reachability(clock, decisions)
         self.path_prober = PathProber(self.reachability, directory, clock, settings.ip)
-        self.reachability.on_lost = self.path_prober.wake
+        self.reachability.on_lost = self._reroute_waiting
         self.crash_guard.is_path_sound = self.path_prober.is_path_sound
         self.silence_checks = {}
         self.sender = Sender(
@@ -96,6 +100,11 @@
         self.sender.spend_retry = lambda service: self.retry_budget.try_spend(service)
         self.sender.may_send_now = self.permits.try_take
         self.sender.on_limit = self.endpoint_limits.record_answer
+        self.dispatcher.has_idle_connection = self.sender.pool.has_idle
+        self.forwarder = PeerForwarder(peers, wire, clock, decisions, settings.ip)
+        self.forwarder.config_version = lambda: active_config.version
+        self.forwarder.may_retry = self.sender.may_retry
+        self.accepts_forwarded = lambda: True
         self.route_table = None
         self.on_suspicion = lambda head_id, reason: None
         self.on_request = lambda: None
@@ -123,20 +132,47 @@
         for task in (*self.tasks, *self.silence_checks.values()):
             task.cancel()
         self.sender.pool.close()
+        self.forwarder.close()
         self.crash_guard.close()
 
-    async def handle(self, request, caller):
-        """Handle one request and answer its caller."""
+    async def handle(self, request, caller, origin=None):
+        """Handle one request and answer its caller.
+
+        Parameters
+        ----------
+        origin : ForwardingDaemon or None
+            The daemon that forwarded it.
+        """
         self.in_flight += 1
         self.on_request()
         try:
-            await self._handle(request, caller)
+            await self._handle(request, caller, origin)
         finally:
             self.in_flight -= 1
 
+    async def handle_forwarded(self, request, caller):
+        """Handle a request that another daemon can't send to an endpoint itself.
+
+        Raises
+        ------
+        ValueError
+            If it isn't a forwarded request.
+        """
+        origin = unwrap(request)
+        if not self.accepts_forwarded():
+            await self._decline(caller, "not ready")
+        elif self.active_config.version < origin.config_version:
+            await self._decline(caller, "older configuration")
+        else:
+            await self.handle(request, caller, origin)
+
+    async def _decline(self, caller, reason):
+        await caller.send_response(503, [(DECLINED, reason.encode())], b"")
+
     def refresh_metrics(self):
         """Update the gauges before a scrape."""
         _metrics.IN_FLIGHT.set(self.in_flight)
+        _metrics.LOST_SCOPES.set(len(self.reachability.lost_scopes))
         _metrics.LIMITED_ENDPOINTS.set(self.endpoint_limits.count())
         for (_, model), queue in self.dispatcher.queues.items():
             _metrics.WAITING.labels(model).set(len(queue.waiting))
@@ -169,6 +205,7 @@
             zone=self.settings.zone,
             parts=self.crash_guard.digest(),
             limits=self.endpoint_limits.records(SHARED_MS),
+            lost_services=list(self.reachability.lost_services()),
         )
 
     def _add_peer_suspicions(self, suspects, daemon):
@@ -183,7 +220,7 @@
     def _update_routes(self, config):
         self.route_table = RouteTable(config)
 
-    async def _handle(self, request, caller):
+    async def _handle(self, request, caller, origin):
         metadata = self.wire.read_request(request)
         if self.route_table is None or self.draining or not self.joined():
             reason = "draining" if self.draining else "no configuration yet"
@@ -204,6 +241,7 @@
         metadata.whole_part = await digest_request(request, account)
         context = RequestContext(request, metadata, route, account, service, caller, deadline_ms)
         context.splitter = EventSplitter(metadata.last_event_id)
+        context.origin = origin
         await self._serve(context)
 
     async def _reject(self, request, caller, metadata, status, reason):
@@ -243,9 +281,11 @@
         model = engine.model(context.metadata.model)
         estimator = self.dispatcher.estimator(context.service.name, engine, model)
         queue = self.dispatcher.queue(context.service.name, engine, model)
-        self.retry_budget.record_request(context.service.name)
-        while True:
+        while not await self._is_served_by_peer(context, True):
+            self._count(context)
             endpoint = await self._acquire(context, queue, estimator, engine, model)
+            if endpoint is PATHS_LOST:
+                continue
             if isinstance(endpoint, Refusal):
                 await self._end_unserved(context, endpoint.reason, endpoint.retry_after_ms)
                 return
@@ -267,6 +307,58 @@
             if not await self._finish_attempt(context, endpoint, result):
                 return
 
+    def _count(self, context):
+        """Count a request for the retry budget, at the daemon that sends it to an endpoint."""
+        if not context.counted:
+            context.counted = True
+            self.retry_budget.record_request(context.service.name)
+
+    async def _is_served_by_peer(self, context, streaming):
+        """Return whether a request has ended here, as only a peer can send it to an endpoint."""
+        if not self.dispatcher.lacks_path(context):
+            return False
+        if context.origin is None:
+            return await self._forward(context, streaming)
+        if context.attempt_results:
+            await self._end_unserved(context, "no path to the endpoints", NOT_RUN_RETRY_AFTER_MS)
+        else:
+            context.outcome = "declined: no path to the endpoints"
+            await self._decline(context.caller, "no path to the endpoints")
+        return True
+
+    async def _forward(self, context, streaming):
+        """Have peers serve a request until it has ended; returns True."""
+        while True:
+            target = self.forwarder.pick(context.service.name, context.declined_by)
+            if target is None:
+                reason = "no path to the endpoints"
+                await self._end_unserved(context, reason, NOT_RUN_RETRY_AFTER_MS)
+                return True
+            forward, result = await self.forwarder.send(context, target, streaming)
+            context.attempt_results.append((target.id, result.value))
+            if result is AttemptResult.COMPLETE:
+                context.outcome = "complete"
+                return True
+            context.declined_by.add(target.id)
+            if not self._may_forward_again(context, result):
+                reason = f"forward {result.value}"
+                await self._end_unserved(context, reason, forward.retry_after_ms)
+                return True
+
+    def _may_forward_again(self, context, result):
+        if result in (AttemptResult.NOT_SENT, AttemptResult.DECLINED):
+            return len(context.declined_by) < MAX_FORWARDS
+        if result in (AttemptResult.NOT_RUN, AttemptResult.FAILED):
+            return False  # the peer's answer is final
+        may_repeat = context.can_retry(result) and len(context.declined_by) < MAX_FORWARDS
+        return may_repeat and self.retry_budget.try_spend(context.service.name)
+
+    def _reroute_waiting(self):
+        """Have the requests that wait for endpoints out of reach go by other daemons."""
+        self.path_prober.wake()
+        for queue in self.dispatcher.queues_without_path():
+            queue.reject(lambda parts: True, PATHS_LOST)
+
     async def _record_complete(self, context):
         """Record a complete answer; one that ended with its connection may have been cut off."""
         if context.ended_with_connection and not context.sound:
@@ -309,10 +401,12 @@
         self.on_proven_part(part, proven)
 
     async def _serve_plain(self, context):
-        self.retry_budget.record_request(context.service.name)
         self.dispatcher.record_plain_arrival(context.service.name)
-        while True:
+        while not await self._is_served_by_peer(context, False):
+            self._count(context)
             endpoint = await self._acquire_plain(context)
+            if endpoint is PATHS_LOST:
+                continue
             if isinstance(endpoint, Refusal):
                 await self._end_unserved(context, endpoint.reason, endpoint.retry_after_ms)
                 return
@@ -487,6 +581,7 @@
             gap_goal_ms=context.route.gap_goal_ms,
             total_ms=round(now - context.started_ms),
             config=self.active_config.config.version,
+            forwarded_by=context.origin.daemon if context.origin is not None else None,
         )
 
     async def _prune_endpoints(self):
@@ -500,6 +595,7 @@
             self.permits.prune(known_ids)
             self.reachability.prune(self.directory.endpoints())
             self.sender.pool.prune()
+            self.forwarder.prune()
 
     async def _check_silence(self):
         while True:
@@ -532,6 +628,8 @@
         model = model_of(head.membership.replica)
         allowed = int(self.retry_budget.remaining(head.service))
         others = self.replica_view.available_heads(head.service, model)
+        if self.reachability.is_scope_lost(head):
+            others = others or self.peers.peers
         streams = [s for s in activity.streams if s.can_fail_over and not s.silent]
         for stream in streams[: max(0, allowed) if others else 0]:
             stream.silent = True
--- a/libraries/gateway/src/corianderhaven/gateway/_metrics.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_metrics.py
@@ -36,6 +36,10 @@
     "Requests sent to endpoints by the kind of connection.",
     ["service", "connection"],
 )
+FORWARDS = Counter(
+    PREFIX + "forwards", "Requests forwarded to other daemons by result", ["service", "result"]
+)
+LOST_SCOPES = Gauge(PREFIX + "lost_scopes", "Scopes of endpoints that are out of reach")
 CONNECTION_FAILURES = Counter(
     PREFIX + "connection_failures",
     "Connections to endpoints that could not be opened, by cause",
--- /dev/null
+++ b/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
@@ -0,0 +1,278 @@
+"""Has other daemons serve requests for endpoints that this daemon can't reach.
+
+A peer handles a forwarded request like one of its own callers, and never forwards it again. What it
+answers is passed on; a stream that breaks off goes on at another peer.
+"""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+
+from corianderhaven.common import MS_PER_S, ClientConnection, ConnectionLostError
+
+from . import _metrics
+from ._connection_pool import ConnectionPool
+from ._event_stream import EventTooLargeError
+from ._forwarding import (
+    DECLINED,
+    FORWARD_PATH,
+    ForwardingDaemon,
+    choose_peer,
+    forwarded_headers,
+)
+from ._path_prober import CONNECT_TIMEOUT_MS
+from ._request_context import AttemptResult
+from ._silence_detector import STALL_MS
+
+AVOIDED_MS = 500.0  # after a peer could not be reached, or declined; some exchanges of digests
+HOP_MARGIN_MS = 10.0  # so that the peer's last word arrives before this daemon's deadline
+HEAD_TIMEOUT_MS = 1_000.0  # of a request that may be sent again; several goals
+REFUSAL_STATUSES = (408, 421, 429, 503)  # they state that the request was not and won't be run
+RETRY_AFTER = "retry-after"
+DEFAULT_RETRY_AFTER_MS = 400.0
+
+
+@dataclass(frozen=True)
+class PeerTarget:
+    """A peer as the connection pool sees it."""
+
+    id: str
+    address: str
+    zone: str
+    service: str = "peer"
+    started_ms: int = 0
+    leaving: bool = False
+
+
+@dataclass
+class Forward:
+    """One request on its way to a peer.
+
+    Parameters
+    ----------
+    retry_after_ms : float
+        When the caller may come back, as a peer that refused the request says.
+    reason : str or None
+        Why the peer declined, or why the connection failed.
+    """
+
+    context: object
+    target: PeerTarget
+    connection: object = None
+    kept: bool = False
+    retry_after_ms: float = DEFAULT_RETRY_AFTER_MS
+    reason: str | None = None
+
+
+class PeerForwarder:
+    """Sends requests to peers and passes on their answers.
+
+    Parameters
+    ----------
+    peers : PeerTable
+    wire : WireFormat
+    clock : Clock
+    decisions : DecisionLog
+    source_ip : str or None
+
+    Attributes
+    ----------
+    config_version : callable
+        Returns the version of the configuration in force.
+    may_retry : callable
+        Returns whether a request of a service may be sent once more now.
+    """
+
+    def __init__(self, peers, wire, clock, decisions, source_ip=None):
+        self.peers = peers
+        self.wire = wire
+        self.clock = clock
+        self.decisions = decisions
+        self.source_ip = source_ip
+        self.config_version = lambda: 0
+        self.may_retry = lambda service: True
+        self.pool = ConnectionPool(clock)
+        self.in_flight = Counter()
+        self.avoided_until_ms = {}
+
+    def close(self):
+        """Close the idle connections."""
+        self.pool.close()
+
+    def prune(self):
+        """Close connections that have rested for too long, and forget peers that are gone."""
+        self.pool.prune()
+        known = self.peers.peers
+        self.avoided_until_ms = {n: t for n, t in self.avoided_until_ms.items() if n in known}
+
+    def pick(self, service, declined=frozenset()):
+        """Return the `PeerTarget` for a request, or None if no peer can take it.
+
+        Parameters
+        ----------
+        declined : set of str
+            Ids of peers that have not taken this request.
+        """
+        now = self.clock.now_ms()
+        without = self.peers.daemons_without(service)
+        reachable = self.peers.reachable_peers()
+        usable = [
+            p
+            for p in reachable
+            if p.name not in without
+            and p.name not in declined
+            and now >= self.avoided_until_ms.get(p.name, 0.0)
+        ]
+        zone = self.peers.zone
+        cut_in_zone = 1 + sum(p.zone == zone and p.name in without for p in reachable)
+        peer = choose_peer(usable, zone, cut_in_zone, self.in_flight)
+        return None if peer is None else PeerTarget(peer.name, peer.address, peer.zone)
+
+    async def send(self, context, target, streaming):
+        """Have a peer serve a request; returns the `Forward` and its `AttemptResult`."""
+        forward = Forward(context, target)
+        self.in_flight[target.id] += 1
+        try:
+            result = await self._send(forward, streaming)
+        finally:
+            self.in_flight[target.id] -= 1
+            if forward.connection is not None:
+                forward.connection.close()
+        _metrics.FORWARDS.labels(context.service.name, result.value).inc()
+        self.decisions.record(
+            "request_forwarded",
+            request=context.metadata.request_id,
+            peer=target.id,
+            zone=target.zone,
+            kept_connection=forward.kept,
+            result=result.value,
+            reason=forward.reason,
+            last_event=context.splitter.last_event_id,
+        )
+        return forward, result
+
+    async def _send(self, forward, streaming):
+        context = forward.context
+        try:
+            head = await self._request_head(forward)
+            if head is None:
+                self._avoid(forward.target)
+                return AttemptResult.NOT_SENT
+            result = self._classify(forward, head)
+            if result is AttemptResult.COMPLETE and streaming:
+                await self._pass_on_events(forward, head)
+            else:
+                body = await forward.connection.read_body()
+                await self._pass_on_body(context, result, head, body)
+            connection, forward.connection = forward.connection, None
+            self.pool.give_back(forward.target, connection, head)
+            return result
+        except TimeoutError:
+            if self.clock.now_ms() >= context.deadline_ms:
+                raise
+            forward.reason = "no answer in time"
+            self._avoid(forward.target)
+            return AttemptResult.SILENT
+        except (ConnectionLostError, EventTooLargeError) as error:
+            forward.reason = str(error)
+            self._avoid(forward.target)
+            return AttemptResult.BROKEN
+
+    def _avoid(self, target):
+        self.avoided_until_ms[target.id] = self.clock.now_ms() + AVOIDED_MS
+
+    async def _request_head(self, forward):
+        """Send the request and return the head of the answer; None if no connection was made."""
+        context, target = forward.context, forward.target
+        may_repeat = context.can_fail_over() and self.may_retry(context.service.name)
+        kept = self.pool.take(target) if may_repeat else None
+        forward.kept = kept is not None
+        if kept is not None:
+            forward.connection = kept.connection
+        else:
+            try:
+                forward.connection = await ClientConnection.open(
+                    target.address, CONNECT_TIMEOUT_MS, self.source_ip
+                )
+            except ConnectionLostError as error:
+                forward.reason = str(error)
+                return None
+        async with asyncio.timeout(HEAD_TIMEOUT_MS / MS_PER_S if may_repeat else None):
+            await self._write_request(forward)
+            return await forward.connection.read_head()
+
+    async def _write_request(self, forward):
+        context = forward.context
+        sender = ForwardingDaemon(
+            self.peers.own_name,
+            self.config_version(),
+            self.clock.now_ms() - context.started_ms + HOP_MARGIN_MS,
+            context.endpoints_used,
+            context.attempts > 0,
+        )
+        headers = forwarded_headers(context.request, sender, context.splitter.last_event_id)
+        context.possible_runs[forward.target.id] += 1
+        request = context.request
+        await forward.connection.send(
+            request.method, FORWARD_PATH + request.target, headers, request.body
+        )
+
+    def _classify(self, forward, head):
+        """Return the result that the status and headers of a peer's answer indicate."""
+        context, target = forward.context, forward.target
+        response = self.wire.read_response(head)
+        declined = head.header(DECLINED.decode())
+        if declined is not None:
+            forward.reason = declined
+            self._avoid(target)
+            context.possible_runs[target.id] -= 1
+            return AttemptResult.DECLINED
+        if response.request_id not in (None, context.metadata.request_id):
+            raise ConnectionLostError("answer of another request")
+        if 200 <= head.status < 300:
+            if not response.stamped:
+                raise ConnectionLostError("success without an endpoint's stamp")
+            return AttemptResult.COMPLETE
+        if head.status in REFUSAL_STATUSES and not response.stamped:
+            context.possible_runs[target.id] -= 1
+            forward.retry_after_ms = _retry_after_ms(head)
+            return AttemptResult.NOT_RUN
+        return AttemptResult.FAILED
+
+    async def _pass_on_body(self, context, result, head, body):
+        if result is AttemptResult.COMPLETE:
+            context.record_forwarded(self.clock.now_ms())
+            await context.caller.send_response(head.status, self.wire.caller_headers(head), body)
+        elif result is AttemptResult.FAILED:
+            context.error_response = (head.status, self.wire.caller_headers(head), body)
+
+    async def _pass_on_events(self, forward, head):
+        context = forward.context
+        if not context.head_forwarded:
+            await context.caller.send_head(head.status, self.wire.caller_headers(head))
+            context.head_forwarded = True
+        context.splitter.discard_partial()
+        while (chunk := await self._read_chunk(forward)) is not None:
+            events = context.splitter.feed(chunk)
+            if events:
+                context.record_forwarded(self.clock.now_ms())
+                await context.caller.send_chunk(events)
+        if context.splitter.partial:
+            raise ConnectionLostError("stream ended within an event")
+        await context.caller.send_end()
+
+    async def _read_chunk(self, forward):
+        """Return the next chunk, or raise TimeoutError if the peer has fallen silent.
+
+        The peer itself notices sooner when its endpoint does.
+        """
+        timeout_s = STALL_MS / MS_PER_S if forward.context.can_fail_over() else None
+        async with asyncio.timeout(timeout_s):
+            return await forward.connection.read_chunk()
+
+
+def _retry_after_ms(head):
+    try:
+        return max(0.0, float(head.header(RETRY_AFTER)) * MS_PER_S)
+    except (TypeError, ValueError):
+        return DEFAULT_RETRY_AFTER_MS
--- a/libraries/gateway/src/corianderhaven/gateway/_request_context.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_context.py
@@ -13,7 +13,7 @@
     `NOT_SENT` means that no connection was made, `NOT_RUN` that the endpoint states that it did
     not execute the request, and `MISDIRECTED` that it did not because another endpoint or state
     was expected. `FAILED` is an error response, `BROKEN` an incomplete or invalid one, and
-    `SILENT` none in time.
+    `SILENT` none in time. `DECLINED` means that a peer did not take a forwarded request.
     """
 
     COMPLETE = "complete"
@@ -23,6 +23,15 @@
     FAILED = "failed"
     BROKEN = "broken"
     SILENT = "silent"
+    DECLINED = "declined"
+
+
+NOT_RUN_RESULTS = (
+    AttemptResult.NOT_SENT,
+    AttemptResult.NOT_RUN,
+    AttemptResult.MISDIRECTED,
+    AttemptResult.DECLINED,
+)
 
 
 @dataclass(eq=False)
@@ -53,6 +62,12 @@
         Whether only the end of its connection showed the end of the answer.
     failure : str or None
         Why the connection of the present attempt failed.
+    origin : ForwardingDaemon or None
+        The daemon that forwarded the request.
+    declined_by : set of str
+        Peers that have not taken the request.
+    counted : bool
+        Whether the retry budget has counted the request.
     """
 
     request: object
@@ -79,6 +94,9 @@
     sound: bool = False
     ended_with_connection: bool = False
     failure: str | None = None
+    origin: object = None
+    declined_by: set = field(default_factory=set)
+    counted: bool = False
 
     @property
     def started_ms(self):
@@ -107,8 +125,13 @@
 
     @property
     def endpoints_used(self):
-        """Number of endpoints that may have run the request."""
-        return len(+self.possible_runs)
+        """Number of endpoints that may have run the request, as known to all its daemons."""
+        return len(+self.possible_runs) + (self.origin.endpoints_used if self.origin else 0)
+
+    @property
+    def resumed(self):
+        """Whether an attempt has failed already, here or at the daemon that forwarded it."""
+        return self.attempts > 0 or (self.origin is not None and self.origin.resumed)
 
     def record_forwarded(self, now_ms):
         """Record that an event was forwarded to the caller."""
@@ -127,6 +150,6 @@
 
     def can_retry(self, result):
         """Return whether another endpoint may get the request after `result`."""
-        if result in (AttemptResult.NOT_SENT, AttemptResult.NOT_RUN, AttemptResult.MISDIRECTED):
+        if result in NOT_RUN_RESULTS:
             return True
         return self.route.retryable and self.endpoints_used < self.route.max_endpoints
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -212,11 +212,18 @@
         context.attempts += 1
         context.attempt_events = 0
         context.failure = None
-        kept = self.pool.take(endpoint) if self._may_use_kept_connection(context) else None
+        kept = None
+        if self._may_use_kept_connection(context, endpoint):
+            kept = self.pool.take(endpoint)
         if kept is not None:
             head = await self._request_on_kept(attempt, kept)
             if head is not None:
                 return head
+        if self.reachability.is_scope_lost(endpoint):
+            context.failure = "path lost"
+            if kept is not None:
+                raise ConnectionLostError("path lost")
+            return None
         try:
             attempt.connection = await ClientConnection.open(
                 endpoint.address, CONNECT_TIMEOUT_MS, self.source_ip
@@ -237,9 +244,11 @@
         self.reachability.record_data(endpoint)
         return head
 
-    def _may_use_kept_connection(self, context):
+    def _may_use_kept_connection(self, context, endpoint):
         """Return whether the request can be sent again if the kept connection was dropped."""
-        return context.can_fail_over() and self.may_retry(context.service.name)
+        if not (context.can_fail_over() and self.may_retry(context.service.name)):
+            return False
+        return self.reachability.keeps_connections(endpoint)
 
     async def _request_on_kept(self, attempt, kept):
         """Return the head of the answer on a kept connection, or None to use a new one."""
@@ -281,7 +290,7 @@
         return None
 
     def _priority(self, context, late):
-        if context.head_forwarded:
+        if context.head_forwarded or (context.origin is not None and context.origin.resumed):
             return RESUMED_PRIORITY
         base = LATE_PRIORITY if late else ON_TIME_PRIORITY
         return min(MAX_PRIORITY, base + context.priority)
