Hand the keeper's lease over when the path to the engines is lost

What callers saw: while the keeper was partitioned from the engines, from 26.0 to 38.03 s, no order was sent, so replicas that broke stayed broken for all callers. Cause: the lease depends on the store only, which the keeper reached. Change: a holder that has reached no engine of a service for half a second gives the lease up, if a peer is believed to reach them, and doesn't campaign meanwhile; failed connections for orders and reports count as evidence and lead to a check of other endpoints. A timeout of the client says whether a connection was made. Two that order: the tenure ends before the lease is revoked, as on a drain. Before: test_keeper_that_lost_all_endpoints_hands_over red (both modes), and the new test of an idle keeper red without the check; after: green.

--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -186,18 +186,19 @@
         Raises
         ------
         ConnectionLostError
-            When the connection breaks or `timeout_ms` passes.
+            When the connection breaks or `timeout_ms` passes; ``sent`` is False if none was made.
         """
+        until_s = asyncio.get_running_loop().time() + timeout_ms / MS_PER_S
+        connection = self._pop_idle_connection()
+        if connection is None:
+            connection = await ClientConnection.open(self.address, timeout_ms, self.source_ip)
         try:
-            async with asyncio.timeout(timeout_ms / MS_PER_S):
-                return await self._exchange(method, target, body, timeout_ms, headers)
+            async with asyncio.timeout_at(until_s):
+                return await self._exchange(connection, method, target, body, headers)
         except TimeoutError:
             raise ConnectionLostError(f"{method} {target} timed out") from None
 
-    async def _exchange(self, method, target, body, timeout_ms, extra_headers):
-        connection = self._pop_idle_connection()
-        if connection is None:
-            connection = await ClientConnection.open(self.address, timeout_ms, self.source_ip)
+    async def _exchange(self, connection, method, target, body, extra_headers):
         reusable = False
         try:
             headers = [("host", self.address), ("content-length", str(len(body))), *extra_headers]
--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -331,6 +331,8 @@
         self.peers.on_peer_state = self._observe_peer
         self.gateway.on_suspicion = self.keeper.suspect
         self.lease.outage_confirmed = self.peers.store_outage_confirmed
+        self.lease.can_reach_engines = self.gateway.can_reach_engines
+        self.orders.on_connection = self.gateway.note_order_connection
         self.peers.on_opened = self._apply_opened
         self.gateway.on_request = self._record_traffic
 
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_partitioned_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_partitioned_daemon.py
@@ -161,6 +161,21 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("mode", [HANG, RESET])
+def test_idle_keeper_that_lost_all_endpoints_hands_over_once_it_has_to_order(mode):
+    async def scenario(site, daemons, links):
+        cut = keeper_of(daemons)
+        others = [d for d in daemons if d is not cut]
+        links.cut(cut, mode)
+        lost_member = heads(site, "large")[0].engine.group.members[1]
+        site.kill(lost_member)
+        await wait_until(lambda: keeper_of(others) is not None, 8.0)
+        await wait_until(lambda: all(serves_all_models(d, site) for d in others), 8.0)
+        assert site.engines.violations == []
+
+    run_scenario(scenario)
+
+
 def test_caller_that_leaves_a_cut_daemon_is_heard_at_the_endpoint():
     async def scenario(site, daemons, links):
         cut = daemons[0]
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
@@ -36,6 +36,11 @@
         Description of the holder that is stored in the record.
     clock : Clock
     decisions : DecisionLog
+
+    Attributes
+    ----------
+    can_reach_engines : callable
+        Returns whether this daemon can send orders to engines, or no other one can either.
     """
 
     def __init__(self, store, watcher, key, description, clock, decisions):
@@ -52,6 +57,7 @@
         self.valid_until_ms = 0.0
         self.orders_from_ms = 0.0
         self.outage_confirmed = lambda: False
+        self.can_reach_engines = lambda: True
         self.resigned = False
         self.first_start = False
         self.task = None
@@ -70,6 +76,9 @@
         """Revoke the lease, so that a successor need not wait for it to expire."""
         self.resigned = True
         self.close()
+        await self._give_up_lease()
+
+    async def _give_up_lease(self):
         lease, self.lease, self.tenure = self.lease, None, None
         if lease is not None:
             try:
@@ -122,7 +131,10 @@
     async def _run(self):
         while True:
             try:
-                if self.tenure is not None:
+                if not self.can_reach_engines():
+                    await self._hand_over()
+                    await asyncio.sleep(RENEWAL_INTERVAL_MS / MS_PER_S)
+                elif self.tenure is not None:
                     await self._renew()
                     await asyncio.sleep(RENEWAL_INTERVAL_MS / MS_PER_S)
                 else:
@@ -134,6 +146,12 @@
                 self.decisions.record("keeper_store_failed", reason=str(error))
                 await asyncio.sleep(RETRY_INTERVAL_MS / MS_PER_S)
 
+    async def _hand_over(self):
+        """End the tenure, so that a daemon that reaches the engines is elected."""
+        if self.tenure is not None:
+            self.decisions.record("keeper_handed_over", tenure=self.tenure)
+            await self._give_up_lease()
+
     async def _renew(self):
         sent_ms = self.clock.boot_ms()
         tenure = self.tenure
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -34,6 +34,7 @@
 RECENT_ACTIVITY_MS = 250.0  # longer than an event interval with prefill, or a digest's delivery
 MAX_LOGGED_PARTS = 8
 PART_RETRY_AFTER_MS = 3_600_000.0  # until a part that ended endpoints is tried again
+HAND_OVER_AFTER_MS = 500.0  # of a lost path, with several probes
 PRUNE_INTERVAL_MS = 5_000.0  # few endpoints come and go in it; an entry takes about 100 bytes
 
 
@@ -133,6 +134,7 @@
             task.cancel()
         self.sender.pool.close()
         self.forwarder.close()
+        self.path_prober.close()
         self.crash_guard.close()
 
     async def handle(self, request, caller, origin=None):
@@ -169,6 +171,28 @@
     async def _decline(self, caller, reason):
         await caller.send_response(503, [(DECLINED, reason.encode())], b"")
 
+    def note_order_connection(self, endpoint, opened):
+        """Take note of a connection for an order or a report, which tells of the path as well."""
+        if opened:
+            self.reachability.record_connected(endpoint)
+        else:
+            self.reachability.record_failed(endpoint)
+            self.path_prober.begin_check(endpoint)
+
+    def can_reach_engines(self):
+        """Return whether this daemon can send orders to engines, or no other daemon can either.
+
+        A path that was lost only just now may be back at once.
+        """
+        config = self.active_config.config
+        lost_for_ms = self.reachability.lost_services()
+        return config is None or not any(
+            service.engine is not None
+            and lost_for_ms.get(service.name, 0.0) > HAND_OVER_AFTER_MS
+            and self.forwarder.pick(service.name) is not None
+            for service in config.services.values()
+        )
+
     def refresh_metrics(self):
         """Update the gauges before a scrape."""
         _metrics.IN_FLIGHT.set(self.in_flight)
--- a/libraries/gateway/src/corianderhaven/gateway/_path_prober.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_path_prober.py
@@ -62,12 +62,21 @@
             return False
         if self.reachability.connected_since(endpoint, failed_since_ms):
             return True
+        return await asyncio.shield(self.begin_check(endpoint))
+
+    def begin_check(self, endpoint):
+        """Return the task that finds out whether others than a failed endpoint can be reached."""
         check = self.checks.get(endpoint.service)
         if check is None:
             check = asyncio.get_running_loop().create_task(self._check(endpoint))
             self.checks[endpoint.service] = check
             check.add_done_callback(lambda done: self.checks.pop(endpoint.service, None))
-        return await asyncio.shield(check)
+        return check
+
+    def close(self):
+        """Abandon the checks under way."""
+        for check in list(self.checks.values()):
+            check.cancel()
 
     async def _check(self, endpoint):
         """Return whether any other endpoint of the service can be reached, if it has others."""
