Give up requests on kept connections that fall silent with the path

Cause: such a request tells nothing of the path, and waits a second. Change: when an answer on a kept connection is overdue and no endpoint of the service has been heard since, the path is checked; once it is believed lost and brings no data, the requests that wait on it and may be sent again go by a peer.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_partitioned_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_partitioned_daemon.py
@@ -21,6 +21,7 @@
 CONTACT_MS = 3_000.0  # the platform's bound, from the cut on
 MIN_SHARE = 2 / 3  # of the share served by the other daemons
 PROMPT_REFUSAL_MS = 400.0  # the goal of a draft
+KEPT_STREAM_TIMEOUT_MS = 1_000.0  # for which a request waits on a connection that fell silent
 LEAVE_MS = 500.0  # the platform's bound for work after the caller has left
 SEND = {
     "draft": lambda daemon: send_draft(daemon, "small"),
@@ -270,3 +271,19 @@
         assert share_served(answers) == 1.0
 
     run_scenario(scenario)
+
+
+def test_requests_on_kept_connections_do_not_wait_long_when_these_fall_silent():
+    """Drafts that went out on such a connection came 1.25 s late when the path was lost."""
+
+    async def scenario(site, daemons, links):
+        cut = daemons[0]
+        async with load([cut], SEND["draft"], 20.0):
+            await wait_ms(site.clock, 600.0)
+        links.cut(cut, HANG)
+        started_ms = site.clock.now_ms()
+        answers = await asyncio.gather(*(send_draft(cut, "small") for _ in range(6)))
+        assert share_served(answers) == 1.0
+        assert site.clock.now_ms() - started_ms < KEPT_STREAM_TIMEOUT_MS
+
+    run_scenario(scenario)
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -624,6 +624,10 @@
     async def _check_silence(self):
         while True:
             await asyncio.sleep(CHECK_INTERVAL_MS / MS_PER_S)
+            if self.reachability.lost_scopes:
+                self.sender.interrupt_waiting_on_lost_paths()
+            for endpoint in self.sender.overdue_on_kept_connections():
+                self.path_prober.begin_check(endpoint)
             for head_id in self.silence_detector.silent_heads():
                 if head_id not in self.silence_checks:
                     self._begin_silence_check(head_id)
--- a/libraries/gateway/src/corianderhaven/gateway/_path_prober.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_path_prober.py
@@ -79,15 +79,19 @@
             check.cancel()
 
     async def _check(self, endpoint):
-        """Return whether any other endpoint of the service can be reached, if it has others."""
+        """Return whether any endpoint of the service can be reached, if it has others."""
+        failed = self.reachability.failures
         others = [
             e
             for e in self.directory.endpoints(endpoint.service)
-            if e.id != endpoint.id and e.id not in self.reachability.failures
+            if e.id != endpoint.id and e.id not in failed
         ]
         if not others:
             return not self.reachability.is_scope_lost(endpoint)
-        probes = [asyncio.ensure_future(self._probe(e)) for e in _spread(others, CONTROL_COUNT)]
+        probed = _spread(others, CONTROL_COUNT)
+        if endpoint.id not in failed:
+            probed.append(endpoint)
+        probes = [asyncio.ensure_future(self._probe(e)) for e in probed]
         try:
             for probe in asyncio.as_completed(probes):
                 if await probe:
--- a/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
@@ -266,7 +266,8 @@
 
         The peer itself notices sooner when its endpoint does.
         """
-        timeout_s = STALL_MS / MS_PER_S if forward.context.can_fail_over() else None
+        may_repeat = forward.context.can_retry(AttemptResult.SILENT)
+        timeout_s = STALL_MS / MS_PER_S if may_repeat else None
         async with asyncio.timeout(timeout_s):
             return await forward.connection.read_chunk()
 
--- a/libraries/gateway/src/corianderhaven/gateway/_reachability.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_reachability.py
@@ -72,6 +72,7 @@
         self.scopes = {}
         self.failures = {}
         self.lost_scopes = set()
+        self.data_ms = {}
         self.on_lost = lambda: None
 
     @property
@@ -115,9 +116,11 @@
 
     def record_data(self, endpoint):
         """Record that an open connection to an endpoint brought data."""
+        now = self.clock.now_ms()
+        self.data_ms[endpoint.service] = now
         if self.lost_scopes:
             for scope in self.lost_scopes.intersection(scopes_of(endpoint)):
-                self.scopes[scope].data_ms = self.clock.now_ms()
+                self.scopes[scope].data_ms = now
 
     def is_reachable(self, endpoint):
         """Return whether a new connection to an endpoint is expected to be opened."""
@@ -141,11 +144,21 @@
         lost = [self.scopes[s] for s in self.lost_scopes.intersection(scopes_of(endpoint))]
         return all(e.data_ms > e.lost_since_ms + DATA_IN_FLIGHT_MS for e in lost)
 
+    def loses_data(self, endpoint):
+        """Return whether nothing comes any more on connections that were open already."""
+        data_ms = self.data_ms.get(endpoint.service, -1e12)
+        return self.is_scope_lost(endpoint) and self.clock.now_ms() - data_ms > DATA_IN_FLIGHT_MS
+
     def connected_since(self, endpoint, since_ms):
         """Return whether a connection to any endpoint of the same service was opened since."""
         evidence = self.scopes.get((endpoint.service, None))
         return evidence is not None and evidence.connected_ms >= since_ms
 
+    def heard_since(self, endpoint, since_ms):
+        """Return whether any endpoint of the same service has answered or sent data since."""
+        heard = self.data_ms.get(endpoint.service, -1e12) >= since_ms
+        return heard or self.connected_since(endpoint, since_ms)
+
     def lost_services(self):
         """Return the services of which every endpoint is believed out of reach, with the ages."""
         now = self.clock.now_ms()
@@ -160,6 +173,8 @@
         known = {endpoint.id for endpoint in endpoints}
         scopes = {scope for endpoint in endpoints for scope in scopes_of(endpoint)}
         expired_ms = self.clock.now_ms() - FAILURE_VALIDITY_MS
+        services = {endpoint.service for endpoint in endpoints}
+        self.data_ms = {s: t for s, t in self.data_ms.items() if s in services}
         self.failures = {
             i: f for i, f in self.failures.items() if i in known and f.last_ms > expired_ms
         }
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -9,7 +9,7 @@
 from ._event_stream import EventTooLargeError
 from ._path_prober import CONNECT_TIMEOUT_MS
 from ._request_context import AttemptResult
-from ._silence_detector import ActiveStream
+from ._silence_detector import FIRST_EVENT_SLACK_MS, ActiveStream
 from ._wire import AttemptMetadata
 
 DEADLINE_SLACK_MS = 10.0  # the endpoint stops before this daemon does
@@ -45,10 +45,13 @@
         self.connection = None
         self.stream = None
         self.sent_ms = 0.0
+        self.path_lost = False
 
     @property
     def interrupted(self):
-        """Whether the silence detector closed the connection."""
+        """Whether this daemon closed the connection, as nothing came on it."""
+        if self.path_lost:
+            return True
         return self.stream is not None and (self.stream.silent or self.stream.stalled)
 
     def mark_kept(self, kept, sent_ms):
@@ -117,9 +120,41 @@
         self.reachability = reachability
         self.clock = clock
         self.source_ip = source_ip
+        self.waiting = set()
         self.on_leaving = lambda endpoint: None
         self.on_limit = lambda endpoint, limit_per_s, sent_ms: None
 
+    def interrupt_waiting_on_lost_paths(self):
+        """End the attempts that wait for an answer by a lost path, and that may be made again."""
+        for attempt in list(self.waiting):
+            service = attempt.context.service.name
+            if (
+                attempt.context.can_retry(AttemptResult.SILENT)
+                and self.reachability.loses_data(attempt.endpoint)
+                and self.may_retry(service)
+            ):
+                attempt.path_lost = True
+                attempt.close()
+
+    def overdue_on_kept_connections(self):
+        """Return an endpoint of each service at which a kept connection brings no answer in time.
+
+        The endpoint may have dropped the connection, or the path to it may be lost.
+        """
+        now = self.clock.now_ms()
+        overdue = {}
+        for attempt in self.waiting:
+            stream, service = attempt.stream, attempt.endpoint.service
+            if stream is None or not stream.on_kept_connection:
+                continue
+            expected_ms = stream.expected_first_event_ms + FIRST_EVENT_SLACK_MS
+            since_ms = attempt.sent_ms
+            if now - since_ms > expected_ms and not self.reachability.heard_since(
+                attempt.endpoint, since_ms
+            ):
+                overdue[service] = attempt.endpoint
+        return list(overdue.values())
+
     async def send_buffered(self, context, endpoint, timeout_ms=None):
         """Send a request and forward the answer once it is complete."""
         attempt = Attempt(context, endpoint)
@@ -139,7 +174,7 @@
         except ConnectionLostError as error:
             context.failure = str(error)
             self.load_tracker.record_result(endpoint.id, True)
-            return AttemptResult.BROKEN
+            return AttemptResult.SILENT if attempt.interrupted else AttemptResult.BROKEN
         finally:
             attempt.close()
         result = self._classify_response(attempt, head)
@@ -196,12 +231,21 @@
         except (ConnectionLostError, EventTooLargeError) as error:
             context.failure = str(error)
             self.load_tracker.record_result(endpoint.id, True)
-            return AttemptResult.SILENT if stream.silent else AttemptResult.BROKEN
+            silent = stream.silent or attempt.path_lost
+            return AttemptResult.SILENT if silent else AttemptResult.BROKEN
         finally:
             self.silence_detector.remove(stream)
             attempt.close()
 
     async def _request_head(self, attempt):
+        """Send the request and return the head of its answer; None if no connection was made."""
+        self.waiting.add(attempt)
+        try:
+            return await self._send_and_read_head(attempt)
+        finally:
+            self.waiting.discard(attempt)
+
+    async def _send_and_read_head(self, attempt):
         """Send the request and return the head of its answer; None if no connection was made.
 
         A kept connection may have been dropped, which only shows when a request on it breaks it.
