Partition daemons from the endpoints in the soak, and check that they serve

A socket filter on the links' listeners drops new connections from one daemon; open ones go silent or live on. After 3 s without another fault, two thirds of its requests of each kind have to be served.

--- a/libraries/soak/src/corianderhaven/soak/_daemons.py
+++ b/libraries/soak/src/corianderhaven/soak/_daemons.py
@@ -48,11 +48,14 @@
         Address of the store, behind the proxy.
     folder : str
         Folder for its node file and logs.
+    ip : str
+        Loopback address of its own, by which its connections are told apart.
     """
 
-    def __init__(self, name, zone, store, folder):
+    def __init__(self, name, zone, store, folder, ip="127.0.0.1"):
         self.name = name
         self.zone = zone
+        self.ip = ip
         self.store_link = LinkProxy(store)
         self.caller_link = LinkProxy("127.0.0.1:1")
         self.folder = folder
@@ -144,6 +147,7 @@
             grace_s=GRACE_PERIOD_S,
             previous=self.process,
             log_name=f"{self.name}-{self.start_count}",
+            ip=self.ip,
         )
         self.first_start = False
 
--- a/libraries/soak/src/corianderhaven/soak/_fault_injector.py
+++ b/libraries/soak/src/corianderhaven/soak/_fault_injector.py
@@ -10,9 +10,11 @@
 CRASHING_KINDS = ("status", "issue", "draft")
 LINK_DELAY_MS = 40.0  # below the connect timeout
 REPLACEMENT_DELAY_S = 0.5  # until an empty VM replaces a lost one
-# Worker and misbehaviour are derived from one selector; the factor keeps a worker's position from
-# determining its misbehaviour.
-MISBEHAVIOUR_MULTIPLIER = 97
+# The target and the variant of a fault are derived from one selector; the factor keeps the target's
+# position from determining the variant.
+SELECTOR_MULTIPLIER = 97
+CONTACT_S = 3.0  # by then a daemon serves its callers around a partition
+STALL_OPEN_SHARE = 0.6  # of the partitions, in which open connections go silent too
 # Minimum share of the misbehaving workers that are plain ones; these would otherwise rarely be
 # selected among the many engines.
 MIN_PLAIN_WORKER_SHARE = 0.4
@@ -50,14 +52,18 @@
     on_drained : callable
         Called after each drain with the daemon, its exit code, and whether no other fault was
         active or began meanwhile.
+    on_partitioned : coroutine function
+        Called with a daemon that has been partitioned from all endpoints for `CONTACT_S`, while
+        no other fault was active or began. The partition lasts until it returns.
     """
 
-    def __init__(self, site, daemons, worker_links, invariants, on_drained):
+    def __init__(self, site, daemons, worker_links, invariants, on_drained, on_partitioned):
         self.site = site
         self.daemons = daemons
         self.worker_links = worker_links
         self.invariants = invariants
         self.on_drained = on_drained
+        self.on_partitioned = on_partitioned
         self.worker_numbers = itertools.count(100)
         self.part_numbers = itertools.count(0xC0000000)
         self.busy_daemons = set()
@@ -115,6 +121,23 @@
                 self.invariants.reset_version(daemon.name)
                 self.busy_daemons.discard(daemon.name)
 
+    async def daemon_loses_endpoints(self, fault):
+        """Partition a daemon from all endpoints; its open connections go silent, or live on."""
+
+        async def partition(daemon):
+            started_count, alone = self.started_count, self.active_count == 1
+            stall_open = fault.selector * SELECTOR_MULTIPLIER % 1.0 < STALL_OPEN_SHARE
+            links = list(self.worker_links.values())
+            for link in links:
+                link.block(daemon.ip, stall_open)
+            await asyncio.sleep(fault.duration_s)
+            if fault.duration_s > CONTACT_S and alone and self.started_count == started_count:
+                await self.on_partitioned(daemon)
+            for link in links:
+                link.unblock(daemon.ip)
+
+        await self._run_on_daemon(fault, partition)
+
     async def _set_store_fault(self, name, value, duration_s):
         original = getattr(self.site.store.faults, name)
         setattr(self.site.store.faults, name, value)
@@ -224,9 +247,7 @@
         worker = self._select(live, fault)
         if worker is None:
             return
-        fields = MISBEHAVIOURS[
-            int(fault.selector * MISBEHAVIOUR_MULTIPLIER % 1.0 * len(MISBEHAVIOURS))
-        ]
+        fields = MISBEHAVIOURS[int(fault.selector * SELECTOR_MULTIPLIER % 1.0 * len(MISBEHAVIOURS))]
         worker.faults = WorkerFaults(**fields)
         await asyncio.sleep(fault.duration_s)
         worker.faults = WorkerFaults()
--- a/libraries/soak/src/corianderhaven/soak/_faults.py
+++ b/libraries/soak/src/corianderhaven/soak/_faults.py
@@ -34,6 +34,10 @@
     "worker_names_limit": 3,
 }
 
+# Drawn apart from the others, so that these stay the same for a seed.
+PARTITION_GAP_S = 5.0
+PARTITION_KIND = "daemon_loses_endpoints"
+
 
 @dataclass(frozen=True)
 class Fault:
@@ -63,7 +67,17 @@
     while True:
         at_s += rng.uniform(0.05, MAX_GAP_S)
         if at_s >= seconds:
-            return faults
+            return sorted(faults + _plan_partitions(seed, seconds), key=lambda f: f.at_s)
         kind = rng.choices(kinds, weights)[0]
         duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
         faults.append(Fault(kind, round(at_s, 3), round(duration_s, 3), rng.random()))
+
+
+def _plan_partitions(seed, seconds):
+    """Return the partitions of daemons from the endpoints."""
+    rng = random.Random(f"partitions {seed}")
+    faults, at_s = [], 0.0
+    while (at_s := at_s + rng.uniform(0.05, 2 * PARTITION_GAP_S)) < seconds:
+        duration_s = rng.uniform(MIN_DURATION_S, 2 * MAX_DURATION_S)
+        faults.append(Fault(PARTITION_KIND, round(at_s, 3), round(duration_s, 3), rng.random()))
+    return faults
--- a/libraries/soak/src/corianderhaven/soak/_link_proxy.py
+++ b/libraries/soak/src/corianderhaven/soak/_link_proxy.py
@@ -4,6 +4,8 @@
 
 from corianderhaven.common import MS_PER_S
 
+from ._source_filter import drop_sources
+
 READ_BYTES = 65_536
 
 
@@ -24,6 +26,7 @@
         self.refuse_connections = False
         self.drop_to_target = False
         self.drop_from_target = False
+        self.blocked_sources = set()
         self.stalled = set()
         self.connections = set()
         self.server = None
@@ -56,6 +59,22 @@
         """Drop all further data on the open connections without closing them."""
         self.stalled |= self.connections
 
+    def block(self, source_ip, stall_open):
+        """Drop new connections from a source and, if `stall_open`, what comes on the open ones."""
+        self._set_blocked(self.blocked_sources | {source_ip})
+        if stall_open:
+            self.stalled |= {c for c in self.connections if _source_ip(c) == source_ip}
+
+    def unblock(self, source_ip):
+        """Accept connections from a source again."""
+        self._set_blocked(self.blocked_sources - {source_ip})
+
+    def _set_blocked(self, sources):
+        self.blocked_sources = sources
+        if self.server.is_serving():
+            for sock in self.server.sockets:
+                drop_sources(sock, sources)
+
     async def _forward_connection(self, reader, writer):
         if self.refuse_connections:
             writer.transport.abort()
@@ -96,3 +115,8 @@
         except OSError:
             for side in connection:
                 side.transport.abort()
+
+
+def _source_ip(connection):
+    writer, _ = connection
+    return (writer.get_extra_info("peername") or ("",))[0]
--- a/libraries/soak/src/corianderhaven/soak/_soak_run.py
+++ b/libraries/soak/src/corianderhaven/soak/_soak_run.py
@@ -1,6 +1,7 @@
 """Runs the soak test of one seed and reports the violated invariants."""
 
 import asyncio
+import ipaddress
 import random
 from collections import Counter
 from dataclasses import asdict, astuple, dataclass, field
@@ -22,9 +23,18 @@
 RECOVERY_TIMEOUT_S = 12.0  # from the last fault until every daemon serves every kind again
 EARLY_USAGE_FRACTION = 0.25  # of the run; queues, rate estimates and pools have filled by then
 POLL_INTERVAL_S = 0.1
+KINDS = ("draft", "issue", "status")
+PARTITION_TRIES = 6  # of each kind
+MIN_SERVED_SHARE = 2 / 3  # of the requests to a daemon without a path to the endpoints
+FIRST_DAEMON_IP = ipaddress.IPv4Address("127.0.1.1")
 MAX_TRACE_LINES = 60
 
 
+def daemon_ip(number):
+    """Return the loopback address of a daemon."""
+    return str(FIRST_DAEMON_IP + number)
+
+
 @dataclass
 class SoakReport:
     """Result of one run.
@@ -99,7 +109,7 @@
         publish_version(site)
         store = site.store_server.address
         self.daemons = [
-            SoakDaemon(f"entry-{n:02}", ZONES[n % len(ZONES)], store, self.folder)
+            SoakDaemon(f"entry-{n:02}", ZONES[n % len(ZONES)], store, self.folder, daemon_ip(n))
             for n in range(self.processes)
         ]
         callers, tasks = [], []
@@ -138,7 +148,12 @@
 
     async def _inject_faults(self):
         injector = FaultInjector(
-            self.site, self.daemons, self.worker_links, self.invariants, self._record_drain
+            self.site,
+            self.daemons,
+            self.worker_links,
+            self.invariants,
+            self._record_drain,
+            self._check_partitioned,
         )
         plan = plan_faults(self.seed, self.seconds) if self.faults else []
         loop = asyncio.get_running_loop()
@@ -176,6 +191,15 @@
         elif code and is_only_fault:
             self._add_violation("drain cuts off nothing", daemon.name, f"exit code {code}")
 
+    async def _check_partitioned(self, daemon):
+        """Check that a daemon serves its callers although it reaches no endpoint."""
+        for kind in KINDS:
+            results = [await self._is_served(daemon, kind) for _ in range(PARTITION_TRIES)]
+            served = sum(results)
+            if served < MIN_SERVED_SHARE * PARTITION_TRIES:
+                detail = f"{served} of {PARTITION_TRIES} requests ({kind}) without a path"
+                self._add_violation("served around a lost path", daemon.name, detail)
+
     def _add_violation(self, invariant, daemon_name, detail):
         self.invariants.violations.append(Violation(invariant, daemon_name, detail))
 
@@ -183,7 +207,7 @@
         """Return the seconds until every daemon serves every kind of request; None on timeout."""
         loop = asyncio.get_running_loop()
         started = loop.time()
-        pending = [(d, kind) for d in self.daemons for kind in ("draft", "issue", "status")]
+        pending = [(d, kind) for d in self.daemons for kind in KINDS]
         pending += [(d, "version") for d in self.daemons]
         random.Random(self.seed).shuffle(pending)
         while pending:
--- a/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
+++ b/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
@@ -246,9 +246,10 @@
 
 def test_every_fault_kind_has_an_injector_method():
     from corianderhaven.soak._fault_injector import MISBEHAVIOURS, FaultInjector
-    from corianderhaven.soak._faults import FAULT_WEIGHTS
+    from corianderhaven.soak._faults import FAULT_WEIGHTS, PARTITION_KIND
 
-    assert all(callable(getattr(FaultInjector, kind)) for kind in FAULT_WEIGHTS)
+    kinds = [*FAULT_WEIGHTS, PARTITION_KIND]
+    assert all(callable(getattr(FaultInjector, kind)) for kind in kinds)
     assert all(WorkerFaults(**fields) != WorkerFaults() for fields in MISBEHAVIOURS)
 
 
@@ -293,5 +294,64 @@
 def test_fault_of_a_worker_is_left_out_while_all_have_ended(kind):
     """A request had ended all plain workers, and the next fault ended the soak (seed 2986)."""
     site = SimpleNamespace(workers={})
-    injector = FaultInjector(site, [], {}, None, None)
+    injector = FaultInjector(site, [], {}, None, None, None)
     asyncio.run(getattr(injector, kind)(Fault(kind, 0.0, 0.1, 0.0)))
+
+
+@pytest.mark.parametrize("selector", [0.0, 0.3, 0.99])
+def test_daemon_that_loses_all_endpoints_is_checked_and_serves(tmp_path, monkeypatch, selector):
+    faults = [Fault("daemon_loses_endpoints", 0.5, 3.2, selector)]
+    monkeypatch.setattr(_soak_run, "plan_faults", lambda seed, seconds: faults)
+    run = SoakRun(7, 4.0, 3, str(tmp_path))
+    checked = []
+    check = run._check_partitioned
+    monkeypatch.setattr(
+        run, "_check_partitioned", lambda daemon: (checked.append(daemon.name), check(daemon))[1]
+    )
+    report = asyncio.run(run.run())
+    assert report.breaches == []
+    assert len(checked) == 1
+    lost = [d.log_lines("paths_lost") for d in run.daemons if d.name == checked[0]]
+    assert lost[0]
+
+
+def test_daemon_that_does_not_serve_around_a_lost_path_is_reported(tmp_path, monkeypatch):
+    run = SoakRun(7, 4.0, 1, str(tmp_path))
+    run.invariants = InvariantChecker(SimpleNamespace(runs=[], events=EVENTS, engines=None))
+
+    async def refuse(daemon, kind):
+        return False
+
+    monkeypatch.setattr(run, "_is_served", refuse)
+    asyncio.run(run._check_partitioned(SimpleNamespace(name="entry-00")))
+    assert set(violated_names(run.invariants)) == {"served around a lost path"}
+
+
+def test_partitions_leave_the_other_faults_of_a_seed_unchanged():
+    plan = plan_faults(3, 60.0)
+    partitions = [f for f in plan if f.kind == "daemon_loses_endpoints"]
+    assert partitions
+    first = next(f for f in plan if f not in partitions)
+    assert (first.kind, first.at_s) == ("worker_link_reset", 0.324)
+
+
+def test_link_proxy_blocks_one_source_only():
+    async def scenario():
+        site = await HostingSite(["a"], 1, small_models(), 1).start()
+        link = await LinkProxy(site.store_server.address).start()
+        open_before = await ClientConnection.open(link.address, 500.0, "127.0.1.7")
+        await asyncio.sleep(0.05)
+        link.block("127.0.1.7", stall_open=False)
+        with pytest.raises(ConnectionLostError):
+            await ClientConnection.open(link.address, 300.0, "127.0.1.7")
+        other = await ClientConnection.open(link.address, 300.0, "127.0.1.8")
+        await open_before.send("GET", "/api/kv-range", [("host", "x")])
+        assert (await open_before.read_head()).status == 200
+        link.unblock("127.0.1.7")
+        again = await ClientConnection.open(link.address, 300.0, "127.0.1.7")
+        for connection in (open_before, other, again):
+            connection.close()
+        link.close()
+        site.close()
+
+    asyncio.run(scenario())
--- a/libraries/standins/src/corianderhaven/standins/_hosting_daemon.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_daemon.py
@@ -42,6 +42,8 @@
         Folder for the node file and the log.
     previous : HostedDaemonProcess or None
         Earlier process of the same daemon whose addresses are reused.
+    ip : str
+        Loopback address at which it listens, and from which it connects to endpoints.
     """
 
     def __init__(
@@ -54,10 +56,11 @@
         grace_s=8,
         previous=None,
         log_name=None,
+        ip="127.0.0.1",
     ):
-        self.front = previous.front if previous else free_address()
-        self.ready = previous.ready if previous else free_address()
-        self.peers = previous.peers if previous else free_address()
+        self.front = previous.front if previous else free_address(ip)
+        self.ready = previous.ready if previous else free_address(ip)
+        self.peers = previous.peers if previous else free_address(ip)
         ip, _, port = self.peers.rpartition(":")
         path = Path(folder) / f"{name}.toml"
         path.write_text(
