Send callers away from a daemon that reaches neither endpoints nor peers

What callers would see: refused on each open connection for as long as the partition lasts. Cause: readiness knew nothing of endpoints, and open connections stay with their daemon. Change: a daemon that has lost all services for half a second, and knows no peer that reaches one, isn't ready and closes connections after an answer; a service is lost once each of its endpoints is, so small ones count too. After a peer that declined, the next one is taken from another zone: zones lose their paths together.

--- a/libraries/common/src/corianderhaven/common/_async_server.py
+++ b/libraries/common/src/corianderhaven/common/_async_server.py
@@ -206,7 +206,8 @@
 
     def _with_connection_header(self, headers):
         """Add ``Connection: close`` while closing, so that the next request goes elsewhere."""
-        return [*headers, (b"connection", b"close")] if self.server.closing else headers
+        closing = self.server.closing or self.server.sends_callers_away()
+        return [*headers, (b"connection", b"close")] if closing else headers
 
     async def send_response(self, status, headers, body):
         """Send a complete response."""
@@ -262,6 +263,11 @@
         Called with the `CallerRequest` and the `ServerConnection` to respond on.
     clock : Clock
         Source of the arrival times of requests.
+
+    Attributes
+    ----------
+    sends_callers_away : callable
+        Returns whether connections are closed after an answer, so that callers go elsewhere.
     """
 
     def __init__(self, address, handler, clock):
@@ -271,6 +277,7 @@
         self.limits = ServerLimits()
         self.connections = set()
         self.closing = False
+        self.sends_callers_away = lambda: False
         self.server = None
 
     async def start(self):
--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -140,6 +140,7 @@
         settings.peers = self.peers_server.address
         self._create_components()
         self.callers_server = AsyncHttpServer(settings.callers, self.gateway.handle, self.clock)
+        self.callers_server.sends_callers_away = self.gateway.is_isolated
         self.readiness_server = AsyncHttpServer(
             settings.readiness, self._handle_readiness, self.clock
         )
@@ -197,7 +198,9 @@
     @property
     def ready(self):
         """Whether the load balancer should send new connections to this daemon."""
-        return not self.draining and self.active_config.config is not None and self.joined
+        if self.draining or self.active_config.config is None or self.gateway.is_isolated():
+            return False
+        return self.joined
 
     @property
     def joined(self):
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_partitioned_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_partitioned_daemon.py
@@ -287,3 +287,26 @@
         assert site.clock.now_ms() - started_ms < KEPT_STREAM_TIMEOUT_MS
 
     run_scenario(scenario)
+
+
+def test_daemon_that_reaches_neither_endpoints_nor_peers_sends_its_callers_away():
+    """Its callers' open connections would be refused for as long as the partition lasts."""
+
+    async def scenario(site, daemons, links):
+        (cut,) = daemons
+        await answers_of(site.clock, daemons, SEND["draft"], 300.0)
+        assert cut.ready
+        links.cut(cut, RESET)
+        await answers_of(site.clock, daemons, SEND["draft"], 1_000.0)
+        await answers_of(site.clock, daemons, SEND["status"], 1_000.0)
+        answer = await SEND["draft"](cut)
+        assert answer.status == 503
+        assert answer.header("connection") == "close"
+        assert not cut.ready
+        links.heal(cut)
+        await wait_until(lambda: cut.ready, 2.0)
+        answers = await answers_of(site.clock, daemons, SEND["draft"], 500.0)
+        assert share_served(answers) == 1.0
+        assert answers[-1].header("connection") != "close"
+
+    run_scenario(scenario, daemons=1)
--- a/libraries/gateway/src/corianderhaven/gateway/__init__.py
+++ b/libraries/gateway/src/corianderhaven/gateway/__init__.py
@@ -11,6 +11,7 @@
 from ._gateway import Gateway
 from ._latency_estimator import LatencyEstimator
 from ._load_tracker import LoadTracker
+from ._peer_forwarder import PeerForwarder
 from ._reachability import Reachability
 from ._replica_view import ReplicaView
 from ._retry_budget import RetryBudget
@@ -36,6 +37,7 @@
     "LatencyEstimator",
     "ListedPart",
     "LoadTracker",
+    "PeerForwarder",
     "QueuedRequest",
     "Reachability",
     "Refusal",
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -1,6 +1,7 @@
 """Admission queues, latency estimators and endpoint selection of all services."""
 
 import math
+from collections import defaultdict
 
 from corianderhaven.common import MS_PER_S
 from corianderhaven.fleet import PERMIT_LIFETIME_MS
@@ -11,6 +12,7 @@
 
 MIN_ANSWER_FRACTION = 0.5  # of the time of an answer; with less left, an attempt is useless
 DEFAULT_GOAL_MS = 500.0
+LOST_SERVICES_CACHE_MS = 50.0  # half of the shortest exchange interval
 RECENT_ACTIVITY_MS = 500.0  # of a head that others use; some exchanges of digests
 PLAIN_WAIT_FRACTION = 0.5  # of the goal; an answer of a plain service takes about the rest
 
@@ -48,6 +50,7 @@
         self.permits = permits
         self.reachability = reachability
         self.has_idle_connection = lambda endpoint: False
+        self.latest_lost_services = (-1e12, {})
         self.queues = {}
         self.plain_queues = {}
         self.plain_rates = {}
@@ -162,7 +165,7 @@
         else:
             endpoints, slots = self.replica_view.available_heads(service.name, model), engine.slots
         if not endpoints:
-            return service.name in self.reachability.lost_services()
+            return service.name in self.lost_services()
         in_reach = self.in_reach(endpoints, context.can_fail_over())
         untried = [e for e in in_reach if e.id not in context.excluded]
         if len(in_reach) == len(endpoints):
@@ -173,6 +176,21 @@
             [e for e in endpoints if self._is_lost_but_alive(e)], slots
         )
 
+    def lost_services(self):
+        """Return the services of which no endpoint is in reach, with the times in ms for which."""
+        if not self.reachability.any_lost:
+            return {}
+        made_ms, lost = self.latest_lost_services
+        now = self.clock.now_ms()
+        if now - made_ms >= LOST_SERVICES_CACHE_MS:
+            by_service = defaultdict(list)
+            for endpoint in self.directory.endpoints():
+                by_service[endpoint.service].append(endpoint)
+            ages = ((s, self.reachability.all_lost_for_ms(e)) for s, e in by_service.items())
+            lost = {service: age_ms for service, age_ms in ages if age_ms}
+            self.latest_lost_services = (now, lost)
+        return lost
+
     def _are_full(self, endpoints, slots):
         return all(self.load_tracker.occupancy(e.id) >= slots for e in endpoints)
 
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -34,7 +34,7 @@
 RECENT_ACTIVITY_MS = 250.0  # longer than an event interval with prefill, or a digest's delivery
 MAX_LOGGED_PARTS = 8
 PART_RETRY_AFTER_MS = 3_600_000.0  # until a part that ended endpoints is tried again
-HAND_OVER_AFTER_MS = 500.0  # of a lost path, with several probes
+LASTING_LOSS_MS = 500.0  # of a path, with several probes
 PRUNE_INTERVAL_MS = 5_000.0  # few endpoints come and go in it; an entry takes about 100 bytes
 
 
@@ -171,6 +171,15 @@
     async def _decline(self, caller, reason):
         await caller.send_response(503, [(DECLINED, reason.encode())], b"")
 
+    def is_isolated(self):
+        """Return whether this daemon reaches no endpoint, nor a peer that does."""
+        config = self.active_config.config
+        lost_for_ms = self.dispatcher.lost_services()
+        return bool(config is not None and config.services) and all(
+            lost_for_ms.get(name, 0.0) > LASTING_LOSS_MS and self.forwarder.pick(name) is None
+            for name in config.services
+        )
+
     def note_order_connection(self, endpoint, opened):
         """Take note of a connection for an order or a report, which tells of the path as well."""
         if opened:
@@ -185,10 +194,10 @@
         A path that was lost only just now may be back at once.
         """
         config = self.active_config.config
-        lost_for_ms = self.reachability.lost_services()
+        lost_for_ms = self.dispatcher.lost_services()
         return config is None or not any(
             service.engine is not None
-            and lost_for_ms.get(service.name, 0.0) > HAND_OVER_AFTER_MS
+            and lost_for_ms.get(service.name, 0.0) > LASTING_LOSS_MS
             and self.forwarder.pick(service.name) is not None
             for service in config.services.values()
         )
@@ -229,7 +238,7 @@
             zone=self.settings.zone,
             parts=self.crash_guard.digest(),
             limits=self.endpoint_limits.records(SHARED_MS),
-            lost_services=list(self.reachability.lost_services()),
+            lost_services=list(self.dispatcher.lost_services()),
         )
 
     def _add_peer_suspicions(self, suspects, daemon):
--- a/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
@@ -123,6 +123,9 @@
             and p.name not in declined
             and now >= self.avoided_until_ms.get(p.name, 0.0)
         ]
+        # Daemons of a zone lose their paths together.
+        tried = {p.zone for p in reachable if p.name in declined}
+        usable = [p for p in usable if p.zone not in tried] or usable
         zone = self.peers.zone
         cut_in_zone = 1 + sum(p.zone == zone and p.name in without for p in reachable)
         peer = choose_peer(usable, zone, cut_in_zone, self.in_flight)
@@ -156,7 +159,7 @@
         try:
             head = await self._request_head(forward)
             if head is None:
-                self._avoid(forward.target)
+                self.avoid(forward.target)
                 return AttemptResult.NOT_SENT
             result = self._classify(forward, head)
             if result is AttemptResult.COMPLETE and streaming:
@@ -171,14 +174,15 @@
             if self.clock.now_ms() >= context.deadline_ms:
                 raise
             forward.reason = "no answer in time"
-            self._avoid(forward.target)
+            self.avoid(forward.target)
             return AttemptResult.SILENT
         except (ConnectionLostError, EventTooLargeError) as error:
             forward.reason = str(error)
-            self._avoid(forward.target)
+            self.avoid(forward.target)
             return AttemptResult.BROKEN
 
-    def _avoid(self, target):
+    def avoid(self, target):
+        """Send nothing to a peer for a short time."""
         self.avoided_until_ms[target.id] = self.clock.now_ms() + AVOIDED_MS
 
     async def _request_head(self, forward):
@@ -224,7 +228,7 @@
         declined = head.header(DECLINED.decode())
         if declined is not None:
             forward.reason = declined
-            self._avoid(target)
+            self.avoid(target)
             context.possible_runs[target.id] -= 1
             return AttemptResult.DECLINED
         if response.request_id not in (None, context.metadata.request_id):
--- a/libraries/gateway/src/corianderhaven/gateway/_reachability.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_reachability.py
@@ -19,8 +19,9 @@
 
 @dataclass
 class EndpointFailures:
-    """Connections to one endpoint that failed in succession, and when the last one did."""
+    """Connections to one endpoint that failed in succession, from the first to the last one."""
 
+    since_ms: float
     count: int = 0
     last_ms: float = 0.0
 
@@ -101,7 +102,7 @@
     def record_failed(self, endpoint):
         """Record that a connection to an endpoint could not be opened."""
         now = self.clock.now_ms()
-        failures = self.failures.setdefault(endpoint.id, EndpointFailures())
+        failures = self.failures.setdefault(endpoint.id, EndpointFailures(now))
         failures.count, failures.last_ms = failures.count + 1, now
         lost_before = len(self.lost_scopes)
         for scope in scopes_of(endpoint):
@@ -159,14 +160,19 @@
         heard = self.data_ms.get(endpoint.service, -1e12) >= since_ms
         return heard or self.connected_since(endpoint, since_ms)
 
-    def lost_services(self):
-        """Return the services of which every endpoint is believed out of reach, with the ages."""
+    def all_lost_for_ms(self, endpoints):
+        """Return how long none of the endpoints has been in reach; 0.0 if one is or none exist."""
+        if not self.any_lost or any(self.is_reachable(e) for e in endpoints):
+            return 0.0
         now = self.clock.now_ms()
-        return {
-            service: now - self.scopes[service, zone].lost_since_ms
-            for service, zone in self.lost_scopes
-            if service is not None and zone is None
-        }
+        return min((now - self._lost_since_ms(e) for e in endpoints), default=0.0)
+
+    def _lost_since_ms(self, endpoint):
+        lost = self.lost_scopes.intersection(scopes_of(endpoint))
+        since_ms = [self.scopes[scope].lost_since_ms for scope in lost]
+        if self._is_lost_alone(endpoint):
+            since_ms.append(self.failures[endpoint.id].since_ms)
+        return min(since_ms)
 
     def prune(self, endpoints):
         """Drop endpoints and scopes that no longer exist."""
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_reachability.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_reachability.py
@@ -100,10 +100,10 @@
     ledger = [e for e in history.endpoints if e.service == "ledger"]
     history.connect(ledger[0])
     assert all(history.reachability.is_reachable(e) for e in ledger)
-    assert "engines" in history.reachability.lost_services()
-    assert not any(
-        history.reachability.is_reachable(e) for e in history.endpoints if e.service == "engines"
-    )
+    engines = [e for e in history.endpoints if e.service == "engines"]
+    assert history.reachability.all_lost_for_ms(engines) > 0.0
+    assert history.reachability.all_lost_for_ms(ledger) == 0.0
+    assert not any(history.reachability.is_reachable(e) for e in engines)
 
 
 def test_partition_from_a_zone_leaves_the_others_in_reach():
