Have peers accept forwarded requests at once, and let these wait there

What callers would see under load: a request that waits at a peer for an endpoint was given up after a second and made again at the next peer, a repeat each time. Cause: the time to an answer was taken for the time to hear of a peer. Change: a peer accepts by an informational response; one that doesn't within 0.3 s is left, one that did may take the caller's time.

--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -93,6 +93,18 @@
                 raise ConnectionLostError(f"no answer: {type(event).__name__}")
         raise ConnectionLostError("informational responses without end")
 
+    async def read_acceptance(self):
+        """Wait until the peer has accepted the request; return the `ResponseHead` if it answers.
+
+        A peer accepts a request by an informational response before it works on it.
+        """
+        event = await self.next_event()
+        if isinstance(event, h11.Response):
+            return self._describe_head(event)
+        if not isinstance(event, h11.InformationalResponse):
+            raise ConnectionLostError(f"no answer: {type(event).__name__}")
+        return None
+
     def _describe_head(self, event):
         framings = FRAMING_HEADERS & {name for name, _ in event.headers}
         self.two_framings = framings == FRAMING_HEADERS
--- a/libraries/common/src/corianderhaven/common/_async_server.py
+++ b/libraries/common/src/corianderhaven/common/_async_server.py
@@ -13,6 +13,7 @@
 from ._clock import MS_PER_S
 
 LISTEN_BACKLOG = 1024  # for a burst of connections between two event loop iterations
+PROCESSING = 102
 BAD_GATEWAY = 502
 REQUEST_TIMEOUT = 408
 HEADERS_TOO_LARGE = 431
@@ -209,6 +210,12 @@
         closing = self.server.closing or self.server.sends_callers_away()
         return [*headers, (b"connection", b"close")] if closing else headers
 
+    async def send_acceptance(self):
+        """Tell the caller by an informational response that its request is being handled."""
+        await self.write(
+            self.parser.send(h11.InformationalResponse(status_code=PROCESSING, headers=[]))
+        )
+
     async def send_response(self, status, headers, body):
         """Send a complete response."""
         headers = self._with_connection_header([*headers, (b"content-length", b"%d" % len(body))])
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_partitioned_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_partitioned_daemon.py
@@ -310,3 +310,36 @@
         assert answers[-1].header("connection") != "close"
 
     run_scenario(scenario, daemons=1)
+
+
+def test_forwarded_requests_may_wait_at_a_peer_that_has_accepted_them():
+    """Forwards were given up after a second, and made again at the next peer."""
+
+    async def scenario(site, daemons, links):
+        cut = daemons[0]
+        links.cut(cut, RESET)
+        await answers_of(site.clock, [cut], SEND["draft"], 500.0)
+        for worker in workers(site, "draft-pool"):
+            worker.faults.slow_ms = 1_500.0
+        answer = await SEND["draft"](cut)
+        assert answer.complete
+        forwards = [e["request"] for e in decisions(cut, "request_forwarded")]
+        assert forwards.count(answer.request_id) == 1
+
+    run_scenario(scenario)
+
+
+def test_peer_that_accepts_no_request_is_left_for_another():
+    async def scenario(site, daemons, links):
+        cut, silent, _ = daemons
+        links.cut(cut, RESET)
+        await answers_of(site.clock, [cut], SEND["draft"], 500.0)
+
+        async def say_nothing(request, caller):
+            await asyncio.sleep(3_600.0)
+
+        silent.peers_server.handler = say_nothing
+        answers = await answers_of(site.clock, [cut], SEND["status"], 1_000.0)
+        assert share_served(answers) == 1.0
+
+    run_scenario(scenario)
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -166,6 +166,7 @@
         elif self.active_config.version < origin.config_version:
             await self._decline(caller, "older configuration")
         else:
+            await caller.send_acceptance()
             await self.handle(request, caller, origin)
 
     async def _decline(self, caller, reason):
--- a/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
@@ -26,7 +26,9 @@
 
 AVOIDED_MS = 500.0  # after a peer could not be reached, or declined; some exchanges of digests
 HOP_MARGIN_MS = 10.0  # so that the peer's last word arrives before this daemon's deadline
-HEAD_TIMEOUT_MS = 1_000.0  # of a request that may be sent again; several goals
+# Within which a peer accepts a request that may be sent again. Its answer may take longer, as the
+# request may wait there for an endpoint.
+ACCEPTANCE_TIMEOUT_MS = 300.0
 REFUSAL_STATUSES = (408, 421, 429, 503)  # they state that the request was not and won't be run
 RETRY_AFTER = "retry-after"
 DEFAULT_RETRY_AFTER_MS = 400.0
@@ -201,9 +203,10 @@
             except ConnectionLostError as error:
                 forward.reason = str(error)
                 return None
-        async with asyncio.timeout(HEAD_TIMEOUT_MS / MS_PER_S if may_repeat else None):
+        async with asyncio.timeout(ACCEPTANCE_TIMEOUT_MS / MS_PER_S if may_repeat else None):
             await self._write_request(forward)
-            return await forward.connection.read_head()
+            head = await forward.connection.read_acceptance()
+        return head if head is not None else await forward.connection.read_head()
 
     async def _write_request(self, forward):
         context = forward.context
