Send to a peer what the endpoints in reach can't take while others can

A daemon that has lost the paths to most endpoints queued all its requests at the few that it reaches. Now a request for which those are full, while peers hear of others that are not, is offered to one peer, and waits here if that doesn't take it. The retry budget counts a request at one daemon only. Fewer checks of the path by the keeper: none while another endpoint was just reached.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_partitioned_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_partitioned_daemon.py
@@ -343,3 +343,22 @@
         assert share_served(answers) == 1.0
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("mode", [HANG, RESET])
+def test_daemon_that_lost_most_endpoints_has_peers_serve_what_the_others_cannot(mode):
+    async def scenario(site, daemons, links):
+        cut, *others = daemons
+        kept = heads(site, "small")[0]
+        links.cut(cut, mode, lambda worker: worker is not kept)
+        async with load(daemons, SEND["draft"], 8.0):
+            await wait_ms(site.clock, CONTACT_MS)
+        runs = len(site.runs)
+        async with load([cut], SEND["draft"], 15.0) as answers:
+            await wait_ms(site.clock, 2_000.0)
+        assert share_served(answers) >= MIN_SHARE
+        used = Counter(run.worker for run in site.runs[runs:])
+        assert used[kept.id]
+        assert len(used) > 1
+
+    run_scenario(scenario, site_fields={"token_ms": 25.0})
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -152,30 +152,40 @@
         ]
 
     def lacks_path(self, context):
-        """Return whether a request has to go by another daemon, as no path from here is left.
-
-        It also goes by another one if the endpoints in reach are full and others are not.
-        """
+        """Return whether a request has to go by another daemon, as no path from here is left."""
         if not self.reachability.any_lost:
             return False
-        service, model = context.service, context.metadata.model
-        engine = service.engine
-        if engine is None or engine.model(model) is None:
-            endpoints, slots = self._plain_endpoints(service.name), None
-        else:
-            endpoints, slots = self.replica_view.available_heads(service.name, model), engine.slots
+        endpoints, _ = self._serving_endpoints(context)
         if not endpoints:
-            return service.name in self.lost_services()
+            return context.service.name in self.lost_services()
         in_reach = self.in_reach(endpoints, context.can_fail_over())
-        untried = [e for e in in_reach if e.id not in context.excluded]
-        if len(in_reach) == len(endpoints):
+        return len(in_reach) < len(endpoints) and not self._untried(context, in_reach)
+
+    def prefers_peer(self, context):
+        """Return whether the endpoints in reach are full, and others are known not to be."""
+        if not self.reachability.any_lost:
+            return False
+        endpoints, slots = self._serving_endpoints(context)
+        if slots is None:
             return False
-        if not untried or slots is None:
-            return not untried
-        return self._are_full(untried, slots) and not self._are_full(
-            [e for e in endpoints if self._is_lost_but_alive(e)], slots
+        in_reach = self.in_reach(endpoints, context.can_fail_over())
+        alive = [e for e in endpoints if self._is_lost_but_alive(e)]
+        return self._are_full(self._untried(context, in_reach), slots) and not self._are_full(
+            alive, slots
         )
 
+    def _serving_endpoints(self, context):
+        """Return the endpoints that serve a request, and the slots of an engine or None."""
+        service, model = context.service, context.metadata.model
+        engine = service.engine
+        if engine is None or engine.model(model) is None:
+            return self._plain_endpoints(service.name), None
+        return self.replica_view.available_heads(service.name, model), engine.slots
+
+    @staticmethod
+    def _untried(context, endpoints):
+        return [e for e in endpoints if e.id not in context.excluded]
+
     def lost_services(self):
         """Return the services of which no endpoint is in reach, with the times in ms for which."""
         if not self.reachability.any_lost:
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -13,11 +13,11 @@
 from ._event_stream import EventSplitter
 from ._forwarding import DECLINED, unwrap
 from ._load_tracker import LoadTracker
-from ._path_prober import PathProber
+from ._path_prober import CONNECT_TIMEOUT_MS, PathProber
 from ._peer_forwarder import PeerForwarder
 from ._reachability import Reachability
 from ._replica_view import ReplicaView
-from ._request_context import AttemptResult, RequestContext
+from ._request_context import NOT_RUN_RESULTS, AttemptResult, RequestContext
 from ._retry_budget import RetryBudget
 from ._routes import RouteTable
 from ._send_permits import SendPermits
@@ -187,7 +187,10 @@
             self.reachability.record_connected(endpoint)
         else:
             self.reachability.record_failed(endpoint)
-            self.path_prober.begin_check(endpoint)
+            if not self.reachability.connected_since(
+                endpoint, self.clock.now_ms() - CONNECT_TIMEOUT_MS
+            ):
+                self.path_prober.begin_check(endpoint)
 
     def can_reach_engines(self):
         """Return whether this daemon can send orders to engines, or no other daemon can either.
@@ -343,14 +346,16 @@
 
     def _count(self, context):
         """Count a request for the retry budget, at the daemon that sends it to an endpoint."""
-        if not context.counted:
-            context.counted = True
+        counted_before = context.origin is not None and context.origin.resumed
+        if not context.counted and not counted_before:
             self.retry_budget.record_request(context.service.name)
+        context.counted = True
 
     async def _is_served_by_peer(self, context, streaming):
         """Return whether a request has ended here, as only a peer can send it to an endpoint."""
         if not self.dispatcher.lacks_path(context):
-            return False
+            may_overflow = context.origin is None and not context.overflowed
+            return may_overflow and await self._is_overflow_served(context, streaming)
         if context.origin is None:
             return await self._forward(context, streaming)
         if context.attempt_results:
@@ -360,6 +365,27 @@
             await self._decline(context.caller, "no path to the endpoints")
         return True
 
+    async def _is_overflow_served(self, context, streaming):
+        """Return whether a peer has served a request for which the endpoints in reach are full.
+
+        If none takes it, it waits for these.
+        """
+        if not self.dispatcher.prefers_peer(context):
+            return False
+        context.overflowed = True
+        target = self.forwarder.pick(context.service.name)
+        if target is None:
+            return False
+        forward, result = await self.forwarder.send(context, target, streaming)
+        context.attempt_results.append((target.id, result.value))
+        if result in NOT_RUN_RESULTS:
+            return False
+        if result is AttemptResult.COMPLETE:
+            context.outcome = "complete"
+        else:
+            await self._end_unserved(context, f"forward {result.value}", forward.retry_after_ms)
+        return True
+
     async def _forward(self, context, streaming):
         """Have peers serve a request until it has ended; returns True."""
         while True:
--- a/libraries/gateway/src/corianderhaven/gateway/_request_context.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_context.py
@@ -68,6 +68,8 @@
         Peers that have not taken the request.
     counted : bool
         Whether the retry budget has counted the request.
+    overflowed : bool
+        Whether a peer was asked to serve it as the endpoints in reach were full.
     """
 
     request: object
@@ -97,6 +99,7 @@
     origin: object = None
     declined_by: set = field(default_factory=set)
     counted: bool = False
+    overflowed: bool = False
 
     @property
     def started_ms(self):
