Move the failover of streams out of the gateway; leave streams that go on while their path is checked

A head that was silent when the check of its path began, and sent again before it ended, was suspected and its streams moved (by reading; the new unit test shows that they stay).

--- a/libraries/gateway/src/corianderhaven/gateway/__init__.py
+++ b/libraries/gateway/src/corianderhaven/gateway/__init__.py
@@ -18,6 +18,7 @@
 from ._routes import RouteTable
 from ._send_permits import SendPermits
 from ._silence_detector import ActiveStream, SilenceDetector
+from ._stream_failover import StreamFailover
 from ._waiting_requests import WaitingRequests
 from ._wire import AttemptMetadata, RequestMetadata, ResponseMetadata, WireFormat
 
@@ -48,6 +49,7 @@
     "RouteTable",
     "SendPermits",
     "SilenceDetector",
+    "StreamFailover",
     "Verdict",
     "WaitingRequests",
     "WireFormat",
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from corianderhaven.common import MS_PER_S, CallerDisconnectedError
-from corianderhaven.fleet import Digest, HeadDigest, model_of
+from corianderhaven.fleet import Digest, HeadDigest
 
 from . import _metrics
 from ._admission import PATHS_LOST, Refusal, dispatch_periodically
@@ -22,7 +22,8 @@
 from ._routes import RouteTable
 from ._send_permits import SendPermits
 from ._sender import Sender
-from ._silence_detector import CHECK_INTERVAL_MS, SilenceDetector
+from ._silence_detector import SilenceDetector
+from ._stream_failover import StreamFailover
 
 ANSWER_MARGIN_MS = 15.0  # to deliver the final answer to the caller
 MAX_ATTEMPTS = 4  # per request, including failed connections
@@ -88,7 +89,6 @@
         self.path_prober = PathProber(self.reachability, directory, clock, settings.ip)
         self.reachability.on_lost = self._reroute_waiting
         self.crash_guard.is_path_sound = self.path_prober.is_path_sound
-        self.silence_checks = {}
         self.sender = Sender(
             wire,
             self.load_tracker,
@@ -102,6 +102,16 @@
         self.sender.spend_retry = lambda service: self.retry_budget.try_spend(service)
         self.sender.may_send_now = self.permits.try_take
         self.sender.on_limit = self.endpoint_limits.record_answer
+        self.stream_failover = StreamFailover(
+            self.silence_detector,
+            self.sender,
+            self.path_prober,
+            self.replica_view,
+            self.retry_budget,
+            peers,
+            decisions,
+        )
+        self.stream_failover.on_suspect = self._suspect
         self.dispatcher.has_idle_connection = self.sender.pool.has_idle
         self.forwarder = PeerForwarder(peers, wire, clock, decisions, settings.ip)
         self.forwarder.config_version = lambda: active_config.version
@@ -124,15 +134,16 @@
         self.tasks = [
             loop.create_task(dispatch_periodically(self.dispatcher.queues, self.clock)),
             loop.create_task(dispatch_periodically(self.dispatcher.plain_queues, self.clock)),
-            loop.create_task(self._check_silence()),
+            loop.create_task(self.stream_failover.run()),
             loop.create_task(self._prune_endpoints()),
             loop.create_task(self.path_prober.run()),
         ]
 
     def close(self):
         """Stop the periodic tasks."""
-        for task in (*self.tasks, *self.silence_checks.values()):
+        for task in self.tasks:
             task.cancel()
+        self.stream_failover.close()
         self.sender.pool.close()
         self.forwarder.close()
         self.path_prober.close()
@@ -666,57 +677,3 @@
             self.reachability.prune(self.directory.endpoints())
             self.sender.pool.prune()
             self.forwarder.prune()
-
-    async def _check_silence(self):
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_MS / MS_PER_S)
-            if self.reachability.lost_scopes:
-                self.sender.interrupt_waiting_on_lost_paths()
-            for endpoint in self.sender.overdue_on_kept_connections():
-                self.path_prober.begin_check(endpoint)
-            for head_id in self.silence_detector.silent_heads():
-                if head_id not in self.silence_checks:
-                    self._begin_silence_check(head_id)
-            for stream in self.silence_detector.stalled_streams():
-                self._fail_over_stalled(stream)
-
-    def _begin_silence_check(self, head_id):
-        task = asyncio.get_running_loop().create_task(self._check_silent_head(head_id))
-        self.silence_checks[head_id] = task
-        task.add_done_callback(lambda done: self.silence_checks.pop(head_id, None))
-
-    async def _check_silent_head(self, head_id):
-        """Suspect a silent head unless the path to it is lost, and fail over its streams."""
-        head = self.directory.get(head_id)
-        if head is None or head.membership is None:
-            return
-        if await self.path_prober.is_path_sound(head, self.clock.now_ms()):
-            self._suspect(head, "streams silent")
-        self._fail_over_streams(head)
-
-    def _fail_over_streams(self, head):
-        """Fail over the streams of a silent head, within the retry budget and if others serve."""
-        activity = self.silence_detector.heads.get(head.id)
-        if activity is None:
-            return
-        model = model_of(head.membership.replica)
-        allowed = int(self.retry_budget.remaining(head.service))
-        others = self.replica_view.available_heads(head.service, model)
-        if self.reachability.is_scope_lost(head):
-            others = others or self.peers.peers
-        streams = [s for s in activity.streams if s.can_fail_over and not s.silent]
-        for stream in streams[: max(0, allowed) if others else 0]:
-            stream.silent = True
-            stream.interrupt()
-
-    def _fail_over_stalled(self, stream):
-        """Continue a stream elsewhere that makes no progress although its head does."""
-        head = self.directory.get(stream.head_id)
-        if head is None or head.membership is None or stream.stalled or stream.silent:
-            return
-        others = self.replica_view.available_heads(head.service, model_of(head.membership.replica))
-        has_other = any(other.id != stream.head_id for other in others)
-        if stream.can_fail_over and has_other and self.retry_budget.remaining(head.service) >= 1.0:
-            self.decisions.record("stream_stalled", endpoint=stream.head_id)
-            stream.stalled = True
-            stream.interrupt()
--- a/libraries/gateway/src/corianderhaven/gateway/_silence_detector.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_silence_detector.py
@@ -114,6 +114,11 @@
             if self._is_silent(head_id, activity)
         ]
 
+    def is_silent(self, head_id):
+        """Return whether the streams of a head have all been silent for too long."""
+        activity = self.heads.get(head_id)
+        return activity is not None and self._is_silent(head_id, activity)
+
     def stalled_streams(self):
         """Return the streams that completed no event for `STALL_MS` although their head is active.
 
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_silence.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_silence.py
@@ -1,10 +1,18 @@
 """Tests of the detection of silent heads."""
 
+import asyncio
+from types import SimpleNamespace
+
 from msgspec.json import encode
 
 from corianderhaven.common import ManualClock
 from corianderhaven.fleet import Digest, HeadDigest, PeerMessage, PeerTable
-from corianderhaven.gateway import ActiveStream, SilenceDetector
+from corianderhaven.gateway import (
+    ActiveStream,
+    Reachability,
+    SilenceDetector,
+    StreamFailover,
+)
 
 
 def make_detector(*head_ids):
@@ -121,3 +129,46 @@
             detector.record_activity(stream)
     assert silent == set()
     assert detector.stalled_streams() == []
+
+
+def test_head_that_goes_on_while_its_path_is_checked_keeps_its_streams():
+    """A sound endpoint may fall silent for a moment; its streams were moved all the same."""
+    clock = ManualClock()
+    detector = SilenceDetector(clock, PeerTable("d1", clock))
+    interrupted, suspected = [], []
+    stream = ActiveStream("h", clock.now_ms(), 100.0, 40.0, True, lambda: interrupted.append("h"))
+    detector.add(stream)
+    detector.record_activity(stream)
+    head = SimpleNamespace(
+        id="h", service="s", membership=SimpleNamespace(replica="model.1.1"), zone="a"
+    )
+
+    async def is_path_sound(endpoint, since_ms):
+        if resumes:
+            detector.record_activity(stream)
+        return True
+
+    failover = StreamFailover(
+        detector,
+        sender=None,
+        path_prober=SimpleNamespace(
+            reachability=Reachability(clock, None), clock=clock, is_path_sound=is_path_sound
+        ),
+        replica_view=SimpleNamespace(
+            directory=SimpleNamespace(get=lambda head_id: head),
+            available_heads=lambda service, model: [head],
+        ),
+        retry_budget=SimpleNamespace(remaining=lambda service: 5.0),
+        peers=None,
+        decisions=None,
+    )
+    failover.on_suspect = lambda head, reason: suspected.append(head.id)
+    clock.advance_ms(500.0)
+    assert detector.is_silent("h")
+    resumes = True
+    asyncio.run(failover._check_silent_head("h"))
+    assert (interrupted, suspected) == ([], [])
+    clock.advance_ms(500.0)
+    resumes = False
+    asyncio.run(failover._check_silent_head("h"))
+    assert (interrupted, suspected) == (["h"], ["h"])
