--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_partitioned_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_partitioned_daemon.py
@@ -381,3 +381,24 @@
         assert len(used) > 1
 
     run_scenario(scenario, site_fields={"token_ms": 25.0})
+
+
+@pytest.mark.parametrize("mode", [HANG, RESET])
+def test_daemon_that_lost_most_endpoints_serves_while_its_peers_are_idle(mode):
+    """Heads out of reach that no peer uses can't be told from dead ones."""
+
+    async def scenario(site, daemons, links):
+        cut = daemons[0]
+        kept = heads(site, "small")[0]
+        links.cut(cut, mode, lambda worker: worker is not kept)
+        async with load(daemons, SEND["draft"], 8.0):
+            await wait_ms(site.clock, CONTACT_MS)
+        runs = len(site.runs)
+        async with load([cut], SEND["draft"], 15.0) as answers:
+            await wait_ms(site.clock, 2_000.0)
+        assert share_served(answers) >= MIN_SHARE
+        used = Counter(run.worker for run in site.runs[runs:])
+        assert used[kept.id]
+        assert len(used) > 1
+
+    run_scenario(scenario, site_fields={"token_ms": 25.0})
