--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -20,6 +21,7 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 CASE_LIMIT_S = 112.0
 HEARTBEAT_S = 1.2
+LOWEST_PORT, HIGHEST_PORT = 12_000, 32_000
 ROOT = Path(__file__).resolve().parents[2]
 COMMAND = ["python3", "-m", "corianderhaven.daemon"]  # as in deploy/system.toml
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -105,10 +107,15 @@
 
 
 def free_port(ip):
-    """Return a port that is free at an address now."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    """Return a port that is free at an address, outside the range of outgoing connections."""
+    while True:
+        port = random.randrange(LOWEST_PORT, HIGHEST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+            return port
 
 
 class Daemon:
