--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,6 +8,7 @@
 from harness import (
     BROKEN,
     HELD,
+    MACHINES,
     TROUBLE,
     CannotRunError,
     Daemon,
@@ -16,9 +17,9 @@
     wait_for,
 )
 
-LATE_S = 6.5  # applied_late: an order that isn't answered is carried out so much later
+LATE_S = 5.5  # applied_late: an order that isn't answered is carried out so much later
 LATE_OPERATIONS = ("join", "open")  # the first of each to the head of the first group
-MACHINES = (("edge-sofia-a-1", "127.0.0.11"), ("edge-sofia-b-1", "127.0.0.21"))
+WORKERS = 8  # one of them is emptied (scale_in, share = 0.13), one is added (scale_out, 0.25)
 
 
 class LateOrders(EngineSite):
@@ -27,6 +28,7 @@
     def __init__(self, *arguments):
         super().__init__(*arguments)
         self.late = set()
+        self.first_group = None
         self.orders = []  # (time, operation, group, engine, source address, status)
         self.tasks_late = []
 
@@ -53,8 +55,10 @@
         body = msgspec.json.decode(request.body)
         source = caller.transport.get_extra_info("peername")[0]
         operation = body["operation"]
-        is_head = operation == "join" and body["members"][0] == engine.id
-        is_head = is_head or (operation == "open" and "join" in self.late)
+        is_head = operation == "open" or body.get("members", [""])[0] == engine.id
+        if operation == "join" and is_head and self.first_group is None:
+            self.first_group = body["group"]
+        is_head = is_head and body.get("group") == self.first_group
         if TROUBLE and is_head and operation in LATE_OPERATIONS and operation not in self.late:
             self.late.add(operation)
             self.record.note(f"order {operation} {body['group']} at {engine.id} isn't answered")
@@ -69,34 +73,37 @@
         self.apply(engine, body, source, "carried out late")
 
 
-def open_head(site):
-    """Return the engine that heads an open group, or None."""
+def open_heads(site):
+    """Return the engines that head open groups, by the names of the groups."""
     engines = site.engines.engines.values()
-    return next((e for e in engines if site.engines.state(e) == "open"), None)
+    return {e.group.name: e for e in engines if site.engines.state(e) == "open"}
 
 
 async def case(record, folder, daemons):
     """Bring the case about; return its code."""
-    site = LateOrders(record, ["sofia-a"], 2, [model("m1", 2, 12, 1.1, 1.0)], 40.0)
+    site = LateOrders(record, ["sofia-a"], WORKERS, [model("m1", 2, 12, 1.1, 1.0)], 40.0)
     await site.start()
-    for name, ip in MACHINES:
-        zone = name.removeprefix("edge-")[:-2]
+    for name, zone, ip in MACHINES:
         store = site.store_server.address
         daemons.append(Daemon(folder, name, zone, ip, store, record, stall_ms=400))
         daemons[-1].start()
     await wait_for(lambda: all_ready(daemons), 20, "all machines are ready")
-    await wait_for(lambda: open_head(site), 20, "the group is open")
-    head = open_head(site)
+    groups = WORKERS // 2
+    await wait_for(lambda: len(open_heads(site)) == groups, 20, "all groups are open")
+    first_groups = set(open_heads(site))
+    head = open_heads(site)[site.first_group]
     group = head.group
-    began = min(o[0] for o in site.orders) - (0.4 if TROUBLE else 0.0)
+    began = min(o[0] for o in site.orders)
+    first_orders = len(site.orders) + len(site.late)
+    record.say(f"{len(site.late)} of the first {first_orders} orders weren't answered")
     record.say(f"{group.name} is open at {head.id}, members {', '.join(group.members)}")
 
     # Planned: the keeper's machine is stopped, then a member of the group is emptied.
     keeper_ip = site.orders[-1][4]
     keeper = next(d for d in daemons if d.ip == keeper_ip)
-    await asyncio.sleep(1.2)  # the store has the entries of the open group
+    await asyncio.sleep(1.0)  # the store has the entries of the open group
     keeper.signal(signal.SIGTERM)
-    await asyncio.sleep(0.8)
+    await asyncio.sleep(0.6)
     member = site.workers[group.members[1]]
     member.leaving = True
     record.say(f"{keeper.name} had a SIGTERM, {member.id} reports draining")
@@ -114,8 +121,7 @@
     record.say("an empty worker was added")
     deadline = record.now() + 25.0
     while record.now() < deadline and not site.engines.violations:
-        joined = [e for e in site.engines.engines.values() if site.engines.state(e) == "open"]
-        if any(e.group.name != group.name for e in joined):
+        if set(open_heads(site)) - first_groups:
             break
         await asyncio.sleep(0.1)
     two = [v for v in site.engines.violations if v.startswith("TWO")]
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,6 +7,7 @@
 from harness import (
     BROKEN,
     HELD,
+    MACHINES,
     TROUBLE,
     Client,
     Daemon,
@@ -32,10 +33,8 @@
     ).start()
     site.routes = [{**r, "timeout_ms": DEADLINE_MS} for r in site.routes]
     site.publish_config()
-    for name, ip in (("edge-sofia-a-1", "127.0.0.11"), ("edge-sofia-a-2", "127.0.0.12")):
-        daemon = Daemon(
-            folder, name, "sofia-a", ip, site.store_server.address, record, stall_ms=400
-        )
+    for name, zone, ip in MACHINES:
+        daemon = Daemon(folder, name, zone, ip, site.store_server.address, record, stall_ms=400)
         daemons.append(daemon)
         daemon.start()
     await wait_for(lambda: all_ready(daemons), 20, "all machines are ready")
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -462,6 +462,15 @@
     return all([await d.is_ready() for d in daemons])
 
 
+# The machines of the site, one address each; the first zone has two.
+MACHINES = (
+    ("edge-sofia-a-1", "sofia-a", "127.0.0.11"),
+    ("edge-sofia-a-2", "sofia-a", "127.0.0.12"),
+    ("edge-sofia-b-1", "sofia-b", "127.0.0.21"),
+    ("edge-sofia-c-1", "sofia-c", "127.0.0.31"),
+)
+
+
 class CannotRunError(Exception):
     """The case could not be brought about."""
 
@@ -472,6 +481,9 @@
 
     async def main():
         daemons = []
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory() as folder:
             try:
                 async with asyncio.timeout(CASE_LIMIT_S):
@@ -486,6 +498,9 @@
 
     try:
         code = asyncio.run(main())
+    except asyncio.CancelledError:
+        record.say("ended from outside")
+        code = COULD_NOT_RUN
     except CannotRunError as error:
         record.say(f"could not run: {error}")
         code = COULD_NOT_RUN
