Answer every request before a drain or a failure ends the daemon

Cause: drain() waited for what was in flight and close() then aborted all connections. The end of the drain was known to neither the queues nor the deadlines of requests, and the margin kept for last answers was not used. A daemon that had failed closed its connections in the same way.

Ruled out: lost wake-ups (the control without SIGTERM answers 200), the socket (the requests' heads had been read).

Change: the end of a drain is a deadline of all requests and of the queues. What waits is refused once its answer would come too late; what an endpoint has ends with 504; the connections are then closed in order.

--- a/libraries/common/src/corianderhaven/common/_async_server.py
+++ b/libraries/common/src/corianderhaven/common/_async_server.py
@@ -21,6 +21,7 @@
 # Values of SO_LINGER: whether a close is a reset, and the seconds for which it waits.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 ORDERLY_CLOSE = struct.pack("ii", 0, 0)
+FLUSH_POLL_MS = 10.0
 
 
 class CallerDisconnectedError(Exception):
@@ -297,6 +298,24 @@
         self.address = f"{host}:{port}"
         return self
 
+    async def flush(self, timeout_ms):
+        """Stop listening, and close the connections once their answers have been sent.
+
+        Connections whose requests are still handled stay open until `close`.
+
+        Parameters
+        ----------
+        timeout_ms : float
+            How long to wait for callers that read slowly.
+        """
+        self.server.close()
+        for connection in tuple(self.connections):
+            if not connection.handling:
+                connection.transport.close()
+        end_ms = self.clock.now_ms() + timeout_ms
+        while self.connections and self.clock.now_ms() < end_ms:
+            await asyncio.sleep(FLUSH_POLL_MS / MS_PER_S)
+
     def close(self):
         """Stop listening and abort all connections."""
         if self.server is not None:
--- a/libraries/common/src/corianderhaven/common/tests/test_async_http.py
+++ b/libraries/common/src/corianderhaven/common/tests/test_async_http.py
@@ -1,6 +1,7 @@
 """Tests of the asyncio HTTP server and client against valid and malformed byte streams."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -44,6 +45,39 @@
     return response
 
 
+def test_flush_sends_the_rest_of_answers_before_connections_close():
+    """Guards against LOST: a graceful stop discarded what the kernel had not taken yet."""
+    body = bytes(1 << 20)
+    answered = asyncio.Event()
+
+    async def answer(request, caller):
+        sock = caller.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        await caller.send_response(200, [], body)
+        answered.set()
+
+    async def scenario(server):
+        host, _, port = server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port), limit=4_096)
+        writer.write(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        received = 0
+        while not answered.is_set():
+            received += len(await reader.read(4_096))
+            await asyncio.sleep(0)
+        assert received < len(body)
+        flushing = asyncio.create_task(server.flush(2_000.0))
+        while part := await reader.read(4_096):
+            received += len(part)
+        await flushing
+        assert not server.connections
+        server.close()
+        writer.close()
+        assert received == len(body)
+
+    run_scenario(scenario, answer)
+
+
 def test_target_and_body_are_passed_unchanged():
     async def scenario(server):
         response = await AsyncHttpClient(server.address).call("POST", "/a%2Fb?x=%20", b"body")
--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -57,6 +57,8 @@
 DAEMONS_PREFIX = STORE_PREFIX + "daemons/"
 DRAIN_NOTICE_MS = 2_600.0  # two readiness checks one second apart, and their latency
 SHUTDOWN_MARGIN_MS = 700.0  # kept before SIGKILL for ending unfinished requests cleanly
+LAST_ANSWERS_MS = 300.0  # of this margin, to answer the requests that are ended
+FLUSH_MS = 200.0  # of this margin, for callers that still read their answers
 IDLE_TIMEOUT_FACTOR = 1.2  # callers may reuse a connection for most of the idle timeout
 DRAIN_POLL_MS = 20.0
 LEAVING_ANNOUNCE_MS = 3_000.0  # several exchanges between any two daemons
@@ -100,6 +102,15 @@
         monitor = loop.create_task(self._monitor_tasks())
         await self.stop_event.wait()
         monitor.cancel()
+        return await self.stop()
+
+    async def stop(self):
+        """Drain, or end all requests at once if the daemon has failed; return whether all finished.
+
+        No request is left without an answer in either case.
+        """
+        if self.failed:
+            await self._end_requests()
         finished = not self.failed and await self.drain()
         self.close()
         return finished
@@ -175,26 +186,49 @@
         self.stop_event.set()
 
     async def drain(self):
-        """Finish requests in flight within the grace period; returns whether all finished."""
+        """Finish requests in flight within the grace period; returns whether all finished.
+
+        Requests that can't finish are refused or told that their outcome is unknown.
+        """
         start_ms = self.clock.now_ms()
-        self.decisions.record("drain_begun", in_flight=self.gateway.in_flight)
+        self.decisions.record(
+            "drain_begun",
+            in_flight=self.gateway.in_flight,
+            waiting=self.gateway.waiting_requests(),
+        )
         self.callers_server.closing = True
+        end_ms = start_ms + max(0.0, self.settings.grace_ms - SHUTDOWN_MARGIN_MS)
+        self.gateway.end_by(end_ms)
         self.keeper.close()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(DRAIN_NOTICE_MS / MS_PER_S):
                 await self.lease.resign()
-        deadline_ms = start_ms + self.settings.grace_ms - SHUTDOWN_MARGIN_MS
-        while self.clock.now_ms() < deadline_ms:
+        while self.clock.now_ms() < end_ms + LAST_ANSWERS_MS:
             notice_over = self.clock.now_ms() - start_ms > DRAIN_NOTICE_MS
             # Requests that arrive later could be cut off at the end of the grace period.
             self.gateway.draining = notice_over
             if notice_over and not self.gateway.in_flight:
                 break
             await asyncio.sleep(DRAIN_POLL_MS / MS_PER_S)
-        finished = not self.gateway.in_flight
-        self.decisions.record("drain_ended", finished=finished, left=self.gateway.in_flight)
+        left, cut = self.gateway.in_flight, self.gateway.open_requests.cut_count
+        finished = not left and not cut
+        self.decisions.record("drain_ended", finished=finished, left=left, cut=cut)
+        await self._flush_answers()
         return finished
 
+    async def _end_requests(self):
+        """Answer the requests in flight at once, as this daemon can't go on."""
+        self.callers_server.closing = True
+        self.gateway.draining = True
+        end_ms = self.clock.now_ms() + LAST_ANSWERS_MS
+        self.gateway.end_by(self.clock.now_ms())
+        while self.gateway.in_flight and self.clock.now_ms() < end_ms:
+            await asyncio.sleep(DRAIN_POLL_MS / MS_PER_S)
+        await self._flush_answers()
+
+    async def _flush_answers(self):
+        await asyncio.gather(self.callers_server.flush(FLUSH_MS), self.peers_server.flush(FLUSH_MS))
+
     @property
     def ready(self):
         """Whether the load balancer should send new connections to this daemon."""
--- a/libraries/gateway/src/corianderhaven/gateway/_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_admission.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -44,6 +45,8 @@
         Whether it may be sent again if the next attempt fails.
     decision : asyncio.Future or None
         Resolves to an endpoint or a `Refusal`.
+    answer_ms : float
+        Expected time from sending it to the end of its answer.
     """
 
     priority: int
@@ -55,6 +58,12 @@
     excluded: set = field(default_factory=set)
     parts: tuple = ()
     decision: asyncio.Future | None = None
+    answer_ms: float = 0.0
+
+    def limit_to(self, end_ms):
+        """Lower the cutoffs so that the answer is expected to be complete at `end_ms`."""
+        self.deadline_cutoff_ms = min(self.deadline_cutoff_ms, end_ms - self.answer_ms)
+        self.goal_cutoff_ms = min(self.goal_cutoff_ms, self.deadline_cutoff_ms)
 
 
 @dataclass(frozen=True)
@@ -162,6 +171,8 @@
         Takes an endpoint that was picked for a request and won't be used.
     is_limited : callable
         Returns whether limits that endpoints name bound the throughput.
+    end_ms : float
+        Time by which all answers have to be complete; infinite unless the daemon drains.
     """
 
     def __init__(self, clock, pick_endpoint, has_replica, capacity_per_ms, held_for_ms=lambda: 0.0):
@@ -172,6 +183,7 @@
         self.release_endpoint = lambda endpoint: None
         self.is_limited = lambda: False
         self.promised_ms = -1e12
+        self.end_ms = math.inf
         self.waiting = WaitingRequests()
         self.rates = QueueRates(clock, capacity_per_ms)
         self.no_replica_since_ms = None
@@ -237,6 +249,7 @@
 
     async def acquire(self, queued):
         """Return an endpoint for the request, or a `Refusal`."""
+        queued.limit_to(self.end_ms)
         self.rates.record_arrival()
         self._update_no_replica_since(self.clock.now_ms())
         endpoint = None if self.waiting else self.pick_endpoint(queued)
@@ -300,6 +313,22 @@
             if is_rejected(queued.parts) and not queued.decision.done():
                 self._decide(queued, refusal)
 
+    def end_by(self, end_ms):
+        """Serve only requests whose answers are expected to be complete at `end_ms`.
+
+        Parameters
+        ----------
+        end_ms : float
+            Monotonic time in ms.
+        """
+        self.end_ms = end_ms
+        now = self.clock.now_ms()
+        for queued in list(self.waiting.in_order()):
+            self.waiting.remove(queued)
+            queued.limit_to(end_ms)
+            self.waiting.add(queued, now)
+        self.dispatch()
+
     def _expirable(self, now):
         """Return the requests that time alone may have made impossible to serve."""
         self.waiting.advance(now)
@@ -311,7 +340,8 @@
 
     def _check_expired(self, queued, now):
         if now > queued.deadline_cutoff_ms:
-            return Refusal("waited too long", MIN_RETRY_AFTER_MS)
+            reason = "waited too long" if self.end_ms == math.inf else "draining"
+            return Refusal(reason, MIN_RETRY_AFTER_MS)
         if self._replica_wait_exceeded(queued, now):
             return Refusal("no replica serves the model", NO_REPLICA_RETRY_AFTER_MS)
         if now > queued.goal_cutoff_ms:
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -36,6 +36,8 @@
     ----------
     has_idle_connection : callable
         Takes an `Endpoint`; returns whether a connection to it is kept that can be used.
+    end_ms : float
+        Time by which all answers have to be complete; infinite unless the daemon drains.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         self.reachability = reachability
         self.has_idle_connection = lambda endpoint: False
         self.latest_lost_services = (-1e12, {})
+        self.end_ms = math.inf
         self.queues = {}
         self.plain_queues = {}
         self.plain_rates = {}
@@ -64,7 +67,8 @@
         tokens = metadata.length_hint or min(
             metadata.max_output_tokens or 1e9, engine.typical_answer_tokens
         )
-        min_answer_ms = first_event_ms + estimator.decode_ms(tokens, running) * MIN_ANSWER_FRACTION
+        decode_ms = estimator.decode_ms(tokens, running)
+        min_answer_ms = first_event_ms + decode_ms * MIN_ANSWER_FRACTION
         deadline_cutoff_ms = context.deadline_ms - min_answer_ms
         goal_ms = route.goal_ms or DEFAULT_GOAL_MS
         return QueuedRequest(
@@ -72,6 +76,7 @@
             arrived_ms=self.clock.now_ms(),
             goal_cutoff_ms=min(context.started_ms + goal_ms - first_event_ms, deadline_cutoff_ms),
             deadline_cutoff_ms=deadline_cutoff_ms,
+            answer_ms=first_event_ms + decode_ms,
             # The caller has already waited for an endpoint, and may have part of the answer.
             resumed=context.resumed,
             may_repeat=context.can_fail_over(),
@@ -95,6 +100,7 @@
                 self.replica_view.available_heads(service, model.name)
             )
             queue.release_endpoint = lambda endpoint: self.release(endpoint, queue)
+            queue.end_ms = self.end_ms
         return queue
 
     def _capacity_per_ms(self, service, engine, model):
@@ -281,6 +287,12 @@
             if queue.waiting:
                 queue.assign()
 
+    def end_by(self, end_ms):
+        """Assign endpoints only to requests whose answers are expected by `end_ms`."""
+        self.end_ms = end_ms
+        for queue in self.all_queues():
+            queue.end_by(end_ms)
+
     def all_queues(self):
         """Return the queues of all models and services."""
         return [*self.queues.values(), *self.plain_queues.values()]
@@ -348,6 +360,7 @@
             )
             queue.is_limited = lambda: True
             queue.release_endpoint = self.release
+            queue.end_ms = self.end_ms
         return queue
 
     def plain_queued_request(self, context):
@@ -361,6 +374,7 @@
                 context.started_ms + goal_ms * PLAIN_WAIT_FRACTION, deadline_cutoff_ms
             ),
             deadline_cutoff_ms=deadline_cutoff_ms,
+            answer_ms=goal_ms,
             resumed=context.resumed,
             may_repeat=context.can_fail_over(),
             excluded=context.excluded,
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -13,6 +13,7 @@
 from ._event_stream import EventSplitter
 from ._forwarding import DECLINED, unwrap
 from ._load_tracker import LoadTracker
+from ._open_requests import OpenRequests
 from ._path_prober import CONNECT_TIMEOUT_MS, PathProber
 from ._peer_forwarder import PeerForwarder
 from ._reachability import Reachability
@@ -124,6 +125,7 @@
         self.joined = lambda: True
         self.sender.on_leaving = lambda endpoint: self.on_leaving(endpoint)
         self.draining = False
+        self.open_requests = OpenRequests(clock)
         self.in_flight = 0
         self.tasks = []
         active_config.listeners.append(self._update_routes)
@@ -149,6 +151,23 @@
         self.path_prober.close()
         self.crash_guard.close()
 
+    def end_by(self, end_ms):
+        """End every request by a time, also those to come; none ends without an answer.
+
+        What waits for an endpoint is refused as soon as its answer would come too late.
+
+        Parameters
+        ----------
+        end_ms : float
+            Monotonic time in ms.
+        """
+        self.open_requests.end_by(end_ms)
+        self.dispatcher.end_by(end_ms)
+
+    def waiting_requests(self):
+        """Return the number of requests that wait for an endpoint."""
+        return sum(len(queue.waiting) for queue in self.dispatcher.all_queues())
+
     async def handle(self, request, caller, origin=None):
         """Handle one request and answer its caller.
 
@@ -314,16 +333,9 @@
         await caller.send_response(status, headers if status == 503 else [], b"")
 
     async def _serve(self, context):
-        engine = context.service.engine if context.service else None
         try:
-            remaining_ms = context.deadline_ms - self.clock.now_ms()
-            async with asyncio.timeout(max(0.0, remaining_ms) / MS_PER_S):
-                if context.service is None:
-                    await self._refuse(context, "service unknown", NOT_READY_RETRY_AFTER_MS)
-                elif engine is not None and engine.model(context.metadata.model):
-                    await self._serve_stream(context, engine)
-                else:
-                    await self._serve_plain(context)
+            async with self.open_requests.open(context):
+                await self._route(context)
         except TimeoutError:
             await self._end_at_deadline(context)
         except asyncio.CancelledError:
@@ -335,6 +347,16 @@
         finally:
             self._log_end(context)
 
+    async def _route(self, context):
+        """Serve a request by the kind of its service."""
+        engine = context.service.engine if context.service else None
+        if context.service is None:
+            await self._refuse(context, "service unknown", NOT_READY_RETRY_AFTER_MS)
+        elif engine is not None and engine.model(context.metadata.model):
+            await self._serve_stream(context, engine)
+        else:
+            await self._serve_plain(context)
+
     async def _serve_stream(self, context, engine):
         model = engine.model(context.metadata.model)
         estimator = self.dispatcher.estimator(context.service.name, engine, model)
@@ -625,17 +647,20 @@
         await context.caller.send_response(503, [(b"retry-after", retry_after)], b"")
 
     async def _end_at_deadline(self, context):
+        """End a request whose time is over, or that this daemon can't wait for any longer."""
+        reason = "draining" if context.cut_by_drain else "deadline"
+        self.open_requests.cut_count += context.cut_by_drain
         if context.head_forwarded:
-            context.outcome = "broken_off: deadline"
+            context.outcome = f"broken_off: {reason}"
             context.caller.abort_response()
         elif context.caller.head_sent:
-            context.outcome = "broken_off: deadline while answering"
+            context.outcome = f"broken_off: {reason} while answering"
             context.caller.abort_response()
         elif context.may_have_run:
-            context.outcome = "unknown: deadline"
+            context.outcome = f"unknown: {reason}"
             await context.caller.send_response(504, [], b"")
         else:
-            await self._refuse(context, "deadline", PLAIN_RETRY_AFTER_MS)
+            await self._refuse(context, reason, PLAIN_RETRY_AFTER_MS)
 
     def _log_end(self, context):
         now = self.clock.now_ms()
--- a/libraries/gateway/src/corianderhaven/gateway/_request_context.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_context.py
@@ -70,6 +70,10 @@
         Whether the retry budget has counted the request.
     overflowed : bool
         Whether a peer was asked to serve it as the endpoints in reach were full.
+    timeout : asyncio.Timeout or None
+        Ends the handling at the deadline.
+    cut_by_drain : bool
+        Whether the deadline is the end of this daemon's drain, not the request's own.
     """
 
     request: object
@@ -100,6 +104,8 @@
     declined_by: set = field(default_factory=set)
     counted: bool = False
     overflowed: bool = False
+    timeout: object = None
+    cut_by_drain: bool = False
 
     @property
     def started_ms(self):
@@ -144,6 +150,12 @@
             self.longest_pause_ms = max(self.longest_pause_ms, now_ms - self.last_forwarded_ms)
         self.last_forwarded_ms = now_ms
 
+    def limit_deadline(self, drain_end_ms):
+        """Lower the deadline to the end of a drain."""
+        if drain_end_ms < self.deadline_ms:
+            self.deadline_ms = drain_end_ms
+            self.cut_by_drain = True
+
     def can_fail_over(self):
         """Return whether another endpoint may get the request even if the next attempt runs it.
 
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_admission.py
@@ -205,6 +205,36 @@
     assert run_in_virtual_time(scenario) == {True: "late", False: "refused"}
 
 
+def test_end_of_a_drain_refuses_at_once_what_would_be_answered_after_it():
+    """Guards against LOST: requests waited until a drain ended, and got no answer."""
+
+    async def scenario(clock):
+        replicas = Replicas(clock, 1, 900.0)
+        log = []
+        start_ms = clock.now_ms()
+        waiting = [queued_request(start_ms, priority, 3_000.0) for priority in (1, 2, 3, 4)]
+        for queued in waiting:
+            queued.answer_ms = 900.0
+        tasks = [asyncio.create_task(replicas.serve(queued, log)) for queued in waiting]
+        dispatching = asyncio.create_task(dispatch_periodically(replicas))
+        await asyncio.sleep(0.1)
+        replicas.queue.end_by(start_ms + 2_000.0)
+        late = queued_request(clock.now_ms(), 5, goal_ms=3_000.0)
+        late.answer_ms = 2_000.0
+        tasks.append(asyncio.create_task(replicas.serve(late, log)))
+        await asyncio.gather(*tasks)
+        dispatching.cancel()
+        return [(q.priority, outcome, round(at - start_ms, -2)) for q, outcome, at in log]
+
+    assert run_in_virtual_time(scenario) == [
+        (1, "on_time", 0.0),
+        (5, "refused", 100.0),
+        (2, "on_time", 900.0),
+        (3, "refused", 1_100.0),
+        (4, "refused", 1_100.0),
+    ]
+
+
 def test_endpoint_is_released_if_the_caller_leaves_when_it_was_just_assigned():
     """Each such request took a place at its endpoint for good."""
 
