Judge followers of the store by the age of their contents, and never go back

Cause: the reader left a hub only if no feed came, and a hub without the store goes on answering. And a full feed of that hub, older than what the reader had read itself meanwhile, brought the worker back.

Ruled out: the store (the other hub had the removal at once); digests (they don't tell of entries that are gone).

Change: feeds bear the era and revision read; older contents are not applied and not sent; the other hubs are asked for their age, and one that reads the store is preferred to one that has ceased to. Staleness is the age of the contents.

test_follower_that_loses_the_store_makes_its_readers_stale asserted that the age starts at the arrival of a feed; it starts at the store's answer now, which the test asks for in its place (500 and 2,500 ms), so it is stricter.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -64,7 +64,8 @@
 LEAVING_ANNOUNCE_MS = 3_000.0  # several exchanges between any two daemons
 SETTLED_MS = 700.0  # all daemons that start together have registered by then
 HUB_FOLLOW_AFTER_MS = 500.0  # several exchanges with the hubs that are missing
-FOLLOW_AFTER_MS = 1_500.0  # a hub has been replaced by the next one twice by then
+FOLLOW_AFTER_MS = 1_400.0  # the oldest contents of hubs that still read the store
+FOLLOW_SPREAD = 1.2  # so that the daemons of a zone don't all begin at once
 JOIN_TIMEOUT_MS = 1_500.0  # peers that the store lists may all be gone
 FORWARDING_BYTES = 1_024  # of headers that a daemon adds to a request that it forwards
 OPENED_ANNOUNCE_MS = 3_000.0  # by then every daemon has read the head's own entry
@@ -320,7 +321,7 @@
         self.peers.make_feed_request = self.feed_reader.request
         self.peers.answer_feed = self.feed_writer.answer
         self.peers.on_feed = self.feed_reader.apply
-        self.follow_after_ms = FOLLOW_AFTER_MS * random.uniform(1.0, 1.5)
+        self.follow_after_ms = FOLLOW_AFTER_MS * random.uniform(1.0, FOLLOW_SPREAD)
         self.watcher.use_min_interval = lambda: self.lease.tenure is not None
         self.gateway = Gateway(
             settings,
--- a/libraries/fleet/src/corianderhaven/fleet/_feed.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_feed.py
@@ -18,6 +18,9 @@
 LOG_LENGTH = 4_000  # changes of many seconds; a reader that missed more gets everything
 MAX_FEED_AGE_MS = 1_500.0  # of the follower's last answer from the store
 SWITCH_MS = 700.0  # three exchanges; then the reader asks its other follower
+# Age of a follower's last answer from the store after which one with a more recent answer is
+# preferred; longer than the longest intervals of reading and of exchanges together.
+PREFER_OTHER_AGE_MS = 1_300.0
 
 
 class FeedRequest(msgspec.Struct, array_like=True):
@@ -27,11 +30,14 @@
     ----------
     contents : bool
         Whether changes are wanted, or only the age of the follower's knowledge.
+    store_position : (int, int)
+        Position in the store's history that the reader knows; older contents are not wanted.
     """
 
     source: str = ""
     position: int = -1
     contents: bool = True
+    store_position: tuple[int, int] = (0, 0)
 
 
 class EndpointRow(msgspec.Struct, array_like=True):
@@ -69,6 +75,10 @@
         Endpoints that are gone.
     items : dict of str to (int, bytes)
         Items that the daemons keep in the store, by key, with their revisions; empty if removed.
+    store_position : (int, int)
+        Era and revision up to which the follower has read the store; zeros if it doesn't say.
+    contents : bool
+        Whether the changes are included; if not, only the age counts.
     """
 
     source: str
@@ -78,6 +88,8 @@
     endpoints: list[EndpointRow] = []
     removed: list[str] = []
     items: dict[str, tuple[int, bytes]] = {}
+    store_position: tuple[int, int] = (0, 0)
+    contents: bool = True
 
 
 class FeedWriter:
@@ -116,8 +128,15 @@
         """Return the `Feed` for a request; None while this daemon doesn't follow the store."""
         if not self.watcher.following or not self.directory.synced:
             return None
-        feed = Feed(self.source, self.position, round(self.watcher.success_age_ms()))
-        if not request.contents:
+        known = self.watcher.store_position
+        feed = Feed(
+            self.source,
+            self.position,
+            round(self.watcher.success_age_ms()),
+            store_position=known,
+            contents=request.contents and known >= request.store_position,
+        )
+        if not feed.contents:
             return feed
         oldest = self.changes[0][0] if self.changes else self.position + 1
         if request.source != self.source or not oldest - 1 <= request.position <= self.position:
@@ -141,7 +160,10 @@
 
 
 class FeedReader:
-    """Takes the feed of one of the followers of the zone.
+    """Takes the feed of the follower of the zone with the most recent contents.
+
+    The others are asked only for their age. Contents older than those known already are ignored:
+    they would bring back endpoints that are gone.
 
     Parameters
     ----------
@@ -163,6 +185,7 @@
         self.position = -1
         self.received_ms = clock.now_ms()
         self.fresh_ms = clock.now_ms()
+        self.read_ms = {}
 
     def request(self, peer_name):
         """Return the `FeedRequest` for a follower, or None if another one is asked.
@@ -173,37 +196,64 @@
         if self.watcher.following:
             self.follower = None
             return FeedRequest(contents=False) if peer_name < self.own_name else None
-        now = self.clock.now_ms()
-        if self.follower is None or now - self.received_ms > SWITCH_MS:
+        if self._should_switch(peer_name):
             self._switch(peer_name)
+        known = self.watcher.store_position
         if peer_name != self.follower:
-            return None
-        return FeedRequest(self.source, self.position)
+            return FeedRequest(contents=False, store_position=known)
+        return FeedRequest(self.source, self.position, store_position=known)
+
+    def _should_switch(self, peer_name):
+        """Return whether to take the feed of a follower in place of the present one's."""
+        if peer_name == self.follower:
+            return self.clock.now_ms() - self.received_ms > SWITCH_MS
+        if self.follower is None:
+            return not any(self._is_fresher(other, peer_name) for other in self.read_ms)
+        silent = self.clock.now_ms() - self.received_ms > SWITCH_MS
+        return silent or self._is_fresher(peer_name, self.follower)
+
+    def _is_fresher(self, peer_name, other_name):
+        """Return whether a follower still reads the store and another one has ceased to."""
+        limit_ms = self.clock.now_ms() - PREFER_OTHER_AGE_MS
+        other_ms = self.read_ms.get(other_name)
+        return self.read_ms.get(peer_name, -1e12) > limit_ms and (
+            other_ms is not None and other_ms <= limit_ms
+        )
 
     def _switch(self, peer_name):
         if peer_name != self.follower:
-            self.decisions.record("feed_follower", peer=peer_name, previous=self.follower)
+            self.decisions.record(
+                "feed_follower",
+                peer=peer_name,
+                previous=self.follower,
+                silent_ms=round(self.clock.now_ms() - self.received_ms),
+                stale_ms=round(self.stale_for_ms()),
+            )
         self.follower, self.received_ms = peer_name, self.clock.now_ms()
         self.source, self.position = "", -1
 
     def stale_for_ms(self):
-        """Return the time since this daemon had the contents of the store from a follower."""
+        """Return the age of the contents of the store that this daemon has from a follower."""
         return self.clock.now_ms() - self.fresh_ms
 
     def apply(self, feed, peer_name):
         """Apply a feed; one that doesn't continue from this reader's position is ignored."""
         now = self.clock.now_ms()
+        self.read_ms[peer_name] = now - feed.age_ms if feed.age_ms >= 0.0 else -1e12
         is_fresh = 0.0 <= feed.age_ms <= MAX_FEED_AGE_MS
         if self.watcher.following:
             self.fresh_ms = now if is_fresh else self.fresh_ms
             return
         if peer_name != self.follower:
             return
-        if not feed.full and feed.source != self.source:
-            return
         self.received_ms = now
+        if not feed.contents or (not feed.full and feed.source != self.source):
+            return
+        if (0, 0) < feed.store_position < self.watcher.store_position:
+            return
         if is_fresh:
-            self.fresh_ms = now
+            self.fresh_ms = max(self.fresh_ms, now - feed.age_ms)
+        self.watcher.store_position = max(feed.store_position, self.watcher.store_position)
         self.source, self.position = feed.source, feed.position
         self._apply_endpoints(feed)
         self._apply_items(feed)
--- a/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
@@ -49,6 +49,8 @@
         Whether the directory is kept up from the store itself.
     own_items : dict of str to StoreItem
         Items under `own_prefix`, where the daemons keep their own records.
+    store_position : (int, int)
+        Era and revision of the store up to which the directory is known, by reading or by a feed.
     """
 
     def __init__(self, store, platform_format, directory, active_config, clock, decisions):
@@ -72,6 +74,7 @@
         self.last_success_ms = None
         self.reachable_since_ms = 0.0
         self.watch_revision = None
+        self.store_position = (0, 0)
         self.task = None
         store.era.listeners.append(self._forget_position)
 
@@ -177,6 +180,7 @@
         self.watch_revision = revision
         for item in items:
             self._apply_or_log(item)
+        self._note_position(revision)
         self.directory.remove_expired()
         if not items and self.directory.records:
             self.watch_revision = None  # no endpoint has written: the watch may be stuck
@@ -199,6 +203,10 @@
             for item in endpoints
         )
         self.watch_revision = revision
+        self._note_position(revision)
+
+    def _note_position(self, revision):
+        self.store_position = max(self.store_position, (self.store.era.number, revision))
 
     def _position(self, item):
         """Return the position of an item in the store's history, across restores."""
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_feed.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_feed.py
@@ -26,6 +26,7 @@
         self.clock = clock
         self.following = following
         self.own_items = {}
+        self.store_position = (0, 0)
         self.read_ms = clock.now_ms()
         self.on_own_change = lambda key: None
 
@@ -145,17 +146,82 @@
     exchange(writer, reader)
     clock.advance_ms(500.0)
     exchange(writer, reader)
-    assert reader.stale_for_ms() == 0.0
+    assert reader.stale_for_ms() == 500.0  # the store answered the follower that long ago
     writer.watcher.read_ms = None
     for _ in range(10):
         clock.advance_ms(200.0)
         exchange(writer, reader)
-    assert reader.stale_for_ms() == 2_000.0
+    assert reader.stale_for_ms() == 2_500.0
     writer.watcher.read_ms = clock.now_ms()
     exchange(writer, reader)
     assert reader.stale_for_ms() == 0.0
 
 
+def make_zone():
+    """Return a clock, two followers that know one endpoint, and a reader that follows the first."""
+    clock = ManualClock()
+    followers = {"a": make_side(clock, True, "a"), "b": make_side(clock, True, "b")}
+    for writer in followers.values():
+        writer.directory.update("e1", endpoint(1, entry_number=5), (1, 10))
+        writer.watcher.store_position = (1, 10)
+    reader = make_side(clock, False, "c")
+    return clock, followers, reader
+
+
+def run_exchanges(clock, followers, reader, reading, duration_ms, interval_ms=100.0):
+    """Exchange with all followers at intervals; those in `reading` have read the store just now."""
+    until_ms = clock.now_ms() + duration_ms
+    while clock.now_ms() < until_ms:
+        clock.advance_ms(interval_ms)
+        for name, writer in followers.items():
+            if name in reading:
+                writer.watcher.read_ms = clock.now_ms()
+            exchange(writer, reader, name)
+
+
+def test_reader_leaves_a_follower_that_is_cut_from_the_store():
+    """Guards against DRAIN: a reader used an endpoint for seconds after its entry was removed."""
+    clock, followers, reader = make_zone()
+    run_exchanges(clock, followers, reader, ("a", "b"), 1_000.0)
+    assert reader.follower == "a"
+    followers["b"].directory.remove("e1")
+    followers["b"].watcher.store_position = (1, 11)
+    run_exchanges(clock, followers, reader, ("b",), 1_600.0)
+    assert reader.follower == "b"
+    assert reader.directory.get("e1") is None
+    assert reader.stale_for_ms() == 0.0
+
+
+def test_outdated_follower_brings_no_endpoint_back():
+    """Guards against DRAIN: a stale feed restored an endpoint whose removal had been read."""
+    clock, followers, reader = make_zone()
+    run_exchanges(clock, followers, reader, ("a", "b"), 300.0)
+    followers["a"].directory.update("e1", endpoint(1, entry_number=6), (1, 11))
+    followers["a"].watcher.store_position = (1, 11)
+    reader.watcher.following = True  # it reads the store itself for a while
+    reader.directory.remove("e1")
+    reader.watcher.store_position = (1, 12)
+    run_exchanges(clock, followers, reader, (), 300.0)
+    reader.watcher.following = False
+    run_exchanges(clock, {"a": followers["a"]}, reader, (), 300.0)
+    assert reader.directory.get("e1") is None
+    followers["a"].directory.remove("e1")
+    followers["a"].directory.update("e2", endpoint(2), (1, 12))
+    followers["a"].watcher.store_position = (1, 13)
+    run_exchanges(clock, {"a": followers["a"]}, reader, ("a",), 300.0)
+    assert reader.directory.get("e2") is not None
+
+
+def test_feed_without_a_position_in_the_store_is_applied():
+    """Daemons of an earlier version don't tell theirs."""
+    _, followers, reader = make_zone()
+    feed = followers["a"].answer(reader.request("a"))
+    reader.watcher.store_position = (1, 12)
+    feed.store_position = (0, 0)
+    reader.apply(feed, "a")
+    assert reader.directory.get("e1") is not None
+
+
 def test_daemon_that_does_not_follow_gives_no_feed():
     _, writer, reader = make_pair()
     writer.watcher.following = False
