Take no member of a released replica for free once its head is back in it

A former keeper's join and open, carried out late, had opened a group that its successor had dissolved.

Cause: a dissolved replica stayed released for the tenure, and its members were free whatever they reported. The hold against late orders is known only to the keeper that sent them.

Ruled out: fencing (the late join has its own group's epoch), the reports' lag (the successor had seen "open" before its order).

Change: a head that has reported that it left and then reports the same replica again ends its release; the replica is dissolved again. Entries and the reports before each join are looked at.

--- a/libraries/fleet/src/corianderhaven/fleet/_keeper.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper.py
@@ -208,6 +208,7 @@
             self.replica_tasks.note_missing_members(key)
         for endpoint in endpoints:
             member = endpoint.membership
+            self.replica_tasks.observe_head(endpoint.id, member)
             if member is not None:
                 key = (member.replica, member.generation)
                 self.replica_tasks.keeper_state.last_replicas[endpoint.id] = key
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper_state.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper_state.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from ._types import ReplicaState
+
 
 @dataclass
 class KeeperState:
@@ -35,6 +37,10 @@
     join_unanswered, open_unanswered : set of (str, int)
         Replicas whose head may still carry out an order that it didn't answer. After both, it may
         be open again although it has left.
+    left_heads : dict of str to (str, int)
+        Dissolved replica that each head has left, or in which it broke.
+    absent_heads : set of str
+        Those of `left_heads` that have reported so since.
     active_loads : int
         Number of loads in progress.
     load_starts_ms : list of float
@@ -54,9 +60,34 @@
     last_models: dict = field(default_factory=dict)
     join_unanswered: set = field(default_factory=set)
     open_unanswered: set = field(default_factory=set)
+    left_heads: dict = field(default_factory=dict)
+    absent_heads: set = field(default_factory=set)
     active_loads: int = 0
     load_starts_ms: list = field(default_factory=list)
 
     def has_ended(self, key, now_ms):
         """Return whether the head of a replica can no longer serve."""
         return key in self.released or now_ms >= self.broken_by_ms.get(key, float("inf"))
+
+    def record_left(self, head_id, key):
+        """Record that the head of a dissolved replica was made to leave it, or broke."""
+        self.left_heads[head_id] = key
+        self.absent_heads.discard(head_id)
+
+    def observe_head(self, endpoint_id, member):
+        """Return the released replica that its head has entered again, or None.
+
+        An order of an earlier keeper that was carried out late can bring the head back, and open
+        the replica, so the replica is not released any more.
+        """
+        key = self.left_heads.get(endpoint_id)
+        if key is None:
+            return None
+        in_replica = member is not None and (member.replica, member.generation) == key
+        if not in_replica or member.state is ReplicaState.BROKEN:
+            self.absent_heads.add(endpoint_id)
+            return None
+        if endpoint_id not in self.absent_heads or key not in self.released:
+            return None
+        self.released.discard(key)
+        return key
--- a/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
@@ -168,11 +168,22 @@
     async def _all_free(self, endpoints):
         """Probe whether endpoints are in no replica that may serve; entries may be outdated."""
         reports = await self.sender.probe(endpoints)
+        for endpoint_id, report in reports.items():
+            if report is not None:
+                self.observe_head(endpoint_id, report.membership)
         members = [report and report.membership for report in reports.values()]
         return all(reports.values()) and all(
             m is None or (m.replica, m.generation) in self.keeper_state.released for m in members
         )
 
+    def observe_head(self, endpoint_id, member):
+        """Take note of what an endpoint reports, if it was the head of a dissolved replica."""
+        key = self.keeper_state.observe_head(endpoint_id, member)
+        if key is not None:
+            self.decisions.record(
+                "replica_reentered", replica=key[0], endpoint=endpoint_id, state=str(member.state)
+            )
+
     async def _join_all(self, action, key):
         ids = [e.id for e in action.members]
         if not await self._all_free(action.members):
@@ -289,6 +300,8 @@
                 if key in keeper_state.join_unanswered & keeper_state.open_unanswered:
                     self._hold(replica.members.values(), LATE_ORDER_MS)
                 keeper_state.released.add(key)
+                if replica.head is not None:
+                    keeper_state.record_left(replica.head.id, key)
                 await self._release_survivors(replica, key)
             else:
                 await self._release_without_head(replica, key)
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_keeper_model.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_keeper_model.py
@@ -286,6 +286,46 @@
     assert violations == []
 
 
+def test_head_that_late_orders_brought_back_is_in_no_other_replica():
+    """Guards against TWO: a former keeper's late orders opened a head that had been released."""
+
+    async def simulate(clock):
+        fleet = MemoryFleet(clock, domains=1, per_domain=8)
+        for engine in fleet.hosted.engines.values():
+            engine.staged = ["small"]
+        await asyncio.sleep(8)
+        head = next(e for e in fleet.hosted.engines.values() if fleet.hosted.accepts_requests(e))
+        group = head.group
+        replace_keeper(fleet)
+        await asyncio.sleep(6)
+        fleet.hosted.kill(group.members[1])
+        fleet.lease_holder().suspect(head.id, "test")
+        while head.group is not None:
+            await asyncio.sleep(0.02)
+        orders = {"group": group.name, "epoch": group.epoch}
+        join = {"operation": "join", "model": "small", "members": group.members, **orders}
+        fleet.execute_late(head, join)
+        await asyncio.sleep(0.3)
+        returned = head.group is not None and head.group.name == group.name
+        fleet.execute_late(head, {"operation": "open", **orders})
+        await asyncio.sleep(0.7)
+        fleet.add_engine(8, "d0", staged=("small",))
+        fleet.publish(fleet.hosted.engines["e8"])
+        await asyncio.sleep(20)
+        return returned, fleet.open_replicas("small"), fleet.hosted.violations
+
+    assert run_in_virtual_time(simulate) == (True, 4, [])
+
+
+def replace_keeper(fleet):
+    """Close the keeper that holds the lease, so that another one succeeds it."""
+    first = fleet.lease_holder()
+    first.close()
+    first.lease.close()
+    name = next(n for n, k in fleet.keepers.items() if k is first)
+    del fleet.keepers[name], fleet.directories[name]
+
+
 def test_new_holder_uses_survivors_of_an_earlier_loss_at_once():
     """Each change of the keeper stopped repair with them until an absent head must be broken."""
 
@@ -298,11 +338,7 @@
         lose_member(fleet)
         await asyncio.sleep(6)  # longer than a head stalls
         assert fleet.open_replicas("large") == 1
-        first = fleet.lease_holder()
-        first.close()
-        first.lease.close()
-        name = next(n for n, k in fleet.keepers.items() if k is first)
-        del fleet.keepers[name], fleet.directories[name]
+        replace_keeper(fleet)
         await asyncio.sleep(2.8)  # until the lease has lapsed
         lose_member(fleet)
         await asyncio.sleep(2.5)
