--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -68,6 +68,10 @@
         Reset a connection when a second request comes on it, without running it.
     late_copy_ms : float or None
         Send a second copy of a plain answer after this time.
+    shed_copy_ms : float or None
+        With `shed`, send a second copy of the refusal after this time.
+    cut_head : bool
+        Run the request, then close the connection within the head of the answer.
     limits : tuple of str
         Values of the header in which the worker names its limit of requests per second.
     """
@@ -89,6 +93,8 @@
     shed_for_s: float | None = None
     drop_idle: bool = False
     late_copy_ms: float | None = None
+    shed_copy_ms: float | None = None
+    cut_head: bool = False
     limits: tuple = ()
 
 
@@ -501,7 +507,14 @@
             worker.refused_count += 1
             if faults.shed_for_s is not None:
                 not_run_headers.append((b"retry-after", str(faults.shed_for_s).encode()))
+            if faults.shed_copy_ms is not None:
+                not_run_headers += self._response_headers(worker, request)
             await caller.send_response(503, not_run_headers, b"")
+            if faults.shed_copy_ms is not None:
+                copy = _response_bytes(b"503 Busy", not_run_headers, b"")
+                asyncio.get_running_loop().call_later(
+                    faults.shed_copy_ms / MS_PER_S, caller.transport.write, copy
+                )
             return
         if engine is not None:
             if self.engines.state(engine) != "open":
@@ -517,6 +530,10 @@
         await asyncio.sleep((self.token_ms + faults.slow_ms) / MS_PER_S)
         if faults.lose_answer:
             caller.close()
+        elif faults.cut_head:
+            head = _response_bytes(b"200 OK", self._response_headers(worker, request), b"")
+            await caller.write(head[: head.index(b"\r\n\r\n") + 2])
+            caller.abort_response()
         elif faults.endless in ("head", "body"):
             await self._send_without_end(worker, request, caller)
         elif faults.garble:
@@ -565,10 +582,10 @@
             return
         await caller.send_response(200, headers, body)
         if worker.faults.late_copy_ms is not None:
-            lines = [b"HTTP/1.1 200 OK"] + [k + b": " + v for k, v in headers]
-            lines += [b"content-length: %d" % len(body), b"", body]
             asyncio.get_running_loop().call_later(
-                worker.faults.late_copy_ms / MS_PER_S, caller.transport.write, b"\r\n".join(lines)
+                worker.faults.late_copy_ms / MS_PER_S,
+                caller.transport.write,
+                _response_bytes(b"200 OK", headers, body),
             )
         if worker.faults.extra:
             await caller.write(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra")
@@ -632,6 +649,12 @@
     await caller.write(b"\r\n".join([*lines, b"", b""]))
 
 
+def _response_bytes(status, headers, body):
+    """Return a whole response as it is sent; `status` is the code and the phrase."""
+    lines = [b"HTTP/1.1 " + status] + [k + b": " + v for k, v in headers]
+    return b"\r\n".join([*lines, b"content-length: %d" % len(body), b"", body])
+
+
 def _plain_body(worker):
     return b"whole answer of " + worker.id.encode()
 
