Let no idempotent request run a third time after wrong bytes on a kept connection

It got bytes that were no answer, or another request's, on a kept connection, was sent again to the same worker, got the like, and went to another one.

Cause: any end of a kept connection was taken for one dropped at rest, which has not run, although bytes on it show that the endpoint has it.

Ruled out: the retry budget (each send was paid for), single sends (they get new connections).

Change: bytes that are no answer lead to another endpoint at once. A late copy of another request's answer still has the request sent again to the same worker, as that worker may be sound, but this counts as an endpoint used.

Before: the two new tests failed (runs {'s-0': 2, 's-1': 1}).

--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -37,11 +37,18 @@
 
 
 class ClientConnection(Connection):
-    """Connection to a backend that carries one request at a time."""
+    """Connection to a backend that carries one request at a time.
+
+    Attributes
+    ----------
+    answered : bool
+        Whether any byte has come since the latest request was sent.
+    """
 
     def __init__(self, header_bytes=65_536):
         super().__init__(h11.CLIENT, header_bytes)
         self.idle = False
+        self.answered = False
         self.unexpected_data = False
         self.two_framings = False
         self.body_expected = True
@@ -52,6 +59,7 @@
             self.unexpected_data = True
             self.transport.abort()
             return
+        self.answered = True
         super().data_received(data)
 
     @classmethod
@@ -75,7 +83,7 @@
 
     async def send(self, method, target, headers, body=b""):
         """Send a request with its complete body."""
-        self.idle = False
+        self.idle = self.answered = False
         self.body_expected = method not in ("HEAD", b"HEAD")
         chunks = [self.parser.send(h11.Request(method=method, target=target, headers=headers))]
         if body:
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_faulty_answers.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_faulty_answers.py
@@ -86,3 +86,20 @@
         assert site.run_counts()[answer.request_id] >= 1
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("fault", ["garble", "other_id"])
+def test_request_runs_no_third_time_after_wrong_answers_on_a_kept_connection(fault):
+    """Guards against a third run: twice at one worker, then at another one."""
+
+    async def scenario(site, daemon):
+        for _ in range(12):
+            assert (await send_request(daemon, "/status/1")).status == 200
+        for worker in workers(site, "ledger"):
+            setattr(worker.faults, fault, True)
+        answers = [await send_request(daemon, "/status/1") for _ in range(6)]
+        assert all(answer.status == 502 for answer in answers)
+        runs = site.run_counts()
+        assert [runs[answer.request_id] for answer in answers] == [2] * 6
+
+    run_scenario(scenario)
--- a/libraries/gateway/src/corianderhaven/gateway/_request_context.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_context.py
@@ -44,6 +44,8 @@
         Monotonic time by which the final answer must be sent.
     possible_runs : Counter
         Times that each endpoint may have run the request, by endpoint id.
+    repeated_runs : int
+        Sends to an endpoint that may have run the request already; each counts as an endpoint.
     head_forwarded : bool
         Whether the status and headers of a streamed answer were sent to the caller.
     error_response : tuple or None
@@ -85,6 +87,7 @@
     deadline_ms: float
     attempts: int = 0
     possible_runs: Counter = field(default_factory=Counter)
+    repeated_runs: int = 0
     head_forwarded: bool = False
     error_response: tuple | None = None
     excluded: set = field(default_factory=set)
@@ -135,7 +138,8 @@
     @property
     def endpoints_used(self):
         """Number of endpoints that may have run the request, as known to all its daemons."""
-        return len(+self.possible_runs) + (self.origin.endpoints_used if self.origin else 0)
+        used_before = self.origin.endpoints_used if self.origin else 0
+        return len(+self.possible_runs) + self.repeated_runs + used_before
 
     @property
     def resumed(self):
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -18,6 +18,7 @@
 KEPT_STREAM_FACTOR = 4.0
 KEPT_HEAD_TIMEOUT_MS = 400.0  # several times the time of a plain service's answer
 GATEWAY_TIMEOUT = 504
+OTHER_ANSWER = "answer of another request"
 RESUMED_PRIORITY = 0
 ON_TIME_PRIORITY = 2
 LATE_PRIORITY = 6
@@ -249,8 +250,9 @@
         """Send the request and return the head of its answer; None if no connection was made.
 
         A kept connection may have been dropped, which only shows when a request on it breaks it.
-        Such a request, which may run more than once, is sent again on a new connection. One that
-        merely gets no answer goes to another endpoint: the fault may be this one's.
+        Such a request, which may run more than once, is sent again on a new connection, and so is
+        one that gets a late copy of an earlier answer. One that gets no answer, or bytes that are
+        none, goes to another endpoint: the fault may be this one's.
         """
         context, endpoint = attempt.context, attempt.endpoint
         context.attempts += 1
@@ -310,7 +312,7 @@
                 self.reachability.record_data(endpoint)
                 _metrics.CONNECTIONS.labels(endpoint.service, "kept").inc()
                 return head
-            reason = "answer of another request"
+            reason = OTHER_ANSWER
         except TimeoutError:
             reason = None
         except ConnectionLostError as error:
@@ -320,7 +322,10 @@
         attempt.close()
         attempt.mark_kept(False, self.clock.now_ms())
         rest_ms = round(self.clock.now_ms() - kept.since_ms)
-        self.pool.record_dropped(endpoint, kept)
+        # One that brought bytes was not dropped: the endpoint may have run the request.
+        dropped = not kept.connection.answered
+        if dropped:
+            self.pool.record_dropped(endpoint, kept)
         self.decisions.record(
             "kept_connection_lost",
             request=attempt.context.metadata.request_id,
@@ -328,9 +333,11 @@
             since_use_ms=rest_ms,
             reason=reason or "no answer",
         )
-        may_repeat = reason is not None and self.may_send_now(endpoint)
+        repeatable = reason == OTHER_ANSWER or (dropped and reason is not None)
+        may_repeat = repeatable and self.may_send_now(endpoint)
         if not may_repeat or not self.spend_retry(attempt.context.service.name):
             raise ConnectionLostError(reason or "no answer")
+        attempt.context.repeated_runs += not dropped
         return None
 
     def _priority(self, context, late):
