Forget a failed call of a daemon that stands by

Seen (review, by reading): a daemon that doesn't follow the store kept the time of a failed call for good. When it followed later, it took this for an outage that had just ended, and kept endpoints that were gone for 2 s.

Cause: only a daemon that had followed forgot the failure as it stood by, not one that had merely listed the daemons.

Ruled out: a real outage while it looks for peers (the time is kept as long as it does so).

Change: it is forgotten once nothing is read any more. Before: the new test failed (['e1', 'e2'], wanted ['e2']). After: 29 passed in its file.

--- a/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
@@ -146,7 +146,9 @@
         if self.following:
             self.decisions.record("store_following_ended")
             self.following = False
-            self.watch_revision = self.last_success_ms = self.failing_since_ms = None
+            self.watch_revision = self.last_success_ms = None
+        if not self.needs_peers():
+            self.failing_since_ms = None  # unknown from now on, as nothing is read
         if self.needs_peers():
             own, _ = await self.store.list(self.own_prefix)
             self.set_own_items({item.key: item for item in own})
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_store_watcher.py
@@ -182,6 +182,28 @@
     watch(scenario)
 
 
+def test_call_that_failed_before_a_daemon_stood_by_is_no_outage_later():
+    """Guards against DRAIN: an endpoint that was gone was kept for two seconds."""
+
+    async def scenario(hosted, store, watcher):
+        def refuse(call):
+            raise StoreUnavailableError("the store is cut off")
+
+        watcher.should_follow, watcher.needs_peers = lambda: False, lambda: True
+        store.before = refuse
+        await asyncio.sleep(2.0)
+        assert watcher.failing_since_ms is not None
+        watcher.needs_peers = lambda: False
+        store.before = lambda call: None
+        await asyncio.sleep(5.0)
+        hosted.delete("servers/e1")
+        watcher.should_follow = lambda: True
+        await asyncio.sleep(0.5)
+        assert known_ids(watcher) == ["e2"]
+
+    watch(scenario)
+
+
 def test_entry_deleted_without_an_outage_is_removed_at_once():
     async def scenario(hosted, store, watcher):
         hosted.delete("servers/e1")
