Let the first request after a crashing fault begins meet it

Cause: each draft drew with a probability of 0.1 whether it held the part, so a fault could pass without a draft that did.

Change: until one has arrived, every request that can holds the part or is the crashing one. So the test asks as much as before of each fault.

Before: the new test failed for a draw of 0.99. After: it and the three of crashing faults pass.

--- a/libraries/soak/src/corianderhaven/soak/_callers.py
+++ b/libraries/soak/src/corianderhaven/soak/_callers.py
@@ -104,10 +104,19 @@
         crashing = sorted(
             t for t in self.site.crashing_targets if t.startswith(f"/{attempt.kind}/")
         )
-        if crashing and self.rng.random() < CRASHING_PROBABILITY:
+        if crashing and self._should_crash(crashing):
             return self.rng.choice(crashing)
         return f"/{attempt.kind}/{attempt.id}"
 
+    def _should_crash(self, crashing):
+        """Return whether the next request ends its workers.
+
+        The first one does, so that no fault passes without a worker that meets it.
+        """
+        drawn = self.rng.random() < CRASHING_PROBABILITY
+        arrived = {arrival.part for arrival in self.site.arrivals_with_part}
+        return drawn or not arrived.issuperset(crashing)
+
     def _headers(self, attempt, body):
         headers = [
             ("host", "site.example"),
@@ -128,7 +137,7 @@
     def _prompt_prefix(self, attempt):
         """Return parts of which other drafts share the first ones, and a last one of its own."""
         parts = SOUND_PARTS
-        if self.site.crashing_parts and self.rng.random() < CRASHING_PROBABILITY:
+        if self.site.crashing_parts and self._should_crash(self.site.crashing_parts):
             parts = sorted(self.site.crashing_parts)
         own = attempt.id.rpartition("-")[2]
         return f"{SHARED_PART}:40,{self.rng.choice(parts)}:40,{own}:20"
--- a/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
+++ b/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
@@ -16,6 +16,7 @@
     main,
     plan_faults,
 )
+from corianderhaven.soak._callers import Caller
 from corianderhaven.soak._daemons import SoakDaemon
 from corianderhaven.soak._fault_injector import FaultInjector
 from corianderhaven.standins import ENGINE_SERVICE, HostingSite, WorkerFaults, small_models
@@ -266,6 +267,22 @@
     assert run.site.crashing_parts == set()
 
 
+@pytest.mark.parametrize("draws", [0.99, 0.0])
+def test_first_request_after_a_crashing_fault_begins_meets_it(draws):
+    """No request drew the part in 2 s, so the fault passed without an effect (a run of CI)."""
+    site = SimpleNamespace(crashing_parts={"c0ffee"}, crashing_targets={"/issue/crashing-1"})
+    site.arrivals_with_part = []
+    caller = Caller(SimpleNamespace(name="d1"), site, None, 7, [])
+    caller.rng.random = lambda: draws
+    draft, issue = (Attempt("soak-1", kind, "d1", 0.0) for kind in ("draft", "issue"))
+    assert "c0ffee" in caller._prompt_prefix(draft)
+    assert caller._path(issue) == "/issue/crashing-1"
+    for part in ("c0ffee", "/issue/crashing-1"):
+        site.arrivals_with_part.append(SimpleNamespace(part=part))
+    assert ("c0ffee" in caller._prompt_prefix(draft)) == (draws == 0.0)
+    assert (caller._path(issue) == "/issue/crashing-1") == (draws == 0.0)
+
+
 def play_one_fault(tmp_path, monkeypatch, kind, selector):
     faults = [Fault(kind, 0.5, 2.0, selector)]
     monkeypatch.setattr(_soak_run, "plan_faults", lambda seed, seconds: faults)
