Count each run of an idempotent request against its bound of endpoints

A worker ran it on a kept connection, closed that without an answer, got it again on a new one, and then another worker.

Cause: any end of a kept connection without a byte was taken for one dropped at rest, and the second run at the same endpoint didn't count.

Ruled out: the retry budget (each send was paid for), single sends (they get new connections), the pool's limit (the connections were good).

Change: a connection that was dropped at rest breaks one round trip after the send, as measured when it was opened. One that ends later may have run the request, so this goes to another endpoint at once. And whatever the guess, a second run at an endpoint counts like one at another endpoint, so there are never more than max_attempts. This takes the place of repeated_runs.

Before: both new tests failed.

--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -43,12 +43,15 @@
     ----------
     answered : bool
         Whether any byte has come since the latest request was sent.
+    connect_ms : float
+        Time that it took to connect, at least one round trip.
     """
 
     def __init__(self, header_bytes=65_536):
         super().__init__(h11.CLIENT, header_bytes)
         self.idle = False
         self.answered = False
+        self.connect_ms = 0.0
         self.unexpected_data = False
         self.two_framings = False
         self.body_expected = True
@@ -68,6 +71,7 @@
         host, port = split_address(address)
         local_address = (source_ip, 0) if source_ip else None
         loop = asyncio.get_running_loop()
+        started_s = loop.time()
         try:
             async with asyncio.timeout(timeout_ms / MS_PER_S):
                 _, connection = await loop.create_connection(
@@ -79,6 +83,7 @@
             raise ConnectionLostError(
                 f"cannot connect to {address}: {reason}", False, refused=refused
             ) from None
+        connection.connect_ms = (loop.time() - started_s) * MS_PER_S
         return connection
 
     async def send(self, method, target, headers, body=b""):
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_faulty_answers.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_faulty_answers.py
@@ -88,7 +88,7 @@
     run_scenario(scenario)
 
 
-@pytest.mark.parametrize("fault", ["garble", "other_id"])
+@pytest.mark.parametrize("fault", ["garble", "other_id", "lose_answer"])
 def test_request_runs_no_third_time_after_wrong_answers_on_a_kept_connection(fault):
     """Guards against a third run: twice at one worker, then at another one."""
 
@@ -103,3 +103,22 @@
         assert [runs[answer.request_id] for answer in answers] == [2] * 6
 
     run_scenario(scenario)
+
+
+def test_request_whose_answer_is_lost_on_a_kept_connection_goes_to_another_endpoint():
+    """Guards against a second run at the endpoint that lost the answer, and then a third one."""
+
+    async def scenario(site, daemon):
+        ledger = workers(site, "ledger")
+        for _ in range(12):
+            assert (await send_request(daemon, "/status/1")).status == 200
+        lossy = ledger[0]
+        lossy.faults.lose_answer, lossy.faults.slow_ms = True, 60.0
+        answers = [await send_request(daemon, "/status/1") for _ in range(12)]
+        assert all(answer.status == 200 for answer in answers)
+        runs = Counter((r.request_id, r.worker) for r in site.runs)
+        lost = [a for a in answers if (a.request_id, lossy.id) in runs]
+        assert lost
+        assert all(runs[(answer.request_id, lossy.id)] == 1 for answer in lost)
+
+    run_scenario(scenario)
--- a/libraries/gateway/src/corianderhaven/gateway/_request_context.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_context.py
@@ -44,8 +44,6 @@
         Monotonic time by which the final answer must be sent.
     possible_runs : Counter
         Times that each endpoint may have run the request, by endpoint id.
-    repeated_runs : int
-        Sends to an endpoint that may have run the request already; each counts as an endpoint.
     head_forwarded : bool
         Whether the status and headers of a streamed answer were sent to the caller.
     error_response : tuple or None
@@ -87,7 +85,6 @@
     deadline_ms: float
     attempts: int = 0
     possible_runs: Counter = field(default_factory=Counter)
-    repeated_runs: int = 0
     head_forwarded: bool = False
     error_response: tuple | None = None
     excluded: set = field(default_factory=set)
@@ -137,9 +134,13 @@
 
     @property
     def endpoints_used(self):
-        """Number of endpoints that may have run the request, as known to all its daemons."""
+        """Number of endpoints that may have run the request, as known to all its daemons.
+
+        One that may have run it twice counts twice, so that the bound of the endpoints is also
+        one of the runs.
+        """
         used_before = self.origin.endpoints_used if self.origin else 0
-        return len(+self.possible_runs) + self.repeated_runs + used_before
+        return self.possible_runs.total() + used_before
 
     @property
     def resumed(self):
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -19,6 +19,9 @@
 KEPT_HEAD_TIMEOUT_MS = 400.0  # several times the time of a plain service's answer
 GATEWAY_TIMEOUT = 504
 OTHER_ANSWER = "answer of another request"
+# A connection that was dropped at rest breaks one round trip after a request is sent on it.
+DROP_ROUND_TRIPS = 2.0
+DROP_SLACK_MS = 2.0  # of the event loop
 RESUMED_PRIORITY = 0
 ON_TIME_PRIORITY = 2
 LATE_PRIORITY = 6
@@ -251,8 +254,9 @@
 
         A kept connection may have been dropped, which only shows when a request on it breaks it.
         Such a request, which may run more than once, is sent again on a new connection, and so is
-        one that gets a late copy of an earlier answer. One that gets no answer, or bytes that are
-        none, goes to another endpoint: the fault may be this one's.
+        one that gets a late copy of an earlier answer. One that gets no answer, bytes that are
+        none, or the end of the connection only after the endpoint may have run it, goes to
+        another endpoint: the fault may be this one's.
         """
         context, endpoint = attempt.context, attempt.endpoint
         context.attempts += 1
@@ -320,24 +324,23 @@
                 raise
             reason = str(error)
         attempt.close()
+        waited_ms = self.clock.now_ms() - attempt.sent_ms
         attempt.mark_kept(False, self.clock.now_ms())
         rest_ms = round(self.clock.now_ms() - kept.since_ms)
-        # One that brought bytes was not dropped: the endpoint may have run the request.
-        dropped = not kept.connection.answered
-        if dropped:
+        if not kept.connection.answered:
             self.pool.record_dropped(endpoint, kept)
         self.decisions.record(
             "kept_connection_lost",
             request=attempt.context.metadata.request_id,
             endpoint=endpoint.id,
             since_use_ms=rest_ms,
+            waited_ms=round(waited_ms, 1),
             reason=reason or "no answer",
         )
-        repeatable = reason == OTHER_ANSWER or (dropped and reason is not None)
+        repeatable = reason == OTHER_ANSWER or _was_dropped(kept.connection, waited_ms)
         may_repeat = repeatable and self.may_send_now(endpoint)
         if not may_repeat or not self.spend_retry(attempt.context.service.name):
             raise ConnectionLostError(reason or "no answer")
-        attempt.context.repeated_runs += not dropped
         return None
 
     def _priority(self, context, late):
@@ -422,3 +425,9 @@
         finally:
             stream.caller_blocked = False
         stream.last_activity_ms = self.clock.now_ms()
+
+
+def _was_dropped(connection, waited_ms):
+    """Return whether a connection had been dropped before the request that broke it was read."""
+    shows_within_ms = DROP_ROUND_TRIPS * connection.connect_ms + DROP_SLACK_MS
+    return not connection.answered and waited_ms <= shows_within_ms
