--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -68,16 +68,16 @@
     @classmethod
     async def open(cls, address, timeout_ms, source_ip=None):
         """Connect within `timeout_ms`, or raise `ConnectionLostError` with ``sent=False``."""
-        host, port = split_address(address)
         local_address = (source_ip, 0) if source_ip else None
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(timeout_ms / MS_PER_S):
                 _, connection = await loop.create_connection(
                     cls, host, port, local_addr=local_address
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
             reason = str(error) or "timed out"
             refused = isinstance(error, ConnectionRefusedError)
             raise ConnectionLostError(
--- a/libraries/common/src/corianderhaven/common/tests/test_async_http.py
+++ b/libraries/common/src/corianderhaven/common/tests/test_async_http.py
@@ -257,6 +257,14 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("address", ["", "worker-1", "127.0.0.1", "127.0.0.1:http"])
+def test_unusable_address_reports_nothing_sent(address):
+    """Guards against an endpoint's unusable address ending the task that probes paths."""
+    with pytest.raises(ConnectionLostError) as caught:
+        asyncio.run(ClientConnection.open(address, 500))
+    assert not caught.value.sent
+
+
 def test_closing_server_sends_connection_close():
     async def scenario(server):
         server.closing = True
