Summarize a zone from one collection of its digests

Seen (review, by reading): DirectSummary.without may meet a head that its sum lacks, which ends the exchange with a peer by a KeyError.

Cause: the digests and their sum were collected one after the other, and a digest could expire between the two.

Ruled out: a guard in without() alone, as the count of daemons would be off.

Change: both are made from the same list. Before: the new test failed with the KeyError. After: 60 passed (peers, hubs).

--- a/libraries/fleet/src/corianderhaven/fleet/_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peers.py
@@ -346,8 +346,9 @@
         """
         now = self.clock.now_ms()
         if self.direct is None or now - self.direct.computed_ms >= self._cache_ms():
-            digests = {p.name: p.digest for p in self._valid_members()}
-            self.direct = DirectSummary(self._summarize_direct_digests(), digests, now)
+            valid = self._valid_members()
+            digests = {p.name: p.digest for p in valid}
+            self.direct = DirectSummary(self._summarize_direct_digests(valid), digests, now)
         summary = self.direct.without(requester)
         summary.made_ms = now - self.direct.computed_ms
         own = self.make_digest()
@@ -373,10 +374,9 @@
             and now - p.last_heard_ms < DIGEST_VALIDITY_MS
         ]
 
-    def _summarize_direct_digests(self):
-        """Summarize the valid digests received directly from daemons of this zone."""
+    def _summarize_direct_digests(self, valid):
+        """Summarize the digests of the daemons `valid` of this zone."""
         now = self.clock.now_ms()
-        valid = self._valid_members()
         members = sum(p.zone == self.zone for p in self.peers.values())
         summary = ZoneSummary(self.zone, len(valid), len(valid) == members, False)
         for peer in valid:
@@ -400,7 +400,7 @@
             for zone, received in self.summaries.items()
             if now - received.made_ms < DIGEST_VALIDITY_MS
         }
-        direct = self._summarize_direct_digests()
+        direct = self._summarize_direct_digests(self._valid_members())
         known = reported.get(self.zone)
         if known is None or direct.daemons >= known.daemons:
             reported[self.zone] = direct
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_peers.py
@@ -31,6 +31,25 @@
     assert peers.last_activity_ms("h") is None
 
 
+def test_digest_that_expires_while_the_zone_is_summarized_is_in_all_parts_or_in_none():
+    """Guards against a KeyError that ended the exchange with a peer."""
+
+    class TickingClock(ManualClock):
+        def now_ms(self):
+            self.current_ms += 0.2
+            return self.current_ms
+
+    clock = TickingClock()
+    peers = PeerTable("own", clock)
+    for waited_ms in range(590, 600):
+        receive_digest(peers, "a", h=(3, 5.0))
+        peers.direct = None
+        clock.advance_ms(waited_ms + 0.3)
+        summary = peers._zone_summary("a")
+        assert all(head.own == 0 for head in summary.heads.values())
+        assert summary.daemons == 1
+
+
 def test_outage_is_confirmed_only_by_valid_digests_of_all_peers():
     clock, peers = make_table("a", "b")
     receive_digest(peers, "a", reachable=False)
