Drop the times of old requests also where no rate is asked for

Seen (review, by reading): QueueRates.arrivals of plain services is never trimmed, 16 bytes and more for each request of a daemon's life.

Cause: times were dropped when a rate was asked for, which plain services do only while endpoints name limits.

Ruled out: queues of models (their rates are asked for with each dispatch).

Change: dropped when a time is recorded. Before: the new test failed (1,000 times kept, wanted 31). After: 19 passed in its file.

--- a/libraries/gateway/src/corianderhaven/gateway/_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_admission.py
@@ -109,11 +109,11 @@
 
     def record_arrival(self):
         """Count a request that arrived."""
-        self.arrivals.append(self.clock.now_ms())
+        self._record(self.arrivals)
 
     def record_dispatch(self):
         """Count a request that was given an endpoint."""
-        self.dispatches.append(self.clock.now_ms())
+        self._record(self.dispatches)
 
     def arrivals_per_ms(self):
         """Return the recent rate of arrivals."""
@@ -143,6 +143,10 @@
         age_ms = self.clock.now_ms() - self.started_ms
         return min(RATE_WINDOW_MS, max(age_ms, RATE_WINDOW_MS / 3))
 
+    def _record(self, times):
+        times.append(self.clock.now_ms())
+        self._count(times)  # drops the old ones, also where no rate is asked for
+
     def _count(self, times):
         since = self.clock.now_ms() - RATE_WINDOW_MS
         while times and times[0] < since:
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_admission.py
@@ -8,6 +8,7 @@
 
 from corianderhaven.common import ManualClock
 from corianderhaven.gateway import AdmissionQueue, QueuedRequest, Refusal, queue_order
+from corianderhaven.gateway._admission import QueueRates
 from corianderhaven.standins import run_in_virtual_time
 
 
@@ -88,6 +89,17 @@
     return [outcome for _, outcome, _ in log]
 
 
+def test_times_of_old_requests_are_dropped_though_no_rate_is_asked_for():
+    """Guards against a slow leak: a plain service's rates are asked for only under limits."""
+    clock = ManualClock()
+    rates = QueueRates(clock, lambda: 1.0)
+    for _ in range(1_000):
+        clock.advance_ms(100.0)
+        rates.record_arrival()
+        rates.record_dispatch()
+    assert len(rates.arrivals) == len(rates.dispatches) <= 31
+
+
 def test_requests_below_capacity_are_all_on_time():
     log = replay(steady(7, 10))
     assert set(outcomes(log)) == {"on_time"}
