Read an endpoint's answer while the request's body is still being sent

Seen (review, by reading): a body that a worker reads late keeps the daemon in Sender._send, so the answer that is there already waits until the deadline.

Cause: ClientConnection.send waited until the transport's buffer had drained.

Ruled out: memory (the body is held by the request, and was copied into the transport's buffer before, too).

Change: send hands the request to the transport and returns. That the rest of a body makes a connection unusable is now checked in prepare_for_reuse, for every client, not in the pool alone.

--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -87,14 +87,17 @@
         return connection
 
     async def send(self, method, target, headers, body=b""):
-        """Send a request with its complete body."""
+        """Send a request with its complete body.
+
+        Doesn't wait until the peer has taken it all, as the peer may answer before it does.
+        """
         self.idle = self.answered = False
         self.body_expected = method not in ("HEAD", b"HEAD")
         chunks = [self.parser.send(h11.Request(method=method, target=target, headers=headers))]
         if body:
             chunks.append(self.parser.send(h11.Data(data=body)))
         chunks.append(self.parser.send(h11.EndOfMessage()))
-        await self.write(b"".join(chunks))
+        self.begin_write(b"".join(chunks))
 
     async def read_head(self):
         """Return the `ResponseHead`, skipping informational (1xx) responses."""
@@ -155,10 +158,11 @@
 
         Bytes that follow the response may be a second copy of it, which the next request would
         take for its own. Where a response had both a length and chunks, its sender may have
-        another end in mind than this side.
+        another end in mind than this side. One that answered before it had read the whole
+        request may take the rest of it for a request.
         """
         trailing_bytes, _ = self.parser.trailing_data
-        if trailing_bytes or self.two_framings:
+        if trailing_bytes or self.two_framings or self.transport.get_write_buffer_size():
             return False
         try:
             self.parser.start_next_cycle()
--- a/libraries/common/src/corianderhaven/common/_async_connection.py
+++ b/libraries/common/src/corianderhaven/common/_async_connection.py
@@ -161,11 +161,15 @@
             self.read_waiter = asyncio.get_running_loop().create_future()
             await self.read_waiter
 
-    async def write(self, data):
-        """Write `data`, waiting while the transport's send buffer is full."""
+    def begin_write(self, data):
+        """Hand `data` to the transport, which keeps what the peer doesn't take yet."""
         if self.lost or self.transport.is_closing():
             raise ConnectionLostError("connection broke")
         self.transport.write(data)
+
+    async def write(self, data):
+        """Write `data`, waiting while the transport's send buffer is full."""
+        self.begin_write(data)
         if self.drain_waiter is not None:
             await self.drain_waiter
 
--- a/libraries/common/src/corianderhaven/common/tests/test_async_http.py
+++ b/libraries/common/src/corianderhaven/common/tests/test_async_http.py
@@ -245,6 +245,37 @@
     asyncio.run(run())
 
 
+def test_answer_to_a_body_that_is_not_read_is_read_and_the_connection_not_reused():
+    """Guards against an answer that waits for the rest of the body, until the deadline."""
+
+    async def run():
+        async def answer_early(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+            await closed.wait()
+            writer.close()
+
+        closed = asyncio.Event()
+        server = await asyncio.start_server(answer_early, "127.0.0.1", 0, limit=1_024)
+        port = server.sockets[0].getsockname()[1]
+        connection = await ClientConnection.open(f"127.0.0.1:{port}", 500)
+        body = bytes(16 << 20)  # more than the kernel buffers
+        headers = [("host", "h"), ("content-length", str(len(body)))]
+        try:
+            async with asyncio.timeout(1.0):
+                await connection.send("POST", "/", headers, body)
+                assert (await connection.read_head()).status == 200
+                assert await connection.read_body() == b"ok"
+            assert not connection.prepare_for_reuse()
+        finally:
+            connection.close()
+            closed.set()
+            server.close()
+            await asyncio.sleep(0.05)
+
+    asyncio.run(run())
+
+
 def test_refused_connection_reports_nothing_sent():
     async def run():
         server, address = await start_raw_server(b"")
--- a/libraries/gateway/src/corianderhaven/gateway/_connection_pool.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_connection_pool.py
@@ -91,9 +91,7 @@
         """
         idle = self.idle[_key(endpoint)]
         wanted = not endpoint.leaving and len(idle) < MAX_IDLE_PER_ENDPOINT
-        # An endpoint may answer before it has read the whole request.
-        sent = connection.transport.get_write_buffer_size() == 0
-        if wanted and sent and connection.prepare_for_reuse():
+        if wanted and connection.prepare_for_reuse():
             now = self.clock.now_ms()
             idle.append(IdleConnection(connection, now, now + declared_idle_ms(head)))
         else:
