Count only the bytes of the present request as unread

Seen (review, by reading): Connection.unread_bytes isn't reset between small requests on a kept connection.

Cause: it was reset when the parser asked for more, which a request that has arrived whole never makes it do. After 4 MB of requests on a connection, the next byte that came while one was handled aborted it.

Ruled out: responses with more than one block (their reader waits for data).

Change: it begins anew with each request. Before: the new test failed. After: 31 passed in its file.

--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -165,7 +165,7 @@
         if trailing_bytes or self.two_framings or self.transport.get_write_buffer_size():
             return False
         try:
-            self.parser.start_next_cycle()
+            self.begin_cycle()
         except h11.LocalProtocolError:
             return False
         self.idle = True
--- a/libraries/common/src/corianderhaven/common/_async_connection.py
+++ b/libraries/common/src/corianderhaven/common/_async_connection.py
@@ -97,6 +97,11 @@
             self.reading_paused = True
             self.transport.pause_reading()
 
+    def begin_cycle(self):
+        """Make the parser ready for the next request; only bytes of this one count as unread."""
+        self.parser.start_next_cycle()
+        self.unread_bytes = len(self.parser.trailing_data[0])
+
     def _note_all_read(self):
         """Note that the parser holds no complete event, and read from the peer again."""
         self.unread_bytes = 0
--- a/libraries/common/src/corianderhaven/common/_async_server.py
+++ b/libraries/common/src/corianderhaven/common/_async_server.py
@@ -135,7 +135,7 @@
             return False
         if self.parser.our_state is not h11.DONE:
             return False  # the response was aborted, so the connection must close
-        self.parser.start_next_cycle()
+        self.begin_cycle()
         return not self.lost
 
     async def _read_request(self, limits):
--- a/libraries/common/src/corianderhaven/common/tests/test_async_http.py
+++ b/libraries/common/src/corianderhaven/common/tests/test_async_http.py
@@ -113,6 +113,25 @@
     run_scenario(scenario)
 
 
+def test_requests_on_a_kept_connection_do_not_add_up_to_the_limit_of_unread_bytes():
+    """Guards against an abort of a connection whose requests were all read."""
+
+    async def scenario(server):
+        connection = await ClientConnection.open(server.address, 1000)
+        body = bytes(1_000)
+        headers = [("host", "h"), ("content-length", str(len(body)))]
+        for _ in range(20):
+            await connection.send("POST", "/", headers, body)
+            await connection.read_head()
+            await connection.read_body()
+            assert connection.prepare_for_reuse()
+        (accepted,) = server.connections
+        assert accepted.unread_bytes == connection.unread_bytes == 0
+        connection.close()
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize(
     "data", [b"nonsense\r\n\r\n", b"GET / HTTP/9\r\n\r\n", b"\x00\x01\r\n\r\n"]
 )
