--- a/libraries/common/src/corianderhaven/common/_async_connection.py
+++ b/libraries/common/src/corianderhaven/common/_async_connection.py
@@ -12,6 +12,7 @@
 
 BODY_BLOCK_BYTES = 1 << 18  # unit of the limit in `read_body`, by default 64 blocks (16 MiB)
 # The kernel drops a connection whose peer has vanished: sent data stays unacknowledged this long.
+# It also drops one whose peer has taken nothing for so long, although it is there.
 TCP_USER_TIMEOUT_MS = 2_000
 MAX_UNREAD_BYTES = 1 << 18  # a peer that sends more than its reader takes has to wait
 # Headers that concern one connection only, and the framing that each connection sets itself.
@@ -57,10 +58,10 @@
     return host, int(port)
 
 
-def set_socket_options(transport):
+def set_socket_options(transport, user_timeout_ms):
     sock = transport.get_extra_info("socket")
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, round(user_timeout_ms))
 
 
 class Connection(asyncio.Protocol):
@@ -68,6 +69,7 @@
 
     def __init__(self, role, header_bytes):
         self.parser = h11.Connection(role, max_incomplete_event_size=header_bytes)
+        self.user_timeout_ms = TCP_USER_TIMEOUT_MS
         self.transport = None
         self.read_waiter = None
         self.drain_waiter = None
@@ -78,7 +80,7 @@
     def connection_made(self, transport):
         """Store the transport and set the socket options."""
         self.transport = transport
-        set_socket_options(transport)
+        set_socket_options(transport, self.user_timeout_ms)
 
     def data_received(self, data):
         """Feed the parser and wake the reader; abort on data after the end of input."""
--- a/libraries/common/src/corianderhaven/common/_async_server.py
+++ b/libraries/common/src/corianderhaven/common/_async_server.py
@@ -9,7 +9,12 @@
 import h11
 from loguru import logger
 
-from ._async_connection import Connection, ConnectionLostError, split_address
+from ._async_connection import (
+    TCP_USER_TIMEOUT_MS,
+    Connection,
+    ConnectionLostError,
+    split_address,
+)
 from ._clock import MS_PER_S
 
 LISTEN_BACKLOG = 1024  # for a burst of connections between two event loop iterations
@@ -68,6 +73,7 @@
     def __init__(self, server):
         super().__init__(h11.SERVER, server.limits.header_bytes + 1024)
         self.server = server
+        self.user_timeout_ms = server.user_timeout_ms()
         self.task = None
         self.handling = False
         self.head_sent = False
@@ -276,6 +282,8 @@
     ----------
     sends_callers_away : callable
         Returns whether connections are closed after an answer, so that callers go elsewhere.
+    user_timeout_ms : callable
+        Returns how long a caller may take nothing of its answer.
     """
 
     def __init__(self, address, handler, clock):
@@ -286,6 +294,7 @@
         self.connections = set()
         self.closing = False
         self.sends_callers_away = lambda: False
+        self.user_timeout_ms = lambda: TCP_USER_TIMEOUT_MS
         self.server = None
 
     async def start(self):
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_requests.py
@@ -541,6 +541,28 @@
     run_scenario(scenario)
 
 
+def test_caller_that_pauses_within_its_answer_gets_all_of_it():
+    """Guards against a reset by the kernel, 2 s after the caller's buffer was full."""
+    body = bytes(8 << 20)
+
+    async def answer(request, caller):
+        await caller.send_response(200, [], body)
+
+    async def scenario():
+        async with hosted_site(wait=False) as (_, (daemon,)):
+            daemon.callers_server.handler = answer
+            host, _, port = daemon.callers_server.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port), limit=4_096)
+            writer.write(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(3.5)
+            received = len(await reader.readexactly(len(body)))
+            writer.close()
+            return received
+
+    assert asyncio.run(scenario()) == len(body)
+
+
 def test_flapping_endpoint_loses_no_request_and_runs_none_twice():
     async def scenario(site, daemon):
         flapping = workers(site, "ledger")[0]
