Ignore SIGHUP until the settings are read, then reload once

Seen (review): SIGHUP in the first 0.5 s of a process ends it, 5 of 5 times.

Cause: the handler was installed after all modules had been imported, and before the components exist that a reload needs.

Ruled out: a handler in the package itself, which every import would install.

Change: the program ignores the signal before it imports anything else. The handler comes after start(), with one reload for what changed meanwhile. The interpreter's own start, some 30 ms, remains.

Before: the new test failed (the signal is never ignored). After: it, the tests of signals and of graceful stops pass.

--- a/libraries/daemon/src/corianderhaven/daemon/__init__.py
+++ b/libraries/daemon/src/corianderhaven/daemon/__init__.py
@@ -1,12 +1,10 @@
 """The corianderhavend program."""
 
-from ._main import main
-
 __all__ = ["Daemon", "Settings", "main"]
 
 
 def __getattr__(name):
-    """Import the daemon's classes on first use; the program may run only `FleetDaemon`."""
+    """Import on first use: the program may run only `FleetDaemon`, and first handles signals."""
     if name == "Daemon":
         from ._daemon import Daemon
 
@@ -15,4 +13,8 @@
         from ._settings import Settings
 
         return Settings
+    if name == "main":
+        from ._main import main
+
+        return main
     raise AttributeError(name)
--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -98,8 +98,9 @@
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.request_drain)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.reload()  # the settings may have changed before there was a handler
         monitor = loop.create_task(self._monitor_tasks())
         await self.stop_event.wait()
         monitor.cancel()
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_processes.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_processes.py
@@ -1,9 +1,14 @@
 """Tests of daemon processes on the stand-in of the hosting platform."""
 
+import asyncio
+import signal
 import subprocess
 import sys
 from pathlib import Path
 
+from corianderhaven.daemon.tests.hosted_site import wait_until
+from corianderhaven.standins import HostedDaemonProcess, HostingSite, small_models
+
 DEMONSTRATION = Path(__file__).parents[6] / "examples" / "hosted_demonstration.py"
 
 
@@ -26,3 +31,31 @@
     assert completed.returncode == 2
     assert b"node file" in completed.stderr
     assert b"Traceback" not in completed.stderr
+
+
+def test_sighup_while_a_daemon_starts_does_not_end_it(tmp_path):
+    """Guards against the default action, for which the first half second of a process was open."""
+
+    def ignores_sighup(pid):
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+        mask = next(line for line in lines if line.startswith("SigIgn:")).split()[1]
+        return bool(int(mask, 16) >> (signal.SIGHUP - 1) & 1)
+
+    async def scenario():
+        site = await HostingSite(["a"], 2, small_models(), 1).start()
+        daemon = HostedDaemonProcess("d", "a", site.store_server.address, str(tmp_path))
+        log = tmp_path / "d.log"
+        try:
+            await wait_until(lambda: ignores_sighup(daemon.process.pid))
+            while b"daemon_started" not in log.read_bytes():
+                daemon.process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.01)
+                assert daemon.process.poll() is None
+            daemon.process.send_signal(signal.SIGHUP)
+            await wait_until(lambda: log.read_bytes().count(b"settings_reloaded") >= 2)
+            return await asyncio.get_running_loop().run_in_executor(None, daemon.stop)
+        finally:
+            daemon.kill()
+            site.close()
+
+    assert asyncio.run(scenario()) == 0
