Take no older contents from a follower of an earlier version

Cause: without a position there was no test of age at all.

Ruled out: refusing such feeds (half of a site would have to read the store).

Change: contents of a feed without a position are judged by the age that it tells. Before: the new test failed. After: 56 passed (feeds, followers). Older readers keep their fault; a newer follower can't tell them.

--- a/libraries/fleet/src/corianderhaven/fleet/_feed.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_feed.py
@@ -21,6 +21,7 @@
 # Age of a follower's last answer from the store after which one with a more recent answer is
 # preferred; longer than the longest intervals of reading and of exchanges together.
 PREFER_OTHER_AGE_MS = 1_300.0
+AGE_SLACK_MS = 500.0  # of the ages of two followers' contents, to call one of them older
 
 
 class FeedRequest(msgspec.Struct, array_like=True):
@@ -249,7 +250,7 @@
         self.received_ms = now
         if not feed.contents or (not feed.full and feed.source != self.source):
             return
-        if (0, 0) < feed.store_position < self.watcher.store_position:
+        if self._is_older(feed, now):
             return
         if is_fresh:
             self.fresh_ms = max(self.fresh_ms, now - feed.age_ms)
@@ -258,6 +259,16 @@
         self._apply_endpoints(feed)
         self._apply_items(feed)
 
+    def _is_older(self, feed, now):
+        """Return whether a feed's contents are older than those that are known.
+
+        Followers of an earlier version tell no position in the store, only the age.
+        """
+        if feed.store_position > (0, 0):
+            return feed.store_position < self.watcher.store_position
+        read_ms = now - feed.age_ms if feed.age_ms >= 0.0 else -1e12
+        return self.directory.synced and read_ms < self.fresh_ms - AGE_SLACK_MS
+
     def _apply_endpoints(self, feed):
         removed = feed.removed
         if feed.full:
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_feed.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_feed.py
@@ -212,6 +212,31 @@
     assert reader.directory.get("e2") is not None
 
 
+def test_outdated_follower_of_an_earlier_version_brings_no_endpoint_back(monkeypatch):
+    """Guards against DRAIN while a site runs two versions: the older one tells no position."""
+    clock, followers, reader = make_zone()
+    answer = FeedWriter.answer
+
+    def answer_without_position(writer, request):
+        feed = answer(writer, FeedRequest(request.source, request.position, request.contents))
+        feed.store_position, feed.contents = (0, 0), True
+        return feed
+
+    monkeypatch.setattr(FeedWriter, "answer", answer_without_position)
+    run_exchanges(clock, followers, reader, ("a", "b"), 300.0)
+    followers["a"].directory.update("e1", endpoint(1, entry_number=6), (1, 11))
+    followers["b"].directory.remove("e1")
+    run_exchanges(clock, followers, reader, ("b",), 1_600.0)
+    assert reader.directory.get("e1") is None
+    run_exchanges(clock, {"a": followers["a"]}, reader, (), 1_500.0)
+    assert reader.follower == "a"
+    assert reader.directory.get("e1") is None
+    followers["a"].directory.remove("e1")
+    followers["a"].directory.update("e2", endpoint(2), (1, 12))
+    run_exchanges(clock, {"a": followers["a"]}, reader, ("a",), 300.0)
+    assert reader.directory.get("e2") is not None
+
+
 def test_feed_without_a_position_in_the_store_is_applied():
     """Daemons of an earlier version don't tell theirs."""
     _, followers, reader = make_zone()
