--- a/libraries/soak/src/corianderhaven/soak/_daemons.py
+++ b/libraries/soak/src/corianderhaven/soak/_daemons.py
@@ -50,12 +50,16 @@
         Folder for its node file and logs.
     ip : str
         Loopback address of its own, by which its connections are told apart.
+    builds : list of str
+        Folders with the packages of the builds that it may run, the first one now; an empty
+        string stands for the packages of this process.
     """
 
-    def __init__(self, name, zone, store, folder, ip="127.0.0.1"):
+    def __init__(self, name, zone, store, folder, ip="127.0.0.1", builds=("",)):
         self.name = name
         self.zone = zone
         self.ip = ip
+        self.builds = list(builds)
         self.store_link = LinkProxy(store)
         self.caller_link = LinkProxy("127.0.0.1:1")
         self.folder = folder
@@ -77,6 +81,10 @@
         self.store_link.close()
         self.caller_link.close()
 
+    def change_build(self):
+        """Run the next build from the next start on."""
+        self.builds.append(self.builds.pop(0))
+
     async def kill(self):
         """Kill the process without a drain, then restart it."""
         self.process.kill()
@@ -148,6 +156,7 @@
             previous=self.process,
             log_name=f"{self.name}-{self.start_count}",
             ip=self.ip,
+            packages=self.builds[0],
         )
         self.first_start = False
 
--- a/libraries/soak/src/corianderhaven/soak/_fault_injector.py
+++ b/libraries/soak/src/corianderhaven/soak/_fault_injector.py
@@ -9,6 +9,7 @@
 NAMED_LIMITS = ("3.0", "0.5")  # requests per second, as on the wire
 CRASHING_KINDS = ("status", "issue", "draft")
 LINK_DELAY_MS = 40.0  # below the connect timeout
+KILLED_SHARE = 0.25  # of the daemons that another build replaces; the others drain
 REPLACEMENT_DELAY_S = 0.5  # until an empty VM replaces a lost one
 # The target and the variant of a fault are derived from one selector; the factor keeps the target's
 # position from determining the variant.
@@ -103,13 +104,26 @@
         await self._run_on_daemon(fault, lambda daemon: daemon.pause(fault.duration_s))
 
     async def daemon_drain(self, fault):
-        async def drain(daemon):
-            started_count, alone = self.started_count, self.active_count == 1
-            code = await daemon.drain()
-            self.invariants.reset_version(daemon.name)
-            self.on_drained(daemon, code, alone and self.started_count == started_count)
+        await self._run_on_daemon(fault, self._drain)
+
+    async def _drain(self, daemon):
+        started_count, alone = self.started_count, self.active_count == 1
+        code = await daemon.drain()
+        self.invariants.reset_version(daemon.name)
+        self.on_drained(daemon, code, alone and self.started_count == started_count)
+
+    async def daemon_changes_build(self, fault):
+        """Replace a daemon by one of the other build, at the same addresses."""
+
+        async def change(daemon):
+            daemon.change_build()
+            if fault.selector * SELECTOR_MULTIPLIER % 1.0 < KILLED_SHARE:
+                await daemon.kill()
+                self.invariants.reset_version(daemon.name)
+            else:
+                await self._drain(daemon)
 
-        await self._run_on_daemon(fault, drain)
+        await self._run_on_daemon(fault, change)
 
     async def all_daemons_kill(self, fault):
         free = [d for d in self.daemons if d.name not in self.busy_daemons]
--- a/libraries/soak/src/corianderhaven/soak/_faults.py
+++ b/libraries/soak/src/corianderhaven/soak/_faults.py
@@ -37,6 +37,8 @@
 # Drawn apart from the others, so that these stay the same for a seed.
 PARTITION_GAP_S = 5.0
 PARTITION_KIND = "daemon_loses_endpoints"
+BUILD_CHANGE_GAP_S = 2.0
+BUILD_CHANGE_KIND = "daemon_changes_build"
 
 
 @dataclass(frozen=True)
@@ -73,6 +75,15 @@
         faults.append(Fault(kind, round(at_s, 3), round(duration_s, 3), rng.random()))
 
 
+def plan_build_changes(seed, seconds):
+    """Return the replacements of daemons by the other build, sorted by time."""
+    rng = random.Random(f"builds {seed}")
+    faults, at_s = [], 0.0
+    while (at_s := at_s + rng.uniform(0.05, 2 * BUILD_CHANGE_GAP_S)) < seconds:
+        faults.append(Fault(BUILD_CHANGE_KIND, round(at_s, 3), 0.0, rng.random()))
+    return faults
+
+
 def _plan_partitions(seed, seconds):
     """Return the partitions of daemons from the endpoints."""
     rng = random.Random(f"partitions {seed}")
--- a/libraries/soak/src/corianderhaven/soak/_main.py
+++ b/libraries/soak/src/corianderhaven/soak/_main.py
@@ -22,6 +22,7 @@
     processes: int = 4,
     logs: str = "",
     faults: bool = True,
+    other_build: str = "",
 ):
     """Inject seeded random faults into real daemons; exits with 1 if an invariant was violated.
 
@@ -31,14 +32,18 @@
     :param processes: number of daemons
     :param logs: folder for the daemons' logs; by default they are deleted
     :param faults: whether to inject faults; without, the usage of each daemon shows what grows
+    :param other_build: folder with the installed packages of another build, as the deploy file's
+        build leaves them; daemons of both run side by side and replace each other
     """
     check_positive("minutes", minutes)
     check_positive("seeds", seeds)
     if not 1 <= processes <= MAX_PROCESSES:
         raise SettingsError(f"processes must be from 1 to {MAX_PROCESSES}, not {processes}")
+    if other_build and not (Path(other_build) / "corianderhaven" / "daemon").is_dir():
+        raise SettingsError(f"other_build holds no packages: {other_build!r}")
     failed = []
     for seed_number in range(seed, seed + seeds):
-        report = _run_seed(seed_number, minutes, processes, logs, faults)
+        report = _run_seed(seed_number, minutes, processes, logs, faults, other_build)
         print(json.dumps(report.as_dict()), flush=True)
         if report.breaches:
             failed.append(seed_number)
@@ -47,14 +52,15 @@
     return 1 if failed else 0
 
 
-def _run_seed(seed_number, minutes, processes, logs, faults):
+def _run_seed(seed_number, minutes, processes, logs, faults, other_build):
     with tempfile.TemporaryDirectory() as scratch:
         folder = scratch
         if logs:
             folder = str(Path(logs) / f"seed-{seed_number}")
             Path(folder).mkdir(parents=True, exist_ok=True)
         seconds = minutes * S_PER_MINUTE
-        return asyncio.run(_run(SoakRun(seed_number, seconds, processes, folder, faults)))
+        soak_run = SoakRun(seed_number, seconds, processes, folder, faults, other_build)
+        return asyncio.run(_run(soak_run))
 
 
 async def _run(soak_run):
--- a/libraries/soak/src/corianderhaven/soak/_soak_run.py
+++ b/libraries/soak/src/corianderhaven/soak/_soak_run.py
@@ -11,7 +11,7 @@
 from ._callers import Caller, response_times_s
 from ._daemons import SoakDaemon
 from ._fault_injector import FaultInjector, publish_version
-from ._faults import plan_faults
+from ._faults import plan_build_changes, plan_faults
 from ._invariants import InvariantChecker, Violation
 from ._link_proxy import LinkProxy
 
@@ -87,14 +87,18 @@
         Folder for node files and logs.
     faults : bool
         Whether to inject faults.
+    other_build : str
+        Folder with the installed packages of another build. Half of the daemons start with it,
+        and faults replace daemons of one build by those of the other.
     """
 
-    def __init__(self, seed, seconds, processes, folder, faults=True):
+    def __init__(self, seed, seconds, processes, folder, faults=True, other_build=""):
         self.seed = seed
         self.seconds = seconds
         self.processes = processes
         self.folder = folder
         self.faults = faults
+        self.other_build = other_build
         self.early_usage = {}
         self.attempts = []
         self.drains = []
@@ -109,7 +113,14 @@
         publish_version(site)
         store = site.store_server.address
         self.daemons = [
-            SoakDaemon(f"entry-{n:02}", ZONES[n % len(ZONES)], store, self.folder, daemon_ip(n))
+            SoakDaemon(
+                f"entry-{n:02}",
+                ZONES[n % len(ZONES)],
+                store,
+                self.folder,
+                daemon_ip(n),
+                self._builds(n),
+            )
             for n in range(self.processes)
         ]
         callers, tasks = [], []
@@ -141,6 +152,21 @@
                 link.close()
         return self._report(faults, recovered_s)
 
+    def _builds(self, number):
+        """Return the builds of a daemon; daemons start with them by turns."""
+        if not self.other_build:
+            return [""]
+        builds = ["", self.other_build]
+        return builds if (self.seed + number) % 2 else builds[::-1]
+
+    def _plan(self):
+        if not self.faults:
+            return []
+        plan = plan_faults(self.seed, self.seconds)
+        if self.other_build:
+            plan += plan_build_changes(self.seed, self.seconds)
+        return sorted(plan, key=lambda fault: fault.at_s)
+
     async def _proxy_worker(self, worker_id, address):
         """Put a proxy in front of a worker; returns the address to announce to the daemons."""
         proxy = self.worker_links[worker_id] = await LinkProxy(address).start()
@@ -155,7 +181,7 @@
             self._record_drain,
             self._check_partitioned,
         )
-        plan = plan_faults(self.seed, self.seconds) if self.faults else []
+        plan = self._plan()
         loop = asyncio.get_running_loop()
         started, tasks = loop.time(), []
         loop.call_later(self.seconds * EARLY_USAGE_FRACTION, self._record_early_usage)
--- a/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
+++ b/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
@@ -1,10 +1,12 @@
 """Tests of the soak test: link proxy, fault plan, and detection of every invariant violation."""
 
 import asyncio
+from pathlib import Path
 from types import SimpleNamespace
 
 import pytest
 
+import corianderhaven
 from corianderhaven.common import ClientConnection, ConnectionLostError
 from corianderhaven.soak import (
     Attempt,
@@ -19,6 +21,7 @@
 from corianderhaven.soak._callers import Caller
 from corianderhaven.soak._daemons import SoakDaemon
 from corianderhaven.soak._fault_injector import FaultInjector
+from corianderhaven.soak._faults import plan_build_changes
 from corianderhaven.standins import ENGINE_SERVICE, HostingSite, WorkerFaults, small_models
 
 RUN_S = 5.0
@@ -247,9 +250,9 @@
 
 def test_every_fault_kind_has_an_injector_method():
     from corianderhaven.soak._fault_injector import MISBEHAVIOURS, FaultInjector
-    from corianderhaven.soak._faults import FAULT_WEIGHTS, PARTITION_KIND
+    from corianderhaven.soak._faults import BUILD_CHANGE_KIND, FAULT_WEIGHTS, PARTITION_KIND
 
-    kinds = [*FAULT_WEIGHTS, PARTITION_KIND]
+    kinds = [*FAULT_WEIGHTS, PARTITION_KIND, BUILD_CHANGE_KIND]
     assert all(callable(getattr(FaultInjector, kind)) for kind in kinds)
     assert all(WorkerFaults(**fields) != WorkerFaults() for fields in MISBEHAVIOURS)
 
@@ -372,3 +375,48 @@
         site.close()
 
     asyncio.run(scenario())
+
+
+def link_packages(folder):
+    """Make a folder with the packages of this build, as of an installed one."""
+    packages = Path(folder) / "other" / "corianderhaven"
+    packages.mkdir(parents=True)
+    for path in set(corianderhaven.__path__):
+        for package in Path(path).iterdir():
+            if (package / "__init__.py").exists():
+                (packages / package.name).symlink_to(package)
+    return str(packages.parent)
+
+
+def test_daemons_of_two_builds_replace_each_other_and_serve(tmp_path, monkeypatch):
+    faults = [Fault("daemon_changes_build", at_s, 0.0, n) for at_s, n in ((0.3, 0.0), (2.0, 0.5))]
+    monkeypatch.setattr(_soak_run, "plan_faults", lambda seed, seconds: [])
+    monkeypatch.setattr(_soak_run, "plan_build_changes", lambda seed, seconds: faults)
+    other = link_packages(tmp_path)
+    run = SoakRun(7, 4.0, 3, str(tmp_path), other_build=other)
+    started = []
+    launch = SoakDaemon._launch
+
+    def record_launch(daemon):
+        launch(daemon)
+        environment = Path(f"/proc/{daemon.process.process.pid}/environ").read_bytes()
+        started.append((daemon.name, f"PYTHONPATH={other}".encode() in environment.split(b"\0")))
+
+    monkeypatch.setattr(SoakDaemon, "_launch", record_launch)
+    report = asyncio.run(run.run())
+    assert report.breaches == []
+    assert report.recovered_s is not None
+    assert report.faults == {"daemon_changes_build": 2}
+    assert started[:3] == [("entry-00", False), ("entry-01", True), ("entry-02", False)]
+    assert started[3:] == [("entry-00", True), ("entry-01", False)]
+
+
+def test_other_build_without_packages_is_named(tmp_path, capsys):
+    assert main([f"--other-build={tmp_path}"]) == 2
+    assert "other_build" in capsys.readouterr().err
+
+
+def test_build_changes_depend_only_on_the_seed():
+    plan = plan_build_changes(3, 60.0)
+    assert plan == plan_build_changes(3, 60.0) != plan_build_changes(4, 60.0)
+    assert all(0.0 < fault.at_s < 60.0 for fault in plan)
--- a/libraries/standins/src/corianderhaven/standins/_hosting_daemon.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_daemon.py
@@ -44,6 +44,9 @@
         Earlier process of the same daemon whose addresses are reused.
     ip : str
         Loopback address at which it listens, and from which it connects to endpoints.
+    packages : str
+        Folder with the installed packages of another build to run; by default those of this
+        process.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         previous=None,
         log_name=None,
         ip="127.0.0.1",
+        packages="",
     ):
         self.front = previous.front if previous else free_address(ip)
         self.ready = previous.ready if previous else free_address(ip)
@@ -78,7 +82,8 @@
         )
         self.log = (Path(folder) / f"{log_name or name}.log").open("wb")
         command = [sys.executable, "-m", "corianderhaven.daemon", "--node-file", str(path)]
-        self.process = subprocess.Popen(command, stdout=self.log, stderr=self.log, env=os.environ)
+        environment = {**os.environ, "PYTHONPATH": packages} if packages else os.environ
+        self.process = subprocess.Popen(command, stdout=self.log, stderr=self.log, env=environment)
 
     async def is_ready(self):
         """Return whether the daemon reports that it is ready."""
