Take a port beyond 65,535 for an address that can't be used, too

Cause: only ValueError was caught.

Change: one more exception. Before: the new case failed. After: 17 passed.

--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -77,7 +77,7 @@
                 _, connection = await loop.create_connection(
                     cls, host, port, local_addr=local_address
                 )
-        except (OSError, TimeoutError, ValueError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             reason = str(error) or "timed out"
             refused = isinstance(error, ConnectionRefusedError)
             raise ConnectionLostError(
--- a/libraries/common/src/corianderhaven/common/tests/test_async_http.py
+++ b/libraries/common/src/corianderhaven/common/tests/test_async_http.py
@@ -307,7 +307,9 @@
     asyncio.run(run())
 
 
-@pytest.mark.parametrize("address", ["", "worker-1", "127.0.0.1", "127.0.0.1:http"])
+@pytest.mark.parametrize(
+    "address", ["", "worker-1", "127.0.0.1", "127.0.0.1:http", "127.0.0.1:70000"]
+)
 def test_unusable_address_reports_nothing_sent(address):
     """Guards against an endpoint's unusable address ending the task that probes paths."""
     with pytest.raises(ConnectionLostError) as caught:
