--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_connection_pool.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_connection_pool.py
@@ -24,7 +24,7 @@
         self.transport = Transport()
 
     def prepare_for_reuse(self):
-        return self.reusable
+        return self.reusable and not self.transport.get_write_buffer_size()
 
     def close(self):
         self.closed = True
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_crash_guard.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_crash_guard.py
@@ -146,7 +146,7 @@
 
 def test_check_that_fails_is_logged():
     async def run():
-        endpoint = make_endpoint("no address")
+        endpoint = make_endpoint(None)  # an error that connecting does not expect
         guard = make_guard(Clock(), endpoint)
         opening = guard.begin(REQUEST, endpoint)
         task = asyncio.create_task(guard._check_later(endpoint))
