--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -131,9 +131,21 @@
     part: str
 
 
+def _set_event():
+    event = asyncio.Event()
+    event.set()
+    return event
+
+
 @dataclass
 class HostedWorker:
-    """A worker's listener and the address that the worker advertises."""
+    """A worker's listener and the address that the worker advertises.
+
+    Parameters
+    ----------
+    running : asyncio.Event
+        Not set while the worker's process stands still.
+    """
 
     id: str
     service: str
@@ -152,6 +164,7 @@
     used_connections: set = field(default_factory=set)
     arrivals_ms: list = field(default_factory=list)
     expiry: object = None
+    running: asyncio.Event = field(default_factory=_set_event)
 
 
 class HostingSite:
@@ -262,6 +275,19 @@
             entry_lifetime_ms / MS_PER_S, self.store.delete, f"servers/{worker_id}"
         )
 
+    def pause(self, worker_ids):
+        """Have workers stand still: they send nothing, accept no orders and write no entries.
+
+        The kernel goes on accepting their connections and data.
+        """
+        for worker_id in worker_ids:
+            self.workers[worker_id].running.clear()
+
+    def resume(self, worker_ids):
+        """Have paused workers go on where they were."""
+        for worker_id in worker_ids:
+            self.workers[worker_id].running.set()
+
     def publish_config(self):
         """Write the next version of the configuration and return its number."""
         self.config_version += 3
@@ -405,6 +431,8 @@
                 last_heartbeat_ms = now
             for worker in self.workers.values():
                 state = self._published_state(worker)
+                if not worker.running.is_set():
+                    continue
                 if worker.listed and (due or published.get(worker.id) != state):
                     published[worker.id] = state
                     entry = msgspec.json.encode(self._entry(worker))
@@ -438,6 +466,7 @@
 
     async def _answer_worker(self, worker, request, caller):
         engine = worker.engine
+        await worker.running.wait()
         self._record_arrival(worker, request)
         if engine is not None and not engine.alive:
             await asyncio.sleep(3600.0)
@@ -528,6 +557,7 @@
         self._record_run(worker, request)
         self.runs[-1].connection = id(caller)
         await asyncio.sleep((self.token_ms + faults.slow_ms) / MS_PER_S)
+        await worker.running.wait()
         if faults.lose_answer:
             caller.close()
         elif faults.cut_head:
@@ -628,10 +658,12 @@
                     caller.close()
                     return
                 await asyncio.sleep(STATE_POLL_MS / MS_PER_S)
+            await worker.running.wait()
             await send(event)
             await asyncio.sleep(self.token_ms / MS_PER_S)
             if number == worker.faults.trickle_after:
                 await self._trickle(caller)
+        await worker.running.wait()
         if worker.faults.unframed:
             caller.abort_response()
         else:
