Keep a silent attempt open until another one has brought what comes next

Callers saw streams end without their last event (LOST), and 502 for idempotent requests that an endpoint was working on.

Cause: an attempt was ended on a timer, after a look at the budget, at other heads or at peers, and what it needed to go on was taken only later, by another task: the retry, a place in the queue, a connection, an endpoint that answers. Whatever of these failed ended the stream, though its endpoint had only stood still. The class: given up before the replacement is secured.

Change: silence starts a search. It takes the retry and the place, sends, and reads up to the first event (plain: the whole answer); only then the silent attempt is closed and the other goes on behind the last event forwarded. If the silent one speaks first, the search is stopped. Same for stalled streams, kept connections without an answer, slow plain requests, lost paths (a peer has to answer first) and silent peers (left only with another peer and a retry at hand). head_silent logs what was decided for a silent head. Attempts have a module of their own, and so have their kinds and the way by peers.

Ruled out: the change of configuration (a test cuts none without a silence, and the silence cuts without it), the keeper (broken_off by this daemon's own word, before any order), the endpoints (the same connections go on after the silence).

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_silent_endpoints.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_silent_endpoints.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 
 import pytest
 
@@ -43,13 +44,13 @@
     return workers(site, "draft-pool")
 
 
+def outcomes(daemons):
+    entries = [entry for daemon in daemons for entry in daemon.decisions.entries]
+    return Counter(e["outcome"] for e in entries if e["event"] == "request_ended")
+
+
 def broken_off(daemons):
-    return [
-        entry["outcome"]
-        for daemon in daemons
-        for entry in daemon.decisions.entries
-        if entry["event"] == "request_ended" and entry["outcome"].startswith("broken_off")
-    ]
+    return [outcome for outcome in outcomes(daemons) if outcome.startswith("broken_off")]
 
 
 def check_streams(answers, daemons):
@@ -124,7 +125,7 @@
             asyncio.create_task(send_request(daemons[n % 2], "/status/1")) for n in range(60)
         ]
         answers = await asyncio.gather(*requests)
-        assert {a.status for a in answers} == {200}
+        assert {a.status for a in answers} == {200}, outcomes(daemons)
 
     run_scenario(scenario, site_fields={"plain_workers": 3}, **settings)
 
--- a/libraries/gateway/src/corianderhaven/gateway/_admission.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_admission.py
@@ -47,6 +47,8 @@
         Resolves to an endpoint or a `Refusal`.
     answer_ms : float
         Expected time from sending it to the end of its answer.
+    only_others : bool
+        Whether it may go to none of the `excluded` endpoints, not even for want of others.
     """
 
     priority: int
@@ -59,6 +61,7 @@
     parts: tuple = ()
     decision: asyncio.Future | None = None
     answer_ms: float = 0.0
+    only_others: bool = False
 
     def limit_to(self, end_ms):
         """Lower the cutoffs so that the answer is expected to be complete at `end_ms`."""
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -6,7 +6,7 @@
 from corianderhaven.common import MS_PER_S
 from corianderhaven.fleet import PERMIT_LIFETIME_MS
 
-from ._admission import AdmissionQueue, QueuedRequest, QueueRates
+from ._admission import AdmissionQueue, QueuedRequest, QueueRates, Refusal
 from ._choice import choose_endpoint
 from ._latency_estimator import LatencyEstimator
 
@@ -14,6 +14,7 @@
 DEFAULT_GOAL_MS = 500.0
 LOST_SERVICES_CACHE_MS = 50.0  # half of the shortest exchange interval
 RECENT_ACTIVITY_MS = 500.0  # of a head that others use; some exchanges of digests
+PLAIN_RETRY_AFTER_MS = 200.0
 PLAIN_WAIT_FRACTION = 0.5  # of the goal; an answer of a plain service takes about the rest
 
 
@@ -240,7 +241,8 @@
     def _pick_head(self, service, engine, model, queued):
         heads = self.replica_view.available_heads(service, model)
         heads = self.load_tracker.accepting(self.in_reach(heads, queued.may_repeat))
-        heads = [h for h in heads if h.id not in queued.excluded] or heads
+        others = [h for h in heads if h.id not in queued.excluded]
+        heads = others if others or queued.only_others else heads
         queue = self.queues[service, model]
         return self._choose(heads, queue.rates, len(queue.waiting), engine.slots, engine.slots + 1)
 
@@ -318,10 +320,15 @@
     def _plain_endpoints(self, service):
         return [e for e in self.directory.endpoints(service) if not e.leaving]
 
-    def pick_plain_endpoint(self, context):
+    def pick_plain_endpoint(self, context, excluded):
         """Return an endpoint of a service without an engine and count the request, or None."""
-        may_repeat = context.can_fail_over()
-        return self._pick_plain(context.service.name, context.excluded, may_repeat)
+        return self._pick_plain(context.service.name, excluded, context.can_fail_over())
+
+    def refuse_plain(self, context):
+        """Return the `Refusal` of a request for which no endpoint accepts requests."""
+        return Refusal(
+            "no endpoint", self.held_for_ms(self.plain_endpoints(context)) or PLAIN_RETRY_AFTER_MS
+        )
 
     def _pick_plain(self, service, excluded, may_repeat):
         in_reach = self.in_reach(self._plain_endpoints(service), may_repeat)
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -7,8 +7,9 @@
 
 from . import _metrics
 from ._admission import PATHS_LOST, Refusal, dispatch_periodically
+from ._attempt_kinds import PlainAttempts, StreamAttempts
 from ._crash_guard import CrashGuard, digest_request, reason_for
-from ._dispatcher import DEFAULT_GOAL_MS, Dispatcher
+from ._dispatcher import Dispatcher
 from ._endpoint_limits import SHARED_MS, EndpointLimits
 from ._event_stream import EventSplitter
 from ._forwarding import DECLINED, unwrap
@@ -18,7 +19,8 @@
 from ._peer_forwarder import PeerForwarder
 from ._reachability import Reachability
 from ._replica_view import ReplicaView
-from ._request_context import NOT_RUN_RESULTS, AttemptResult, RequestContext
+from ._request_context import AttemptResult, RequestContext
+from ._request_runner import RequestRunner
 from ._retry_budget import RetryBudget
 from ._routes import RouteTable
 from ._send_permits import SendPermits
@@ -27,14 +29,10 @@
 from ._stream_failover import StreamFailover
 
 ANSWER_MARGIN_MS = 15.0  # to deliver the final answer to the caller
-MAX_ATTEMPTS = 4  # per request, including failed connections
-MAX_FORWARDS = 4  # per request, including peers that don't take it
 NOT_READY_RETRY_AFTER_MS = 500.0
 PLAIN_RETRY_AFTER_MS = 200.0
 NOT_RUN_RETRY_AFTER_MS = 400.0
-RETRY_AT_GOAL_FRACTION = 0.7  # of the goal; leaves time for another endpoint's typical answer
 RECENT_ACTIVITY_MS = 250.0  # longer than an event interval with prefill, or a digest's delivery
-MAX_LOGGED_PARTS = 8
 PART_RETRY_AFTER_MS = 3_600_000.0  # until a part that ended endpoints is tried again
 LASTING_LOSS_MS = 500.0  # of a path, with several probes
 PRUNE_INTERVAL_MS = 5_000.0  # few endpoints come and go in it; an entry takes about 100 bytes
@@ -193,14 +191,15 @@
         """
         origin = unwrap(request)
         if not self.accepts_forwarded():
-            await self._decline(caller, "not ready")
+            await self.decline(caller, "not ready")
         elif self.active_config.version < origin.config_version:
-            await self._decline(caller, "older configuration")
+            await self.decline(caller, "older configuration")
         else:
             await caller.send_acceptance()
             await self.handle(request, caller, origin)
 
-    async def _decline(self, caller, reason):
+    async def decline(self, caller, reason):
+        """Tell a peer that this daemon doesn't take the request that it has forwarded."""
         await caller.send_response(503, [(DECLINED, reason.encode())], b"")
 
     def is_isolated(self):
@@ -353,148 +352,24 @@
         if context.service is None:
             await self._refuse(context, "service unknown", NOT_READY_RETRY_AFTER_MS)
         elif engine is not None and engine.model(context.metadata.model):
-            await self._serve_stream(context, engine)
+            await RequestRunner(self, StreamAttempts(self, context, engine)).run()
         else:
-            await self._serve_plain(context)
-
-    async def _serve_stream(self, context, engine):
-        model = engine.model(context.metadata.model)
-        estimator = self.dispatcher.estimator(context.service.name, engine, model)
-        queue = self.dispatcher.queue(context.service.name, engine, model)
-        while not await self._is_served_by_peer(context, True):
-            self._count(context)
-            endpoint = await self._acquire(context, queue, estimator, engine, model)
-            if endpoint is PATHS_LOST:
-                continue
-            if isinstance(endpoint, Refusal):
-                await self._end_unserved(context, endpoint.reason, endpoint.retry_after_ms)
-                return
-            context.opening = self.crash_guard.begin(context.metadata, endpoint)
-            try:
-                late = self.clock.now_ms() > context.started_ms + (
-                    context.route.goal_ms or DEFAULT_GOAL_MS
-                )
-                sent_ms = self.clock.now_ms()
-                result = await self.sender.send_streaming(context, endpoint, estimator, late)
-                if result is AttemptResult.COMPLETE:
-                    estimator.record_duration(self.clock.now_ms() - sent_ms)
-                    await self._record_complete(context)
-                elif result is AttemptResult.BROKEN:
-                    await self.crash_guard.record_break(context.opening)
-            finally:
-                context.opening.finish()
-                self.dispatcher.release(endpoint, queue)
-            if not await self._finish_attempt(context, endpoint, result):
-                return
-
-    def _count(self, context):
+            self.dispatcher.record_plain_arrival(context.service.name)
+            await RequestRunner(self, PlainAttempts(self, context)).run()
+
+    def count(self, context):
         """Count a request for the retry budget, at the daemon that sends it to an endpoint."""
         counted_before = context.origin is not None and context.origin.resumed
         if not context.counted and not counted_before:
             self.retry_budget.record_request(context.service.name)
         context.counted = True
 
-    async def _is_served_by_peer(self, context, streaming):
-        """Return whether a request has ended here, as only a peer can send it to an endpoint."""
-        if not self.dispatcher.lacks_path(context):
-            may_overflow = context.origin is None and not context.overflowed
-            return may_overflow and await self._is_overflow_served(context, streaming)
-        if context.origin is None:
-            return await self._forward(context, streaming)
-        if context.attempt_results:
-            await self._end_unserved(context, "no path to the endpoints", NOT_RUN_RETRY_AFTER_MS)
-        else:
-            context.outcome = "declined: no path to the endpoints"
-            await self._decline(context.caller, "no path to the endpoints")
-        return True
-
-    async def _is_overflow_served(self, context, streaming):
-        """Return whether a peer has served a request for which the endpoints in reach are full.
-
-        If none takes it, it waits for these.
-        """
-        if not self.dispatcher.prefers_peer(context):
-            return False
-        context.overflowed = True
-        target = self.forwarder.pick(context.service.name)
-        if target is None:
-            return False
-        forward, result = await self.forwarder.send(context, target, streaming)
-        context.attempt_results.append((target.id, result.value))
-        if result in NOT_RUN_RESULTS:
-            return False
-        if result is AttemptResult.COMPLETE:
-            context.outcome = "complete"
-        else:
-            await self._end_unserved(context, f"forward {result.value}", forward.retry_after_ms)
-        return True
-
-    async def _forward(self, context, streaming):
-        """Have peers serve a request until it has ended; returns True."""
-        while True:
-            target = self.forwarder.pick(context.service.name, context.declined_by)
-            if target is None:
-                reason = "no path to the endpoints"
-                await self._end_unserved(context, reason, NOT_RUN_RETRY_AFTER_MS)
-                return True
-            forward, result = await self.forwarder.send(context, target, streaming)
-            context.attempt_results.append((target.id, result.value))
-            if result is AttemptResult.COMPLETE:
-                context.outcome = "complete"
-                return True
-            context.declined_by.add(target.id)
-            if not self._may_forward_again(context, result):
-                reason = f"forward {result.value}"
-                await self._end_unserved(context, reason, forward.retry_after_ms)
-                return True
-
-    def _may_forward_again(self, context, result):
-        if result in (AttemptResult.NOT_SENT, AttemptResult.DECLINED):
-            return len(context.declined_by) < MAX_FORWARDS
-        if result in (AttemptResult.NOT_RUN, AttemptResult.FAILED):
-            return False  # the peer's answer is final
-        may_repeat = context.can_retry(result) and len(context.declined_by) < MAX_FORWARDS
-        return may_repeat and self.retry_budget.try_spend(context.service.name)
-
     def _reroute_waiting(self):
         """Have the requests that wait for endpoints out of reach go by other daemons."""
         self.path_prober.wake()
         for queue in self.dispatcher.queues_without_path():
             queue.reject(lambda parts: True, PATHS_LOST)
 
-    async def _record_complete(self, context):
-        """Record a complete answer; one that ended with its connection may have been cut off."""
-        if context.ended_with_connection and not context.sound:
-            await self.crash_guard.record_break(context.opening)
-        else:
-            context.opening.record_sound()
-
-    async def _acquire(self, context, queue, estimator, engine, model):
-        """Return an endpoint for a request once there is one, or a `Refusal`."""
-        refusal = self._check_parts(context, model)
-        if refusal is not None:
-            return refusal
-        queued_ms = self.clock.now_ms()
-        endpoint = await queue.acquire(self.dispatcher.queued_request(context, estimator, engine))
-        context.waited_ms += self.clock.now_ms() - queued_ms
-        if isinstance(endpoint, Refusal):
-            return endpoint
-        refusal = self._check_parts(context, model)  # what is known may have changed meanwhile
-        if refusal is None:
-            return endpoint
-        self.dispatcher.release(endpoint, queue)
-        return refusal
-
-    def _check_parts(self, context, model):
-        if context.sound:
-            return None
-
-        def has_other_replica():
-            heads = self.replica_view.available_heads(context.service.name, model.name)
-            return len(heads) > 1
-
-        return self.crash_guard.check(context.metadata, has_other_replica)
-
     def _note_verdict(self, part, proven):
         """Reject what waits with a part that is proven to end endpoints."""
         if proven:
@@ -503,106 +378,15 @@
                 queue.reject(self.crash_guard.ledger.is_proven, refusal)
         self.on_proven_part(part, proven)
 
-    async def _serve_plain(self, context):
-        self.dispatcher.record_plain_arrival(context.service.name)
-        while not await self._is_served_by_peer(context, False):
-            self._count(context)
-            endpoint = await self._acquire_plain(context)
-            if endpoint is PATHS_LOST:
-                continue
-            if isinstance(endpoint, Refusal):
-                await self._end_unserved(context, endpoint.reason, endpoint.retry_after_ms)
-                return
-            context.opening = self.crash_guard.begin(context.metadata, endpoint)
-            try:
-                result = await self.sender.send_buffered(
-                    context, endpoint, self._attempt_timeout_ms(context)
-                )
-                if result in (AttemptResult.COMPLETE, AttemptResult.FAILED):
-                    context.opening.record_answer()
-                elif result is AttemptResult.BROKEN:
-                    await self.crash_guard.record_break(context.opening)
-            finally:
-                context.opening.finish()
-                self.dispatcher.release(endpoint)
-            if not await self._finish_attempt(context, endpoint, result):
-                return
-
-    async def _acquire_plain(self, context):
-        """Return an endpoint of a service without an engine, or a `Refusal`."""
-        refusal = self._check_plain(context)
-        if refusal is not None:
-            return refusal
-        if self.dispatcher.waits_for_permits(context):
-            queue = self.dispatcher.plain_queue(context.service.name)
-            queued_ms = self.clock.now_ms()
-            endpoint = await queue.acquire(self.dispatcher.plain_queued_request(context))
-            context.waited_ms += self.clock.now_ms() - queued_ms
-            refusal = self._check_plain(context)  # what is known may have changed meanwhile
-            if isinstance(endpoint, Refusal) or refusal is None:
-                return endpoint
-            self.dispatcher.release(endpoint)
-            return refusal
-        endpoint = self.dispatcher.pick_plain_endpoint(context)
-        if endpoint is not None:
-            return endpoint
-        held_ms = self.dispatcher.held_for_ms(self.dispatcher.plain_endpoints(context))
-        return Refusal("no endpoint", held_ms or PLAIN_RETRY_AFTER_MS)
-
-    def _check_plain(self, context):
-        def has_other_endpoint():
-            return len(self.dispatcher.plain_endpoints(context)) > 1
-
-        return self.crash_guard.check(context.metadata, has_other_endpoint)
-
     def _assign_later(self, wait_ms):
         """Assign endpoints to waiting requests when a permit may be used."""
         loop = asyncio.get_running_loop()
         loop.call_later(wait_ms / MS_PER_S, self.dispatcher.assign_waiting)
 
-    def _attempt_timeout_ms(self, context):
-        """Return the timeout of an attempt, or None when it can't be retried elsewhere."""
-        can_fail_over = context.can_fail_over()
-        others = [
-            e for e in self.dispatcher.plain_endpoints(context) if e.id not in context.excluded
-        ]
-        if (
-            not can_fail_over
-            or len(others) < 2
-            or self.retry_budget.remaining(context.service.name) < 1.0
-        ):
-            return None
-        return (context.route.goal_ms or DEFAULT_GOAL_MS) * RETRY_AT_GOAL_FRACTION
-
-    async def _finish_attempt(self, context, endpoint, result):
-        """Record the result of an attempt, then return True to retry or end the request."""
-        _metrics.ATTEMPTS.labels(context.service.name, result.value).inc()
-        context.attempt_results.append((endpoint.id, result.value))
-        if result is AttemptResult.COMPLETE:
-            context.outcome = "complete"
-            return False
-        self.decisions.record(
-            "send_failed",
-            request=context.metadata.request_id,
-            endpoint=endpoint.id,
-            result=result.value,
-            reason=context.failure,
-            last_event=context.splitter.last_event_id,
-            events=context.attempt_events,
-            parts=context.metadata.shared_parts[:MAX_LOGGED_PARTS],
-            whole_part=context.metadata.whole_part,
-            budget=round(self.retry_budget.remaining(context.service.name), 1),
-        )
-        context.excluded.add(endpoint.id)
+    async def note_failure(self, endpoint, result):
+        """Suspect an endpoint if the result of an attempt shows that it may be lost."""
         if await self._is_suspect(endpoint, result):
             self._suspect(endpoint, result.value, result is AttemptResult.NOT_SENT)
-        may_go_on = context.attempts < MAX_ATTEMPTS and context.can_retry(result)
-        if may_go_on and self._may_resume(context, result):
-            needs_budget = result is not AttemptResult.NOT_SENT
-            if not needs_budget or self.retry_budget.try_spend(context.service.name):
-                return True
-        await self._end_unserved(context, f"send {result.value}", NOT_RUN_RETRY_AFTER_MS)
-        return False
 
     async def _is_suspect(self, endpoint, result):
         """Return whether the result of an attempt makes its endpoint suspect."""
@@ -616,17 +400,12 @@
         # An endpoint that is no longer the head looks idle, and would be chosen repeatedly.
         return result is AttemptResult.MISDIRECTED
 
-    def _may_resume(self, context, result):
-        if result is not AttemptResult.BROKEN or context.sound:
-            return True
-        return self.crash_guard.may_resume(context.metadata.blamed_parts)
-
     def _suspect(self, endpoint, reason, unreachable=False):
         if endpoint.membership is not None:
             self.replica_view.suspect(endpoint, unreachable)
             self.on_suspicion(endpoint.id, reason)
 
-    async def _end_unserved(self, context, reason, retry_after_ms):
+    async def end_unserved(self, context, reason, retry_after_ms=NOT_RUN_RETRY_AFTER_MS):
         """End a request that won't be served, reporting only what is known of its execution."""
         if context.head_forwarded:
             context.outcome = f"broken_off: {reason}"
--- a/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
@@ -6,13 +6,13 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from corianderhaven.common import MS_PER_S, ClientConnection, ConnectionLostError
 
 from . import _metrics
 from ._connection_pool import ConnectionPool
-from ._event_stream import EventTooLargeError
+from ._event_stream import EventSplitter, EventTooLargeError
 from ._forwarding import (
     DECLINED,
     FORWARD_PATH,
@@ -34,6 +34,10 @@
 DEFAULT_RETRY_AFTER_MS = 400.0
 
 
+class _PeerSilentError(Exception):
+    """A peer sends nothing, and another one may get the request."""
+
+
 @dataclass(frozen=True)
 class PeerTarget:
     """A peer as the connection pool sees it."""
@@ -46,6 +50,10 @@
     leaving: bool = False
 
 
+def _may_not_leave():
+    return False
+
+
 @dataclass
 class Forward:
     """One request on its way to a peer.
@@ -56,6 +64,17 @@
         When the caller may come back, as a peer that refused the request says.
     reason : str or None
         Why the peer declined, or why the connection failed.
+    head : ResponseHead or None
+    body : bytes or None
+        Whole body of an answer that isn't streamed.
+    chunks : list of bytes
+        Pieces of a streamed body that were read before they could be passed on.
+    ended : bool
+        Whether the end of a streamed body was read before it could be passed on.
+    is_ready : bool
+        Whether the answer has begun and can be passed on.
+    may_leave : callable
+        Returns whether a silent peer may be given up for another one.
     """
 
     context: object
@@ -64,6 +83,12 @@
     kept: bool = False
     retry_after_ms: float = DEFAULT_RETRY_AFTER_MS
     reason: str | None = None
+    head: object = None
+    body: bytes | None = None
+    chunks: list = field(default_factory=list)
+    ended: bool = False
+    is_ready: bool = False
+    may_leave: object = _may_not_leave
 
 
 class PeerForwarder:
@@ -137,61 +162,98 @@
         peer = choose_peer(usable, zone, cut_in_zone, self.in_flight)
         return None if peer is None else PeerTarget(peer.name, peer.address, peer.zone)
 
-    async def send(self, context, target, streaming):
-        """Have a peer serve a request; returns the `Forward` and its `AttemptResult`."""
-        forward = Forward(context, target)
+    def begin(self, context, target):
+        """Return a `Forward` of a request to a peer."""
         self.in_flight[target.id] += 1
-        try:
-            result = await self._send(forward, streaming)
-        finally:
-            self.in_flight[target.id] -= 1
-            if forward.connection is not None:
-                forward.connection.close()
-        _metrics.FORWARDS.labels(context.service.name, result.value).inc()
+        return Forward(context, target)
+
+    def end(self, forward, result=None):
+        """Release what a `Forward` holds and log its result, None if it wasn't needed."""
+        self.in_flight[forward.target.id] -= 1
+        if forward.connection is not None:
+            forward.connection.close()
+        context, outcome = forward.context, result.value if result else "not needed"
+        _metrics.FORWARDS.labels(context.service.name, outcome).inc()
         self.decisions.record(
             "request_forwarded",
             request=context.metadata.request_id,
-            peer=target.id,
-            zone=target.zone,
+            peer=forward.target.id,
+            zone=forward.target.zone,
             kept_connection=forward.kept,
-            result=result.value,
+            result=outcome,
             reason=forward.reason,
             last_event=context.splitter.last_event_id,
         )
-        return forward, result
 
-    async def _send(self, forward, streaming):
-        context = forward.context
+    async def prepare(self, forward, streaming, ahead=False):
+        """Send a request to a peer and read until its answer can be passed on.
+
+        Parameters
+        ----------
+        ahead : bool
+            Whether to read up to the first event of a stream, or its end.
+        """
         try:
-            head = await self._request_head(forward)
-            if head is None:
-                self.avoid(forward.target)
-                return AttemptResult.NOT_SENT
-            result = self._classify(forward, head)
-            if result is AttemptResult.COMPLETE and streaming:
-                await self._pass_on_events(forward, head)
-            else:
-                body = await forward.connection.read_body()
-                await self._pass_on_body(context, result, head, body)
-            connection, forward.connection = forward.connection, None
-            self.pool.give_back(forward.target, connection, head)
-            return result
-        except TimeoutError:
-            if self.clock.now_ms() >= context.deadline_ms:
-                raise
-            forward.reason = "no answer in time"
-            self.avoid(forward.target)
-            return AttemptResult.SILENT
+            return await self._prepare(forward, streaming, ahead)
+        except _PeerSilentError:
+            return self._note_silent(forward)
         except (ConnectionLostError, EventTooLargeError) as error:
-            forward.reason = str(error)
+            return self._note_broken(forward, error)
+
+    async def _prepare(self, forward, streaming, ahead):
+        head = forward.head = await self._request_head(forward, ahead)
+        if head is None:
             self.avoid(forward.target)
-            return AttemptResult.BROKEN
+            return AttemptResult.NOT_SENT
+        result = self._classify(forward, head)
+        if result is AttemptResult.COMPLETE and streaming:
+            if ahead:
+                await self._read_ahead(forward)
+        else:
+            forward.body = await forward.connection.read_body()
+            if result is AttemptResult.FAILED:
+                headers = self.wire.caller_headers(head)
+                forward.context.error_response = (head.status, headers, forward.body)
+            self._give_back(forward)
+        forward.is_ready = result is AttemptResult.COMPLETE
+        return result
+
+    async def deliver(self, forward, streaming):
+        """Pass on the answer of a prepared `Forward`."""
+        context, head = forward.context, forward.head
+        if not streaming:
+            context.record_forwarded(self.clock.now_ms())
+            headers = self.wire.caller_headers(head)
+            await context.caller.send_response(head.status, headers, forward.body)
+            return AttemptResult.COMPLETE
+        try:
+            await self._pass_on_events(forward, head)
+        except _PeerSilentError:
+            return self._note_silent(forward)
+        except (ConnectionLostError, EventTooLargeError) as error:
+            return self._note_broken(forward, error)
+        self._give_back(forward)
+        return AttemptResult.COMPLETE
+
+    def _give_back(self, forward):
+        connection, forward.connection = forward.connection, None
+        self.pool.give_back(forward.target, connection, forward.head)
+
+    def _note_silent(self, forward):
+        forward.reason = "no answer in time"
+        self.avoid(forward.target)
+        return AttemptResult.SILENT
+
+    def _note_broken(self, forward, error):
+        forward.reason = str(error)
+        self.avoid(forward.target)
+        return AttemptResult.BROKEN
 
     def avoid(self, target):
         """Send nothing to a peer for a short time."""
         self.avoided_until_ms[target.id] = self.clock.now_ms() + AVOIDED_MS
 
-    async def _request_head(self, forward):
+    async def _request_head(self, forward, ahead):
         """Send the request and return the head of the answer; None if no connection was made."""
         context, target = forward.context, forward.target
         may_repeat = context.can_fail_over() and self.may_retry(context.service.name)
@@ -207,11 +269,22 @@
             except ConnectionLostError as error:
                 forward.reason = str(error)
                 return None
-        async with asyncio.timeout(ACCEPTANCE_TIMEOUT_MS / MS_PER_S if may_repeat else None):
-            await self._write_request(forward)
-            head = await forward.connection.read_acceptance()
+        await self._write_request(forward)
+        read = forward.connection.read_acceptance
+        timeout_ms = ACCEPTANCE_TIMEOUT_MS if may_repeat or ahead else None
+        head = await self._read(forward, read, timeout_ms)
         return head if head is not None else await forward.connection.read_head()
 
+    async def _read(self, forward, read, timeout_ms):
+        """Return what `read` does; raise `_PeerSilentError` if a silent peer may be left."""
+        while True:
+            try:
+                async with asyncio.timeout(timeout_ms / MS_PER_S if timeout_ms else None):
+                    return await read()
+            except TimeoutError:
+                if forward.may_leave():
+                    raise _PeerSilentError from None
+
     async def _write_request(self, forward):
         context = forward.context
         sender = ForwardingDaemon(
@@ -250,12 +323,15 @@
             return AttemptResult.NOT_RUN
         return AttemptResult.FAILED
 
-    async def _pass_on_body(self, context, result, head, body):
-        if result is AttemptResult.COMPLETE:
-            context.record_forwarded(self.clock.now_ms())
-            await context.caller.send_response(head.status, self.wire.caller_headers(head), body)
-        elif result is AttemptResult.FAILED:
-            context.error_response = (head.status, self.wire.caller_headers(head), body)
+    async def _read_ahead(self, forward):
+        splitter = EventSplitter(forward.context.splitter.last_event_id)
+        while not splitter.data_event_count:
+            chunk = await forward.connection.read_chunk()
+            if chunk is None:
+                forward.ended = True
+                return
+            forward.chunks.append(chunk)
+            splitter.feed(chunk)
 
     async def _pass_on_events(self, forward, head):
         context = forward.context
@@ -273,14 +349,15 @@
         await context.caller.send_end()
 
     async def _read_chunk(self, forward):
-        """Return the next chunk, or raise TimeoutError if the peer has fallen silent.
+        """Return the next chunk or None at the end.
 
-        The peer itself notices sooner when its endpoint does.
+        The peer itself notices sooner when its endpoint is silent.
         """
-        may_repeat = forward.context.can_retry(AttemptResult.SILENT)
-        timeout_s = STALL_MS / MS_PER_S if may_repeat else None
-        async with asyncio.timeout(timeout_s):
-            return await forward.connection.read_chunk()
+        if forward.chunks:
+            return forward.chunks.pop(0)
+        if forward.ended:
+            return None
+        return await self._read(forward, forward.connection.read_chunk, STALL_MS)
 
 
 def _retry_after_ms(head):
--- a/libraries/gateway/src/corianderhaven/gateway/_request_context.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_context.py
@@ -52,16 +52,8 @@
         Time in the admission queue.
     longest_pause_ms : float
         Longest time between two forwarded events.
-    attempt_events : int
-        Events that the endpoint of the present attempt has sent.
-    opening : OpeningPhase or None
-        Opening phase of the present attempt at an engine.
     sound : bool
         Whether an endpoint lived on after it had begun to write on the prompt.
-    ended_with_connection : bool
-        Whether only the end of its connection showed the end of the answer.
-    failure : str or None
-        Why the connection of the present attempt failed.
     origin : ForwardingDaemon or None
         The daemon that forwarded the request.
     declined_by : set of str
@@ -95,11 +87,7 @@
     longest_pause_ms: float = 0.0
     last_forwarded_ms: float | None = None
     attempt_results: list = field(default_factory=list)
-    attempt_events: int = 0
-    opening: object = None
     sound: bool = False
-    ended_with_connection: bool = False
-    failure: str | None = None
     origin: object = None
     declined_by: set = field(default_factory=set)
     counted: bool = False
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -5,8 +5,9 @@
 from corianderhaven.common import MS_PER_S, ClientConnection, ConnectionLostError
 
 from . import _metrics
+from ._attempt import Attempt
 from ._connection_pool import ConnectionPool
-from ._event_stream import EventTooLargeError
+from ._event_stream import EventSplitter, EventTooLargeError
 from ._path_prober import CONNECT_TIMEOUT_MS
 from ._request_context import AttemptResult
 from ._silence_detector import FIRST_EVENT_SLACK_MS, ActiveStream
@@ -16,7 +17,6 @@
 # A head under a burst answers late too; a request sent again would add to its load.
 KEPT_STREAM_TIMEOUT_MS = 1_000.0
 KEPT_STREAM_FACTOR = 4.0
-KEPT_HEAD_TIMEOUT_MS = 400.0  # several times the time of a plain service's answer
 GATEWAY_TIMEOUT = 504
 OTHER_ANSWER = "answer of another request"
 # A connection that was dropped at rest breaks one round trip after a request is sent on it.
@@ -28,53 +28,6 @@
 MAX_PRIORITY = 9
 
 
-class Attempt:
-    """One attempt of a request at an endpoint, and the connection that it uses.
-
-    Parameters
-    ----------
-    context : RequestContext
-    endpoint : Endpoint
-    priority : int or None
-        Priority at the endpoint.
-    head_timeout_ms : float
-        Time after which a kept connection that brought no answer counts as dropped.
-    """
-
-    def __init__(self, context, endpoint, priority=None, head_timeout_ms=KEPT_HEAD_TIMEOUT_MS):
-        self.context = context
-        self.endpoint = endpoint
-        self.priority = priority
-        self.head_timeout_ms = head_timeout_ms
-        self.connection = None
-        self.stream = None
-        self.sent_ms = 0.0
-        self.path_lost = False
-
-    @property
-    def interrupted(self):
-        """Whether this daemon closed the connection, as nothing came on it."""
-        if self.path_lost:
-            return True
-        return self.stream is not None and (self.stream.silent or self.stream.stalled)
-
-    def mark_kept(self, kept, sent_ms):
-        """Set whether the request waits on a kept connection, and when it was sent."""
-        self.sent_ms = sent_ms
-        if self.stream is not None:
-            self.stream.on_kept_connection, self.stream.sent_ms = kept, sent_ms
-
-    def release(self):
-        """Return the connection, which then stays open."""
-        connection, self.connection = self.connection, None
-        return connection
-
-    def close(self):
-        """Close the connection."""
-        if self.connection is not None:
-            self.connection.close()
-
-
 class Sender:
     """Sends requests to endpoints and forwards their answers.
 
@@ -128,17 +81,11 @@
         self.on_leaving = lambda endpoint: None
         self.on_limit = lambda endpoint, limit_per_s, sent_ms: None
 
-    def interrupt_waiting_on_lost_paths(self):
-        """End the attempts that wait for an answer by a lost path, and that may be made again."""
+    def replace_waiting_on_lost_paths(self):
+        """Look for replacements of the attempts that wait for an answer by a lost path."""
         for attempt in list(self.waiting):
-            service = attempt.context.service.name
-            if (
-                attempt.context.can_retry(AttemptResult.SILENT)
-                and self.reachability.loses_data(attempt.endpoint)
-                and self.may_retry(service)
-            ):
-                attempt.path_lost = True
-                attempt.close()
+            if self.reachability.loses_data(attempt.endpoint):
+                attempt.on_silence()
 
     def overdue_on_kept_connections(self):
         """Return an endpoint of each service at which a kept connection brings no answer in time.
@@ -159,87 +106,137 @@
                 overdue[service] = attempt.endpoint
         return list(overdue.values())
 
-    async def send_buffered(self, context, endpoint, timeout_ms=None):
-        """Send a request and forward the answer once it is complete."""
-        attempt = Attempt(context, endpoint)
+    def begin_buffered(self, context, endpoint, opening, replaces=None):
+        """Return an attempt whose answer is forwarded once it is complete."""
+        return Attempt(context, endpoint, opening, replaces)
+
+    async def prepare_buffered(self, attempt):
+        """Send a request and read the whole answer."""
+        endpoint = attempt.endpoint
         try:
-            async with asyncio.timeout(timeout_ms / MS_PER_S if timeout_ms else None):
-                head = await self._request_head(attempt)
-                if head is None:
-                    return AttemptResult.NOT_SENT
-                body = await attempt.connection.read_body()
+            head = attempt.head = await self._request_head(attempt)
+            if head is None:
+                return AttemptResult.NOT_SENT
+            attempt.body = await attempt.connection.read_body()
             self.pool.give_back(endpoint, attempt.release(), head)
-        except TimeoutError:
-            if self.clock.now_ms() >= context.deadline_ms:
-                raise
-            context.failure = "no answer in time"
-            self.load_tracker.record_result(endpoint.id, True)
-            return AttemptResult.SILENT
         except ConnectionLostError as error:
-            context.failure = str(error)
-            self.load_tracker.record_result(endpoint.id, True)
-            return AttemptResult.SILENT if attempt.interrupted else AttemptResult.BROKEN
-        finally:
-            attempt.close()
+            return self._record_lost(attempt, error)
         result = self._classify_response(attempt, head)
         sound = result in (AttemptResult.COMPLETE, AttemptResult.NOT_RUN)
         failed = not sound and not self.load_tracker.held_for_ms(endpoint)
         self.load_tracker.record_result(endpoint.id, failed)
         if result is AttemptResult.FAILED:
-            context.error_response = (head.status, self.wire.caller_headers(head), body)
-        elif result is AttemptResult.COMPLETE:
-            context.record_forwarded(self.clock.now_ms())
-            await context.caller.send_response(head.status, self.wire.caller_headers(head), body)
+            self._keep_error(attempt)
         return result
 
-    async def send_streaming(self, context, endpoint, estimator, late):
-        """Send a request and forward the events of its answer as they arrive."""
+    async def deliver_buffered(self, attempt):
+        """Forward the answer of a prepared attempt."""
+        context, head = attempt.context, attempt.head
+        context.record_forwarded(self.clock.now_ms())
+        await context.caller.send_response(
+            head.status, self.wire.caller_headers(head), attempt.body
+        )
+        return AttemptResult.COMPLETE
+
+    def begin_streaming(self, context, endpoint, opening, estimator, late, replaces=None):
+        """Return an attempt whose events are forwarded as they arrive."""
         running = self.load_tracker.occupancy(endpoint.id)
         predicted_ms = estimator.first_event_ms(context.metadata.prompt_tokens, running)
         first_event_ms = estimator.queue_wait_ms(running) + predicted_ms
         attempt = Attempt(
             context,
             endpoint,
+            opening,
+            replaces,
             self._priority(context, late),
             max(KEPT_STREAM_TIMEOUT_MS, KEPT_STREAM_FACTOR * first_event_ms),
         )
-        stream = attempt.stream = ActiveStream(
+        attempt.stream = ActiveStream(
             endpoint.id,
             self.clock.now_ms(),
             first_event_ms,
             estimator.max_event_interval_ms(running),
             context.can_fail_over(),
-            attempt.close,
+            lambda: attempt.on_silence(),
         )
-        self.silence_detector.add(stream)
+        if running < estimator.engine.slots:
+            attempt.on_head = lambda: estimator.record_first_event(
+                predicted_ms, self.clock.now_ms() - attempt.stream.sent_ms
+            )
+        self.silence_detector.add(attempt.stream)
+        return attempt
+
+    def end(self, attempt):
+        """Release what an attempt holds."""
+        if attempt.stream is not None:
+            self.silence_detector.remove(attempt.stream)
+        attempt.close()
+
+    async def prepare_streaming(self, attempt):
+        """Send a request and read the head of its answer.
+
+        An attempt that replaces another also reads up to the first event, or the end.
+        """
         try:
-            head = await self._request_head(attempt)
-            if head is None:
-                return AttemptResult.NOT_SENT
-            result = self._classify_response(attempt, head)
-            if result is AttemptResult.FAILED:
-                body = await attempt.connection.read_body()
-                context.error_response = (head.status, self.wire.caller_headers(head), body)
-                # At the deadline, the caller's time was too short, not the endpoint at fault.
-                if head.status != GATEWAY_TIMEOUT:
-                    self.load_tracker.record_result(endpoint.id, True)
-            if result is not AttemptResult.COMPLETE:
-                return result
-            if running < estimator.engine.slots:
-                estimator.record_first_event(predicted_ms, self.clock.now_ms() - stream.sent_ms)
-            result = await self._forward_events(attempt, head)
-            self.load_tracker.record_result(endpoint.id, result is not AttemptResult.COMPLETE)
-            if result is AttemptResult.COMPLETE:
-                self.pool.give_back(endpoint, attempt.release(), head)
+            result = await self._read_stream_head(attempt)
+            if result is AttemptResult.COMPLETE and attempt.replaces is not None:
+                await self._read_ahead(attempt)
             return result
         except (ConnectionLostError, EventTooLargeError) as error:
-            context.failure = str(error)
-            self.load_tracker.record_result(endpoint.id, True)
-            silent = stream.silent or attempt.path_lost
-            return AttemptResult.SILENT if silent else AttemptResult.BROKEN
-        finally:
-            self.silence_detector.remove(stream)
-            attempt.close()
+            return self._record_lost(attempt, error)
+
+    async def _read_stream_head(self, attempt):
+        head = attempt.head = await self._request_head(attempt)
+        if head is None:
+            return AttemptResult.NOT_SENT
+        result = self._classify_response(attempt, head)
+        if result is AttemptResult.FAILED:
+            attempt.body = await attempt.connection.read_body()
+            self._keep_error(attempt)
+            # At the deadline, the caller's time was too short, not the endpoint at fault.
+            if head.status != GATEWAY_TIMEOUT:
+                self.load_tracker.record_result(attempt.endpoint.id, True)
+        if result is AttemptResult.COMPLETE:
+            attempt.on_head()
+            self.silence_detector.record_activity(attempt.stream)
+        return result
+
+    async def _read_ahead(self, attempt):
+        """Read an answer up to its first event, which is forwarded only if it is needed."""
+        splitter = EventSplitter(attempt.context.splitter.last_event_id)
+        while not splitter.data_event_count:
+            chunk = await attempt.connection.read_chunk()
+            if chunk is None:
+                attempt.ended = True
+                return
+            attempt.chunks.append(chunk)
+            splitter.feed(chunk)
+        self.silence_detector.record_activity(attempt.stream)
+
+    async def deliver_streaming(self, attempt):
+        """Forward the events of a prepared attempt up to the end of its answer."""
+        try:
+            result = await self._forward_events(attempt)
+        except (ConnectionLostError, EventTooLargeError) as error:
+            return self._record_lost(attempt, error)
+        self.load_tracker.record_result(attempt.endpoint.id, result is not AttemptResult.COMPLETE)
+        if result is AttemptResult.COMPLETE:
+            self.pool.give_back(attempt.endpoint, attempt.release(), attempt.head)
+        return result
+
+    def _record_lost(self, attempt, error):
+        attempt.failure = "superseded" if attempt.superseded else str(error)
+        self.load_tracker.record_result(attempt.endpoint.id, True)
+        return AttemptResult.SILENT if attempt.interrupted else AttemptResult.BROKEN
+
+    def _keep_error(self, attempt):
+        """Keep the error that an endpoint answered, for a request that nothing else ends."""
+        head = attempt.head
+        attempt.context.error_response = (
+            head.status,
+            self.wire.caller_headers(head),
+            attempt.body,
+        )
 
     async def _request_head(self, attempt):
         """Send the request and return the head of its answer; None if no connection was made."""
@@ -260,17 +257,15 @@
         """
         context, endpoint = attempt.context, attempt.endpoint
         context.attempts += 1
-        context.attempt_events = 0
-        context.failure = None
         kept = None
-        if self._may_use_kept_connection(context, endpoint):
+        if self._may_use_kept_connection(attempt):
             kept = self.pool.take(endpoint)
         if kept is not None:
             head = await self._request_on_kept(attempt, kept)
             if head is not None:
                 return head
         if self.reachability.is_scope_lost(endpoint):
-            context.failure = "path lost"
+            attempt.failure = "path lost"
             if kept is not None:
                 raise ConnectionLostError("path lost")
             return None
@@ -279,7 +274,7 @@
                 endpoint.address, CONNECT_TIMEOUT_MS, self.source_ip
             )
         except ConnectionLostError as error:
-            context.failure = str(error)
+            attempt.failure = str(error)
             cause = "refused" if error.refused else "no answer"
             _metrics.CONNECTION_FAILURES.labels(endpoint.service, cause).inc()
             self.reachability.record_failed(endpoint)
@@ -294,8 +289,11 @@
         self.reachability.record_data(endpoint)
         return head
 
-    def _may_use_kept_connection(self, context, endpoint):
+    def _may_use_kept_connection(self, attempt):
         """Return whether the request can be sent again if the kept connection was dropped."""
+        context, endpoint = attempt.context, attempt.endpoint
+        if attempt.replaces is not None:
+            return False
         if not (context.can_fail_over() and self.may_retry(context.service.name)):
             return False
         return self.reachability.keeps_connections(endpoint)
@@ -305,10 +303,12 @@
         endpoint = attempt.endpoint
         attempt.connection = kept.connection
         attempt.mark_kept(True, self.clock.now_ms())
+        overdue = asyncio.get_running_loop().call_later(
+            attempt.head_timeout_ms / MS_PER_S, lambda: attempt.on_silence()
+        )
         try:
-            async with asyncio.timeout(attempt.head_timeout_ms / MS_PER_S):
-                await self._send(attempt)
-                head = await kept.connection.read_head()
+            await self._send(attempt)
+            head = await kept.connection.read_head()
             # A late copy of an earlier answer bears the id of another request.
             if self.wire.read_response(head).request_id == attempt.context.metadata.request_id:
                 attempt.mark_kept(False, attempt.sent_ms)
@@ -317,31 +317,36 @@
                 _metrics.CONNECTIONS.labels(endpoint.service, "kept").inc()
                 return head
             reason = OTHER_ANSWER
-        except TimeoutError:
-            reason = None
         except ConnectionLostError as error:
-            if attempt.interrupted:
-                raise
             reason = str(error)
+            if attempt.path_lost:
+                raise
+        finally:
+            overdue.cancel()
+        self._record_kept_lost(attempt, kept, reason)
+        if attempt.superseded:
+            raise ConnectionLostError(reason)
         attempt.close()
         waited_ms = self.clock.now_ms() - attempt.sent_ms
         attempt.mark_kept(False, self.clock.now_ms())
-        rest_ms = round(self.clock.now_ms() - kept.since_ms)
+        repeatable = reason == OTHER_ANSWER or _was_dropped(kept.connection, waited_ms)
+        may_repeat = repeatable and self.may_send_now(endpoint)
+        if not may_repeat or not self.spend_retry(attempt.context.service.name):
+            raise ConnectionLostError(reason)
+        return None
+
+    def _record_kept_lost(self, attempt, kept, reason):
+        now, endpoint = self.clock.now_ms(), attempt.endpoint
         if not kept.connection.answered:
             self.pool.record_dropped(endpoint, kept)
         self.decisions.record(
             "kept_connection_lost",
             request=attempt.context.metadata.request_id,
             endpoint=endpoint.id,
-            since_use_ms=rest_ms,
-            waited_ms=round(waited_ms, 1),
-            reason=reason or "no answer",
+            since_use_ms=round(now - kept.since_ms),
+            waited_ms=round(now - attempt.sent_ms, 1),
+            reason="superseded" if attempt.superseded else reason,
         )
-        repeatable = reason == OTHER_ANSWER or _was_dropped(kept.connection, waited_ms)
-        may_repeat = repeatable and self.may_send_now(endpoint)
-        if not may_repeat or not self.spend_retry(attempt.context.service.name):
-            raise ConnectionLostError(reason or "no answer")
-        return None
 
     def _priority(self, context, late):
         if context.head_forwarded or (context.origin is not None and context.origin.resumed):
@@ -393,30 +398,49 @@
         if response.retry_after_ms:
             self.load_tracker.hold(endpoint, response.retry_after_ms)
 
-    async def _forward_events(self, attempt, head):
-        context, stream = attempt.context, attempt.stream
+    async def _forward_events(self, attempt):
+        context, head = attempt.context, attempt.head
         if not context.head_forwarded:
             await context.caller.send_head(head.status, self.wire.caller_headers(head))
             context.head_forwarded = True
         context.splitter.discard_partial()
-        self.silence_detector.record_activity(stream)
-        while (chunk := await attempt.connection.read_chunk()) is not None:
-            self.reachability.record_data(attempt.endpoint)
-            data_events = context.splitter.data_event_count
-            events = context.splitter.feed(chunk)
-            if context.splitter.data_event_count > data_events:
-                context.attempt_events += context.splitter.data_event_count - data_events
-                context.sound |= context.opening.record_events(context.attempt_events)
-                self.silence_detector.record_activity(stream)
-            if events:
-                context.record_forwarded(self.clock.now_ms())
-                await self._forward(context, stream, events)
+        while (chunk := await self._next_chunk(attempt)) is not None:
+            await self._forward_chunk(attempt, chunk)
         if context.splitter.partial or (head.ends_with_connection and not context.has_events):
             return AttemptResult.BROKEN
-        context.ended_with_connection = head.ends_with_connection
+        attempt.ended_with_connection = head.ends_with_connection
         await context.caller.send_end()
         return AttemptResult.COMPLETE
 
+    async def _next_chunk(self, attempt):
+        """Return the next piece of a streamed answer, or None at its end."""
+        if attempt.chunks:
+            return attempt.chunks.pop(0)
+        if attempt.ended:
+            return None
+        chunk = await attempt.connection.read_chunk()
+        if attempt.superseded:
+            raise ConnectionLostError("superseded")  # the other attempt has brought this, too
+        if chunk is not None:
+            self.reachability.record_data(attempt.endpoint)
+        else:
+            attempt.on_progress()
+        return chunk
+
+    async def _forward_chunk(self, attempt, chunk):
+        context = attempt.context
+        data_events = context.splitter.data_event_count
+        events = context.splitter.feed(chunk)
+        completed = context.splitter.data_event_count - data_events
+        if completed:
+            attempt.on_progress()
+            attempt.events += completed
+            context.sound |= attempt.opening.record_events(attempt.events)
+            self.silence_detector.record_activity(attempt.stream)
+        if events:
+            context.record_forwarded(self.clock.now_ms())
+            await self._forward(context, attempt.stream, events)
+
     async def _forward(self, context, stream, events):
         """Send events to the caller, however slowly it reads them."""
         stream.caller_blocked = True
--- a/libraries/gateway/src/corianderhaven/gateway/_silence_detector.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_silence_detector.py
@@ -29,12 +29,12 @@
         Event interval when each step prefills a full chunk.
     can_fail_over : bool
         Whether the stream may continue at another replica.
-    interrupt : callable
-        Closes the connection to the endpoint, so that the stream's task fails over.
+    seek_replacement : callable
+        Has another replica sought to go on at; the stream stays open meanwhile.
     silent : bool
-        Whether it was interrupted because all streams of its head were silent.
+        Whether a replacement is sought because all streams of its head are silent.
     stalled : bool
-        Whether it was interrupted because it alone made no progress.
+        Whether a replacement is sought because it alone makes no progress.
     caller_blocked : bool
         Whether an event waits until the caller reads; the endpoint is not to blame then.
     on_kept_connection : bool
@@ -47,7 +47,7 @@
     expected_first_event_ms: float
     max_event_interval_ms: float
     can_fail_over: bool
-    interrupt: object
+    seek_replacement: object
     last_activity_ms: float | None = None
     silent: bool = False
     stalled: bool = False
@@ -96,6 +96,7 @@
         """Record that a stream received its head or a complete event."""
         now = self.clock.now_ms()
         stream.last_activity_ms = now
+        stream.silent = stream.stalled = False
         activity = self.heads.get(stream.head_id)
         if activity is not None:
             activity.last_activity_ms = now
--- a/libraries/gateway/src/corianderhaven/gateway/_stream_failover.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_stream_failover.py
@@ -1,4 +1,4 @@
-"""Ends attempts that bring no answer any more, so that their requests go on elsewhere."""
+"""Has replacements sought for attempts that bring no answer any more."""
 
 import asyncio
 
@@ -7,6 +7,8 @@
 
 from ._silence_detector import CHECK_INTERVAL_MS
 
+RECHECK_INTERVAL_MS = 200.0  # of a head that stays silent
+
 
 class StreamFailover:
     """Looks for silent heads, stalled streams and lost paths at short intervals.
@@ -42,6 +44,7 @@
         self.decisions = decisions
         self.on_suspect = lambda head, reason: None
         self.checks = {}
+        self.next_check_ms = {}
 
     def close(self):
         """Abandon the checks under way."""
@@ -53,14 +56,21 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_MS / MS_PER_S)
             if self.reachability.lost_scopes:
-                self.sender.interrupt_waiting_on_lost_paths()
+                self.sender.replace_waiting_on_lost_paths()
             for endpoint in self.sender.overdue_on_kept_connections():
                 self.path_prober.begin_check(endpoint)
-            for head_id in self.silence_detector.silent_heads():
-                if head_id not in self.checks:
-                    self._begin_check(head_id)
+            self._check_silent_heads()
             for stream in self.silence_detector.stalled_streams():
-                self._fail_over_stalled(stream)
+                self._replace_stalled(stream)
+
+    def _check_silent_heads(self):
+        now = self.clock.now_ms()
+        silent = self.silence_detector.silent_heads()
+        self.next_check_ms = {i: t for i, t in self.next_check_ms.items() if i in silent}
+        for head_id in silent:
+            if head_id not in self.checks and now >= self.next_check_ms.get(head_id, 0.0):
+                self.next_check_ms[head_id] = now + RECHECK_INTERVAL_MS
+                self._begin_check(head_id)
 
     def _begin_check(self, head_id):
         task = asyncio.get_running_loop().create_task(self._check_silent_head(head_id))
@@ -68,7 +78,7 @@
         task.add_done_callback(lambda done: self.checks.pop(head_id, None))
 
     async def _check_silent_head(self, head_id):
-        """Suspect a silent head unless the path to it is lost, and fail over its streams."""
+        """Suspect a silent head unless the path to it is lost, and seek replacements."""
         head = self.directory.get(head_id)
         if head is None or head.membership is None:
             return
@@ -77,29 +87,36 @@
             return
         if sound:
             self.on_suspect(head, "streams silent")
-        self._fail_over_streams(head)
+        self._replace_streams(head)
 
-    def _fail_over_streams(self, head):
-        """Fail over the streams of a silent head, within the retry budget and if others serve."""
+    def _replace_streams(self, head):
+        """Have replacements sought for the streams of a silent head, if others serve."""
         activity = self.silence_detector.heads[head.id]
         model = model_of(head.membership.replica)
-        allowed = int(self.retry_budget.remaining(head.service))
         others = self.replica_view.available_heads(head.service, model)
         if self.reachability.is_scope_lost(head):
             others = others or self.peers.peers
-        streams = [s for s in activity.streams if s.can_fail_over and not s.silent]
-        for stream in streams[: max(0, allowed) if others else 0]:
+        sought = [s for s in activity.streams if s.can_fail_over and not s.silent] if others else []
+        for stream in sought:
             stream.silent = True
-            stream.interrupt()
+            stream.seek_replacement()
+        self.decisions.record(
+            "head_silent",
+            endpoint=head.id,
+            silent_ms=round(self.silence_detector.last_activity_age_ms(head.id)),
+            streams=len(activity.streams),
+            sought=len(sought),
+            other_replicas=len(others),
+            budget=round(self.retry_budget.remaining(head.service), 1),
+        )
 
-    def _fail_over_stalled(self, stream):
-        """Continue a stream elsewhere that makes no progress although its head does."""
+    def _replace_stalled(self, stream):
+        """Have a replacement sought for a stream that makes no progress although its head does."""
         head = self.directory.get(stream.head_id)
         if head is None or head.membership is None or stream.stalled or stream.silent:
             return
         others = self.replica_view.available_heads(head.service, model_of(head.membership.replica))
-        has_other = any(other.id != stream.head_id for other in others)
-        if stream.can_fail_over and has_other and self.retry_budget.remaining(head.service) >= 1.0:
+        if stream.can_fail_over and any(other.id != stream.head_id for other in others):
             self.decisions.record("stream_stalled", endpoint=stream.head_id)
             stream.stalled = True
-            stream.interrupt()
+            stream.seek_replacement()
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_silence.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_silence.py
@@ -5,7 +5,7 @@
 
 from msgspec.json import encode
 
-from corianderhaven.common import ManualClock
+from corianderhaven.common import DecisionLog, ManualClock
 from corianderhaven.fleet import Digest, HeadDigest, PeerMessage, PeerTable
 from corianderhaven.gateway import (
     ActiveStream,
@@ -160,7 +160,7 @@
         ),
         retry_budget=SimpleNamespace(remaining=lambda service: 5.0),
         peers=None,
-        decisions=None,
+        decisions=DecisionLog(clock),
     )
     failover.on_suspect = lambda head, reason: suspected.append(head.id)
     clock.advance_ms(500.0)
