End a suspicion when its head is active again, and hold requests while all heads are suspected

Callers were told 503, no replica serves the model, for all that came while every replica stood still for a second.

Cause: a suspicion held for 2.5 s whatever the head did meanwhile, and with all heads suspected a model counted as not served at all. The class: a belief that outlives its reason, and the silence of all taken for the loss of each.

Change: an event from a suspected head, here or told by a peer, ends the suspicion, unless the head itself said that it isn't the one any more. If every listed head is suspected, requests wait for them, with the capacity that these have; what the keeper finds lost leaves the list within a second and is refused as before.

--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -93,12 +93,12 @@
             queue = self.queues[key] = AdmissionQueue(
                 self.clock,
                 lambda queued: self._pick_head(service, engine, model.name, queued),
-                lambda: bool(self.replica_view.available_heads(service, model.name)),
+                lambda: bool(self.replica_view.expected_heads(service, model.name)),
                 lambda: self._capacity_per_ms(service, engine, model),
-                lambda: self.held_for_ms(self.replica_view.available_heads(service, model.name)),
+                lambda: self.held_for_ms(self.replica_view.expected_heads(service, model.name)),
             )
             queue.is_limited = lambda: self._are_limited(
-                self.replica_view.available_heads(service, model.name)
+                self.replica_view.expected_heads(service, model.name)
             )
             queue.release_endpoint = lambda endpoint: self.release(endpoint, queue)
             queue.end_ms = self.end_ms
@@ -106,7 +106,7 @@
 
     def _capacity_per_ms(self, service, engine, model):
         """Return how many requests per ms the open replicas can accept from this daemon."""
-        heads = self.replica_view.available_heads(service, model.name)
+        heads = self.replica_view.expected_heads(service, model.name)
         duration_ms = self.estimator(service, engine, model).duration_ms()
         capacity = sum(self._rate_per_ms(head, engine.slots / duration_ms) for head in heads)
         return self._own_share(heads) * capacity
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -85,6 +85,8 @@
         self.on_proven_part = lambda part, proven: None
         self.retry_budget = RetryBudget(clock, settings, peers.fleet_size)
         self.silence_detector = SilenceDetector(clock, peers)
+        self.silence_detector.on_activity = self.replica_view.note_activity
+        self.replica_view.told_activity_ms = peers.last_activity_ms
         self.path_prober = PathProber(self.reachability, directory, clock, settings.ip)
         self.reachability.on_lost = self._reroute_waiting
         self.crash_guard.is_path_sound = self.path_prober.is_path_sound
@@ -386,7 +388,7 @@
     async def note_failure(self, endpoint, result):
         """Suspect an endpoint if the result of an attempt shows that it may be lost."""
         if await self._is_suspect(endpoint, result):
-            self._suspect(endpoint, result.value, result is AttemptResult.NOT_SENT)
+            self._suspect(endpoint, result.value, result)
 
     async def _is_suspect(self, endpoint, result):
         """Return whether the result of an attempt makes its endpoint suspect."""
@@ -400,9 +402,13 @@
         # An endpoint that is no longer the head looks idle, and would be chosen repeatedly.
         return result is AttemptResult.MISDIRECTED
 
-    def _suspect(self, endpoint, reason, unreachable=False):
+    def _suspect(self, endpoint, reason, result=AttemptResult.SILENT):
         if endpoint.membership is not None:
-            self.replica_view.suspect(endpoint, unreachable)
+            self.replica_view.suspect(
+                endpoint,
+                unreachable=result is AttemptResult.NOT_SENT,
+                lasting=result is AttemptResult.MISDIRECTED,
+            )
             self.on_suspicion(endpoint.id, reason)
 
     async def end_unserved(self, context, reason, retry_after_ms=NOT_RUN_RETRY_AFTER_MS):
--- a/libraries/gateway/src/corianderhaven/gateway/_replica_view.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_replica_view.py
@@ -6,6 +6,7 @@
 from corianderhaven.fleet import group_replicas, is_serving
 
 SUSPICION_MS = 2_500.0  # by then a lost member is detected or the replica has proved healthy
+TOLD_ACTIVITY_MARGIN_MS = 100.0  # an exchange may have taken so long, which makes it look later
 
 
 @dataclass(frozen=True)
@@ -22,12 +23,15 @@
     unreachable : bool
         Whether the head could not be connected to, for which the path may be at fault. Then it
         is excluded only where that was observed.
+    lasting : bool
+        Whether events of the head's streams don't disprove it.
     """
 
     membership: object
     since_ms: float
     observed_locally: bool
     unreachable: bool = False
+    lasting: bool = False
 
     @property
     def excludes(self):
@@ -43,6 +47,11 @@
     directory : EndpointDirectory
     active_config : ActiveConfig
     clock : Clock
+
+    Attributes
+    ----------
+    told_activity_ms : callable
+        Returns when a head was last active at another daemon, or None.
     """
 
     def __init__(self, directory, active_config, clock):
@@ -52,6 +61,7 @@
         self.suspicions = {}
         self.cached_version = None
         self.cached_heads = {}
+        self.told_activity_ms = lambda head_id: None
 
     def available_heads(self, service, model):
         """Return the heads that requests for `model` may be sent to."""
@@ -70,10 +80,28 @@
             }
         return self.cached_heads.get(service, {})
 
-    def suspect(self, head, unreachable=False):
-        """Exclude a head for `SUSPICION_MS`, or until it becomes head of another replica."""
+    def expected_heads(self, service, model):
+        """Return the heads that can receive requests soon.
+
+        Silence of all at once has another cause than the loss of each, so all count if each is
+        suspected.
+        """
+        available = self.available_heads(service, model)
+        return available or list(self.all_heads(service).get(model, ()))
+
+    def suspect(self, head, unreachable=False, lasting=False):
+        """Exclude a head for `SUSPICION_MS`, or until it becomes head of another replica.
+
+        Unless the suspicion is lasting, it also ends when the head is active again.
+        """
         now = self.clock.now_ms()
-        self.suspicions[head.id] = Suspicion(head.membership, now, True, unreachable)
+        self.suspicions[head.id] = Suspicion(head.membership, now, True, unreachable, lasting)
+
+    def note_activity(self, head_id):
+        """End the suspicion of a head from which an event has just come."""
+        suspicion = self.suspicions.get(head_id)
+        if suspicion is not None and not suspicion.lasting:
+            del self.suspicions[head_id]
 
     def add_peer_suspicion(self, head, age_ms, unreachable=False):
         """Adopt a suspicion reported by a peer; returns whether it is new.
@@ -121,6 +149,9 @@
             return True
         if now - suspicion.since_ms >= SUSPICION_MS:
             return True
+        told_ms = None if suspicion.lasting else self.told_activity_ms(head.id)
+        if told_ms is not None and told_ms > suspicion.since_ms + TOLD_ACTIVITY_MARGIN_MS:
+            return True
         return not _same_replica(suspicion.membership, head.membership)
 
     def _heads_by_model(self, spec):
--- a/libraries/gateway/src/corianderhaven/gateway/_silence_detector.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_silence_detector.py
@@ -71,6 +71,11 @@
     clock : Clock
     peers : PeerTable
         Provides the activity of heads that other daemons observed.
+
+    Attributes
+    ----------
+    on_activity : callable
+        Called with the id of a head from which something has come.
     """
 
     def __init__(self, clock, peers):
@@ -79,6 +84,7 @@
         self.heads = {}
         self.last_check_ms = clock.now_ms()
         self.suspended_until_ms = 0.0
+        self.on_activity = lambda head_id: None
 
     def add(self, stream):
         """Start tracking a stream."""
@@ -100,6 +106,7 @@
         activity = self.heads.get(stream.head_id)
         if activity is not None:
             activity.last_activity_ms = now
+        self.on_activity(stream.head_id)
 
     def silent_heads(self):
         """Return the ids of heads whose streams have all been silent for too long."""
