Take no connection for failed that only a busy process has not noticed

Callers were refused, no path to the endpoints, or their streams broken off, while all endpoints were in reach: 60 requests at once in a busy process, or many streams after a silence. Opening a connection takes several rounds of the event loop, and with rounds of 30 ms the timeout of 60 ms ran out although the endpoint had answered at once; three such made a lost path. The class: this process's own slowness taken for a fault of others.

Change: when the timeout ends, the kernel is asked whether the connection is established; if so, it is used.

--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -1,6 +1,7 @@
 """Asyncio HTTP/1.1 client."""
 
 import asyncio
+import socket
 from dataclasses import dataclass, field
 
 import h11
@@ -68,15 +69,12 @@
     @classmethod
     async def open(cls, address, timeout_ms, source_ip=None):
         """Connect within `timeout_ms`, or raise `ConnectionLostError` with ``sent=False``."""
-        local_address = (source_ip, 0) if source_ip else None
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         try:
             host, port = split_address(address)
-            async with asyncio.timeout(timeout_ms / MS_PER_S):
-                _, connection = await loop.create_connection(
-                    cls, host, port, local_addr=local_address
-                )
+            sock = await _connect(host, port, timeout_ms, source_ip)
+            _, connection = await loop.create_connection(cls, sock=sock)
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             reason = str(error) or "timed out"
             refused = isinstance(error, ConnectionRefusedError)
@@ -177,6 +175,35 @@
         return not self.lost and not self.unexpected_data and not self.transport.is_closing()
 
 
+async def _connect(host, port, timeout_ms, source_ip):
+    """Return a connected socket."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        if source_ip:
+            sock.bind((source_ip, 0))
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                await asyncio.get_running_loop().sock_connect(sock, (host, port))
+        except TimeoutError:
+            # The peer has answered if only this busy process hasn't noticed it.
+            if not _is_connected(sock):
+                raise
+        return sock
+    except BaseException:
+        sock.close()
+        raise
+
+
+def _is_connected(sock):
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 @dataclass
 class BufferedResponse:
     """Response whose body has been read completely."""
