Take the silence of most heads for a common cause at first

When every replica stood still for a second, each was suspected, the keeper probed them all and dissolved them, and streams were sent once more to heads that stood still as well. The class: the silence of all taken for the loss of each.

Change: if at least half of three or more heads with streams here have been quiet for longer than an event interval, none is suspected and no replacement sought, for a second at most; callers leave after two. A lost path is told apart before. The line head_silent says so (common).

Evidence: test_silence.py, three cases, red before.

--- a/libraries/gateway/src/corianderhaven/gateway/_silence_detector.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_silence_detector.py
@@ -13,6 +13,7 @@
 JITTER_MS = 25.0  # delays of links and of this process's own event loop
 FIRST_EVENT_FACTOR = 2.0  # over the expected time: the engine's queue is not observed
 FIRST_EVENT_SLACK_MS = 120.0
+MIN_COMMON_HEADS = 3  # of fewer, half may well be lost at once
 CHECK_INTERVAL_MS = 20.0  # an eighth of the shortest pause that a route allows
 LATE_CHECK_MS = 60.0  # a longer time between checks means that this process was stalled
 # Callers abandon a stream after a pause of two seconds; another replica needs part of that.
@@ -122,6 +123,21 @@
             if self._is_silent(head_id, activity)
         ]
 
+    def is_silence_common(self):
+        """Return whether most heads have been quiet for longer than an event interval.
+
+        The loss of each of them is unlikely then, and no other head is known to serve.
+        """
+        opened = {i: a for i, a in self.heads.items() if a.last_activity_ms}
+        quiet = [
+            head_id for head_id, activity in opened.items() if self._is_quiet(head_id, activity)
+        ]
+        return len(opened) >= MIN_COMMON_HEADS and 2 * len(quiet) >= len(opened)
+
+    def _is_quiet(self, head_id, activity):
+        max_interval_ms = max(s.max_event_interval_ms for s in activity.streams)
+        return not self.is_active(head_id, max_interval_ms)
+
     def is_silent(self, head_id):
         """Return whether the streams of a head have all been silent for too long."""
         activity = self.heads.get(head_id)
--- a/libraries/gateway/src/corianderhaven/gateway/_stream_failover.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_stream_failover.py
@@ -8,6 +8,9 @@
 from ._silence_detector import CHECK_INTERVAL_MS
 
 RECHECK_INTERVAL_MS = 200.0  # of a head that stays silent
+# For which a silence that most heads share counts as none of theirs. Callers abandon a stream after
+# a pause of two seconds; another replica needs part of that.
+COMMON_SILENCE_MS = 1_000.0
 
 
 class StreamFailover:
@@ -85,10 +88,19 @@
         sound = await self.path_prober.is_path_sound(head, self.clock.now_ms())
         if not self.silence_detector.is_silent(head_id):
             return
+        if sound and self._is_silence_common(head_id):
+            self._record_silent(head, common=True)
+            return
         if sound:
             self.on_suspect(head, "streams silent")
         self._replace_streams(head)
 
+    def _is_silence_common(self, head_id):
+        silent_ms = self.silence_detector.last_activity_age_ms(head_id)
+        if not 0.0 <= silent_ms < COMMON_SILENCE_MS:
+            return False
+        return self.silence_detector.is_silence_common()
+
     def _replace_streams(self, head):
         """Have replacements sought for the streams of a silent head, if others serve."""
         activity = self.silence_detector.heads[head.id]
@@ -100,13 +112,18 @@
         for stream in sought:
             stream.silent = True
             stream.seek_replacement()
+        self._record_silent(head, sought=len(sought), other_replicas=len(others))
+
+    def _record_silent(self, head, sought=0, other_replicas=None, common=False):
+        """Log what was decided for a silent head."""
         self.decisions.record(
             "head_silent",
             endpoint=head.id,
             silent_ms=round(self.silence_detector.last_activity_age_ms(head.id)),
-            streams=len(activity.streams),
-            sought=len(sought),
-            other_replicas=len(others),
+            common=common,
+            streams=len(self.silence_detector.heads[head.id].streams),
+            sought=sought,
+            other_replicas=other_replicas,
             budget=round(self.retry_budget.remaining(head.service), 1),
         )
 
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_silence.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_silence.py
@@ -131,6 +131,68 @@
     assert detector.stalled_streams() == []
 
 
+def test_silence_of_most_heads_is_common_and_that_of_one_is_not():
+    """All replicas were suspected and dissolved as their endpoints stood still for a second."""
+    clock, _, detector, streams = make_detector("h", "g", "f")
+    advance(clock, detector, 100, active=streams)
+    advance(clock, detector, 120, active=streams[:2])
+    assert not detector.is_silence_common()
+    advance(clock, detector, 120, active=streams[:1])
+    assert detector.is_silence_common()
+
+
+def test_silence_of_two_heads_is_not_common():
+    clock, _, detector, streams = make_detector("h", "g")
+    advance(clock, detector, 100, active=streams)
+    advance(clock, detector, 300)
+    assert not detector.is_silence_common()
+
+
+def make_failover(clock, detector, is_path_sound):
+    def head(head_id):
+        membership = SimpleNamespace(replica="model.1.1")
+        return SimpleNamespace(id=head_id, service="s", membership=membership, zone="a")
+
+    return StreamFailover(
+        detector,
+        sender=None,
+        path_prober=SimpleNamespace(
+            reachability=Reachability(clock, None), clock=clock, is_path_sound=is_path_sound
+        ),
+        replica_view=SimpleNamespace(
+            directory=SimpleNamespace(get=head),
+            available_heads=lambda service, model: [head("h")],
+        ),
+        retry_budget=SimpleNamespace(remaining=lambda service: 5.0),
+        peers=None,
+        decisions=DecisionLog(clock),
+    )
+
+
+def test_common_silence_suspects_no_head_until_it_lasts():
+    clock = ManualClock()
+    detector = SilenceDetector(clock, PeerTable("d1", clock))
+    sought, suspected = [], []
+    for head_id in "hgf":
+        stream = ActiveStream(
+            head_id, clock.now_ms(), 100.0, 40.0, True, lambda i=head_id: sought.append(i)
+        )
+        detector.add(stream)
+        detector.record_activity(stream)
+
+    async def is_path_sound(endpoint, since_ms):
+        return True
+
+    failover = make_failover(clock, detector, is_path_sound)
+    failover.on_suspect = lambda head, reason: suspected.append(head.id)
+    clock.advance_ms(500.0)
+    asyncio.run(failover._check_silent_head("h"))
+    assert (sought, suspected) == ([], [])
+    clock.advance_ms(600.0)
+    asyncio.run(failover._check_silent_head("h"))
+    assert (sought, suspected) == (["h"], ["h"])
+
+
 def test_head_that_goes_on_while_its_path_is_checked_keeps_its_streams():
     """A sound endpoint may fall silent for a moment; its streams were moved all the same."""
     clock = ManualClock()
@@ -139,29 +201,13 @@
     stream = ActiveStream("h", clock.now_ms(), 100.0, 40.0, True, lambda: interrupted.append("h"))
     detector.add(stream)
     detector.record_activity(stream)
-    head = SimpleNamespace(
-        id="h", service="s", membership=SimpleNamespace(replica="model.1.1"), zone="a"
-    )
 
     async def is_path_sound(endpoint, since_ms):
         if resumes:
             detector.record_activity(stream)
         return True
 
-    failover = StreamFailover(
-        detector,
-        sender=None,
-        path_prober=SimpleNamespace(
-            reachability=Reachability(clock, None), clock=clock, is_path_sound=is_path_sound
-        ),
-        replica_view=SimpleNamespace(
-            directory=SimpleNamespace(get=lambda head_id: head),
-            available_heads=lambda service, model: [head],
-        ),
-        retry_budget=SimpleNamespace(remaining=lambda service: 5.0),
-        peers=None,
-        decisions=DecisionLog(clock),
-    )
+    failover = make_failover(clock, detector, is_path_sound)
     failover.on_suspect = lambda head, reason: suspected.append(head.id)
     clock.advance_ms(500.0)
     assert detector.is_silent("h")
