Leave a stream to its replacement if its head has lost a member meanwhile

A head that was silent for a second sent some events more and broke off, as the keeper had taken its members: by then the replacement had been stopped, and with it the request's last endpoint was used up.

Change: when a replacement has been sent and the silent head's replica isn't whole any more, what the head sends is left to the replacement, which goes on behind the last event forwarded.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_silent_endpoints.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_silent_endpoints.py
@@ -80,6 +80,27 @@
     run_scenario(scenario, **settings)
 
 
+@pytest.mark.parametrize("share", [1.0, 0.4])
+def test_streams_end_whole_when_heads_of_larger_replicas_were_silent(share):
+    """Guards against LOST: a head lost its members while it was silent, and broke its streams."""
+
+    async def scenario(site, daemons):
+        def send(daemon):
+            return send_draft(daemon, "large")
+
+        async with load(daemons, send, 60.0) as answers:
+            await wait_ms(site.clock, 800.0)
+            for number in range(3):
+                paused = heads(site, "large")
+                paused = random.Random(number).sample(paused, max(1, round(share * len(paused))))
+                await pause(site, paused, 1_000.0)
+                await wait_ms(site.clock, 700.0)
+            await wait_ms(site.clock, 1_500.0)
+        check_streams(answers, daemons)
+
+    run_scenario(scenario, site_fields={"domain_size": 12})
+
+
 def test_streams_end_whole_when_their_endpoints_are_silent_again_and_again():
     """Guards against LOST: a stream that was taken over met a second silence without a way on."""
 
--- a/libraries/fleet/src/corianderhaven/fleet/__init__.py
+++ b/libraries/fleet/src/corianderhaven/fleet/__init__.py
@@ -43,7 +43,14 @@
     decode_permits,
 )
 from ._proven_parts import ProvenParts
-from ._replicas import Replica, group_replicas, is_serving, model_of, replica_name
+from ._replicas import (
+    Replica,
+    count_missing_members,
+    group_replicas,
+    is_serving,
+    model_of,
+    replica_name,
+)
 from ._store_era import StoreEra
 from ._store_watcher import StoreWatcher
 from ._types import (
@@ -126,6 +133,7 @@
     "Vm",
     "ZoneSummary",
     "find_failed",
+    "count_missing_members",
     "group_replicas",
     "merge_parts",
     "model_of",
--- a/libraries/gateway/src/corianderhaven/gateway/_attempt.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_attempt.py
@@ -42,6 +42,8 @@
         Called when the answer is overdue, to look for a replacement.
     on_progress : callable
         Called when the endpoint has sent something.
+    yields : callable
+        Returns whether what the endpoint sends is left to a replacement that has been sent.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         self.on_head = lambda: None
         self.on_silence = lambda: None
         self.on_progress = lambda: None
+        self.yields = lambda: False
 
     @property
     def interrupted(self):
--- a/libraries/gateway/src/corianderhaven/gateway/_attempt_kinds.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_attempt_kinds.py
@@ -57,6 +57,10 @@
     async def record(self, attempt, result):
         """Record what the result tells of the request."""
 
+    def is_serving(self, endpoint):
+        """Return whether an endpoint is expected to finish what it has begun."""
+        return True
+
     def end(self, attempt):
         """Release what an attempt holds."""
         self.sender.end(attempt)
@@ -135,6 +139,11 @@
         """Remove the request from a head's count."""
         self.gateway.dispatcher.release(endpoint, self.queue)
 
+    def is_serving(self, endpoint):
+        """Return whether the endpoint heads a replica with all its members."""
+        view = self.gateway.replica_view
+        return view.heads_whole_replica(endpoint.id, self.context.service.name, self.model)
+
     async def record(self, attempt, result):
         """Record the duration of an answer, or that its endpoint broke it off."""
         if result is AttemptResult.COMPLETE:
--- a/libraries/gateway/src/corianderhaven/gateway/_replica_view.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_replica_view.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-from corianderhaven.fleet import group_replicas, is_serving
+from corianderhaven.fleet import count_missing_members, group_replicas, is_serving
 
 SUSPICION_MS = 2_500.0  # by then a lost member is detected or the replica has proved healthy
 TOLD_ACTIVITY_MARGIN_MS = 100.0  # an exchange may have taken so long, which makes it look later
@@ -154,6 +154,17 @@
             return True
         return not _same_replica(suspicion.membership, head.membership)
 
+    def heads_whole_replica(self, endpoint_id, service, model):
+        """Return whether an endpoint heads a serving replica of which no member is missing."""
+        replicas = group_replicas(self.directory.endpoints(service)).values()
+        return any(
+            replica.head is not None
+            and replica.head.id == endpoint_id
+            and is_serving(replica)
+            and not count_missing_members(replica, model.size)
+            for replica in replicas
+        )
+
     def _heads_by_model(self, spec):
         heads = defaultdict(list)
         if spec.engine is None:
--- a/libraries/gateway/src/corianderhaven/gateway/_request_runner.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_runner.py
@@ -78,6 +78,7 @@
         """Make an attempt up to its end and return the result."""
         attempt.on_silence = lambda: self._seek_replacement(attempt)
         attempt.on_progress = self._stop_search
+        attempt.yields = lambda: self._yields(attempt)
         overdue = self._call_when_overdue(attempt)
         try:
             result = AttemptResult.COMPLETE
@@ -175,6 +176,14 @@
             return
         self.search = asyncio.get_running_loop().create_task(self._find_replacement(attempt))
 
+    def _yields(self, attempt):
+        """Return whether an attempt would soon break off, and a replacement has been sent.
+
+        A replica that lost a member, or was dissolved, while its head was silent goes on for a
+        moment only.
+        """
+        return self.search_is_sending and not self.attempts.is_serving(attempt.endpoint)
+
     def _may_search(self):
         context = self.context
         return context.attempts < MAX_ATTEMPTS and context.can_retry(AttemptResult.SILENT)
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -419,8 +419,10 @@
         if attempt.ended:
             return None
         chunk = await attempt.connection.read_chunk()
+        if attempt.yields():
+            attempt.supersede()
         if attempt.superseded:
-            raise ConnectionLostError("superseded")  # the other attempt has brought this, too
+            raise ConnectionLostError("superseded")  # the other attempt brings this, too
         if chunk is not None:
             self.reachability.record_data(attempt.endpoint)
         else:
