Wait a second for a head that is silent alone before its replica is dissolved

A sound head that stood still for a second lost its members to the keeper 0.4 s after it was suspected. When it went on, it lacked them, and its streams broke off. The class: silence taken for a loss.

Change: if only the head of a replica responds to no probe, the keeper asks it again every 0.3 s and dissolves the replica after a second. The members of a lost head aren't free before it would have stalled (stall_ms) in any case; they are back a second later than before. Silent members are dissolved as before, as their head makes no progress.

--- a/libraries/fleet/src/corianderhaven/fleet/_keeper.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper.py
@@ -16,6 +16,8 @@
 EXTRA_LOADS = 3  # keeps the weight store busy while orders are in flight
 DISCOVERY_MS = 3_000.0  # for the first entries when all VMs start at once
 CONFIRMATION_MS = 1_000.0  # time for which an endpoint's report replaces its missing entry
+HEAD_SILENCE_MS = 1_000.0  # after which a head that responds to no probe counts as lost
+HEAD_PROBE_INTERVAL_MS = 300.0
 REAPPEARANCE_MS = 2_500.0  # entries that expired together return within two heartbeats
 
 
@@ -258,10 +260,29 @@
         members = replica.members.values()
         if all(e.id in self.sender.unresponsive for e in members):
             return False  # no member responds: this daemon itself may be cut off
+        if action.reason == "member silent" and self._may_head_return(replica):
+            return False
         if action.reason != "member lost":
             return True
         return self.clock.now_ms() - self.first_seen_ms.get(key, 0.0) > REAPPEARANCE_MS
 
+    def _may_head_return(self, replica):
+        """Return whether only the head is silent, and for a short time, so that it may be sound.
+
+        Its members are not free before a lost head would have stalled in any case.
+        """
+        head = replica.head
+        silent = {e.id for e in replica.members.values()} & self.sender.unresponsive.keys()
+        if head is None or silent != {head.id}:
+            return False
+        now = self.clock.now_ms()
+        if now - self.sender.silent_since_ms.get(head.id, 0.0) >= HEAD_SILENCE_MS:
+            return False
+        if now >= self.next_probe_ms.get(head.id, 0.0):
+            self.next_probe_ms[head.id] = now + HEAD_PROBE_INTERVAL_MS
+            self.replica_tasks.spawn(self.sender.probe([head]))
+        return True
+
     def _vm_state(self, endpoint):
         keeper_state, member = self.replica_tasks.keeper_state, endpoint.membership
         now = self.clock.now_ms()
--- a/libraries/fleet/src/corianderhaven/fleet/_order_sender.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_order_sender.py
@@ -35,6 +35,7 @@
         self.clock = clock
         self.decisions = decisions
         self.unresponsive = {}
+        self.silent_since_ms = {}
 
     async def send(self, operation, endpoint, subject, call):
         """Send an order up to `ORDER_ATTEMPTS` times until there is a response.
@@ -95,6 +96,7 @@
                 report = await done
                 if report is not None and self.directory.update_from_report(endpoint.id, report):
                     self.unresponsive.pop(endpoint.id, None)
+                    self.silent_since_ms.pop(endpoint.id, None)
                     return report
             self.mark_unresponsive(endpoint.id)
             return None
@@ -104,6 +106,7 @@
 
     def mark_unresponsive(self, endpoint_id):
         """Treat an endpoint as unresponsive for `UNRESPONSIVE_MS`."""
+        self.silent_since_ms.setdefault(endpoint_id, self.clock.now_ms())
         if endpoint_id not in self.unresponsive:
             self.decisions.record("endpoint_silent", endpoint=endpoint_id)
         self.unresponsive[endpoint_id] = self.clock.now_ms() + UNRESPONSIVE_MS
@@ -117,6 +120,7 @@
         for endpoint_id, until in list(self.unresponsive.items()):
             if self.directory.get(endpoint_id) is None:
                 del self.unresponsive[endpoint_id]
+                self.silent_since_ms.pop(endpoint_id, None)
             elif now >= until and endpoint_id in by_id:
                 self.unresponsive[endpoint_id] = now + UNRESPONSIVE_MS
                 due.append(by_id[endpoint_id])
