Seek no replacement for a request that may have ended its endpoint

A silent attempt may be the end of its endpoint under the request; one whose parts are suspected waits for its own endpoint, as one that broke off does.

--- a/libraries/gateway/src/corianderhaven/gateway/_request_runner.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_runner.py
@@ -162,9 +162,12 @@
         return self.gateway.retry_budget.try_spend(context.service.name)
 
     def _may_resume(self, result):
-        if result is not AttemptResult.BROKEN or self.context.sound:
-            return True
-        return self.gateway.crash_guard.may_resume(self.context.metadata.blamed_parts)
+        return result is not AttemptResult.BROKEN or self._may_risk_another()
+
+    def _may_risk_another(self):
+        """Return whether nothing speaks for it that the request ends its endpoints."""
+        guard, parts = self.gateway.crash_guard, self.context.metadata.blamed_parts
+        return self.context.sound or guard.may_resume(parts)
 
     def _seek_replacement(self, attempt):
         """Look for a replacement of an attempt whose answer is overdue, which stays open."""
@@ -186,6 +189,8 @@
 
     def _may_search(self):
         context = self.context
+        if not self._may_risk_another():
+            return False  # the silence may be the end of an endpoint under this request
         return context.attempts < MAX_ATTEMPTS and context.can_retry(AttemptResult.SILENT)
 
     async def _find_replacement(self, silent):
