--- a/libraries/gateway/src/corianderhaven/gateway/_request_runner.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_runner.py
@@ -38,6 +38,7 @@
         self.peer_routing = PeerRouting(gateway, attempts.context, attempts.streaming)
         self.search = None
         self.search_is_sending = False
+        self.last_result = None
 
     async def run(self):
         """Make attempts until the request has ended."""
@@ -59,8 +60,8 @@
                 return None
             if replacement is not None:
                 return replacement
-            if not self._may_go_on(AttemptResult.SILENT):
-                await self.gateway.end_unserved(self.context, "send silent")
+            if not self._may_go_on(self.last_result):
+                await self.gateway.end_unserved(self.context, f"send {self.last_result.value}")
                 return None
         gateway, context = self.gateway, self.context
         while not await self.peer_routing.is_served():
@@ -112,6 +113,7 @@
     async def _finish(self, attempt, result):
         """Record the result of an attempt, then return True to go on or end the request."""
         context, gateway = self.context, self.gateway
+        self.last_result = result
         _metrics.ATTEMPTS.labels(context.service.name, result.value).inc()
         context.attempt_results.append((attempt.endpoint.id, result.value))
         if result is AttemptResult.COMPLETE:
