--- a/libraries/gateway/src/corianderhaven/gateway/_stream_failover.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_stream_failover.py
@@ -48,6 +48,7 @@
         self.on_suspect = lambda head, reason: None
         self.checks = {}
         self.next_check_ms = {}
+        self.logged_heads = {}
 
     def close(self):
         """Abandon the checks under way."""
@@ -70,6 +71,7 @@
         now = self.clock.now_ms()
         silent = self.silence_detector.silent_heads()
         self.next_check_ms = {i: t for i, t in self.next_check_ms.items() if i in silent}
+        self.logged_heads = {i: common for i, common in self.logged_heads.items() if i in silent}
         for head_id in silent:
             if head_id not in self.checks and now >= self.next_check_ms.get(head_id, 0.0):
                 self.next_check_ms[head_id] = now + RECHECK_INTERVAL_MS
@@ -115,7 +117,10 @@
         self._record_silent(head, sought=len(sought), other_replicas=len(others))
 
     def _record_silent(self, head, sought=0, other_replicas=None, common=False):
-        """Log what was decided for a silent head."""
+        """Log what was decided for a silent head, unless it is what was decided before."""
+        if not sought and self.logged_heads.get(head.id) == common:
+            return
+        self.logged_heads[head.id] = common
         self.decisions.record(
             "head_silent",
             endpoint=head.id,
