Let no error in decoding one entry end the reading of all

Operators of like systems report machines that ended again and again while one odd entry stood in the list of workers. Here the list is read in two ways: changes one by one, each of which could fail alone, and whole listings, in which an error that the decoder didn't foresee ended the watcher's task and with it the daemon, again after each start. A change that failed so was logged, but its endpoint stayed in use as it was before.

The class is mended all the same: an entry that fails in whatever way names no endpoint, and one that can't be applied keeps none of the others from it.

decode_endpoint now raises ValueError with the reason in place of returning None, as decode_config does; endpoint_unreadable tells it, once until the reason changes. An odd entry of a worker that was not known left no line at all before.

Red before: pytest libraries/fleet/.../test_store_watcher.py -k 'decoding_fails or cannot_be_applied or logged_once': 4 failed.

--- a/libraries/fleet/src/corianderhaven/fleet/_directory.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_directory.py
@@ -116,11 +116,19 @@
         self.store_recovered_ms = self.clock.now_ms()
 
     def replace_all(self, entries):
-        """Replace the contents with a complete listing of (key, endpoint or None, revision)."""
+        """Replace the contents with a complete listing of (key, endpoint or None, revision).
+
+        An unexpected error in one entry must not keep the others from being applied.
+        """
         present = set()
         for key, endpoint, revision in entries:
             present.add(key)
-            self.update(key, endpoint, revision)
+            try:
+                self.update(key, endpoint, revision)
+            except Exception as error:
+                self.decisions.record(
+                    "item_rejected", key=key, revision=revision, reason=repr(error)
+                )
         for key in [key for key in self.records if key not in present]:
             self.remove(key)
         self.synced = True
@@ -142,7 +150,6 @@
         """Apply one entry; `endpoint` is None if the entry names no usable endpoint."""
         if endpoint is None:
             if self.records.pop(key, None) is not None:
-                self.decisions.record("endpoint_unreadable", endpoint=key, revision=revision)
                 self._mark_changed(key)
             return
         known = self.records.get(key)
--- a/libraries/fleet/src/corianderhaven/fleet/_interfaces.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_interfaces.py
@@ -157,7 +157,7 @@
 
     @abstractmethod
     def decode_endpoint(self, endpoint_id, value):
-        """Return the `Endpoint` in an entry, or None if the entry names no usable endpoint."""
+        """Return the `Endpoint` in an entry; raises ValueError if it names no usable one."""
 
     @abstractmethod
     def decode_config(self, value):
--- a/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
@@ -17,6 +17,7 @@
 FOUND_INTERVAL_MS = 80.0  # about one exchange, by which a follower has told the rest
 STAND_BY_CHECK_MS = 50.0
 OUTAGE_MS = 400.0  # leases of three heartbeats survive shorter outages
+MAX_REASON_LENGTH = 200  # an error may quote what it can't read
 
 
 class StoreWatcher:
@@ -69,6 +70,8 @@
         self.following = False
         self.own_items = {}
         self.own_prefix = ""
+        # Why entries name no endpoint, by id; logged once, however often they are read or written.
+        self.unreadable = {}
         self.own_changed = asyncio.Event()
         self.failing_since_ms = None
         self.last_success_ms = None
@@ -196,13 +199,11 @@
         if config is not None:
             self._apply_or_log(config)
         self.set_own_items({item.key: item for item in own})
+        listed = {self._endpoint_id(item): item for item in endpoints}
+        self.unreadable = {i: why for i, why in self.unreadable.items() if i in listed}
         self.directory.replace_all(
-            (
-                self._endpoint_id(item),
-                self.platform_format.decode_endpoint(self._endpoint_id(item), item.value),
-                self._position(item),
-            )
-            for item in endpoints
+            (endpoint_id, self._decode_endpoint(endpoint_id, item), self._position(item))
+            for endpoint_id, item in listed.items()
         )
         self.watch_revision = revision
         self._note_position(revision)
@@ -217,6 +218,25 @@
     def _endpoint_id(self, item):
         return item.key[len(self.platform_format.endpoint_prefix) :]
 
+    def _decode_endpoint(self, endpoint_id, item):
+        """Return the endpoint in an entry, or None if the entry names none that can be used."""
+        try:
+            endpoint = self.platform_format.decode_endpoint(endpoint_id, item.value)
+            self.unreadable.pop(endpoint_id, None)
+            return endpoint
+        except Exception as error:
+            reason = (str(error) or repr(error))[:MAX_REASON_LENGTH]
+        if self.unreadable.get(endpoint_id) != reason:
+            self.unreadable[endpoint_id] = reason
+            self.decisions.record(
+                "endpoint_unreadable",
+                endpoint=endpoint_id,
+                revision=item.revision,
+                reason=reason,
+                known=self.directory.get(endpoint_id) is not None,
+            )
+        return None
+
     def _apply_or_log(self, item):
         """Apply one item; one that can't be applied must not keep the others from it."""
         try:
@@ -233,9 +253,10 @@
         elif item.key.startswith(self.platform_format.endpoint_prefix):
             endpoint_id = self._endpoint_id(item)
             if item.value is None:
+                self.unreadable.pop(endpoint_id, None)
                 self.directory.remove(endpoint_id)
             else:
-                endpoint = self.platform_format.decode_endpoint(endpoint_id, item.value)
+                endpoint = self._decode_endpoint(endpoint_id, item)
                 self.directory.update(endpoint_id, endpoint, self._position(item))
         elif item.key.startswith(self.own_prefix):
             if item.value is None:
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_store_watcher.py
@@ -34,7 +34,11 @@
     config_key = CONFIG
 
     def decode_endpoint(self, endpoint_id, value):
-        return endpoint(int(endpoint_id[1:])) if value == b"ready" else None
+        if value == b"fault":
+            raise OverflowError("an error that no decoder foresaw")
+        if value != b"ready":
+            raise ValueError("it isn't ready")
+        return endpoint(int(endpoint_id[1:]))
 
     def decode_config(self, value):
         return FleetConfig(int(value), (), {}, ())
@@ -223,6 +227,61 @@
     watch(scenario)
 
 
+def events_of(watcher, name):
+    return [entry for entry in watcher.decisions.entries if entry["event"] == name]
+
+
+@pytest.mark.parametrize("listed", [True, False])
+def test_entry_whose_decoding_fails_ends_neither_the_reading_nor_other_entries(listed):
+    """Such an entry in a listing ended the daemon, again after each start."""
+
+    async def scenario(hosted, store, watcher):
+        hosted.put("servers/e1", b"fault")
+        if listed:
+            hosted.compact()
+        await asyncio.sleep(0.6)
+        hosted.put("servers/e3", b"ready")
+        await asyncio.sleep(0.6)
+        assert not watcher.task.done()
+        assert known_ids(watcher) == ["e2", "e3"]
+        (line,) = events_of(watcher, "endpoint_unreadable")
+        assert line["endpoint"] == "e1"
+        assert line["reason"] == "an error that no decoder foresaw"
+
+    watch(scenario)
+
+
+def test_entry_that_cannot_be_applied_leaves_the_others_of_a_listing():
+    directory = EndpointDirectory(ManualClock(), DecisionLog(ManualClock()))
+    directory.update("e1", endpoint(1), 3)
+    odd = replace(endpoint(1), started_ms="9")
+    directory.replace_all([("e1", odd, 4), ("e2", endpoint(2), 5)])
+    assert directory.get("e2") is not None
+    assert directory.synced
+
+
+def test_unreadable_entry_is_logged_once_however_often_it_is_read_or_written():
+    async def scenario(hosted, store, watcher):
+        for _ in range(5):
+            hosted.put("servers/e7", b"nonsense")
+            await asyncio.sleep(0.6)
+            watcher.watch_revision = None
+            await asyncio.sleep(0.6)
+        assert len(events_of(watcher, "endpoint_unreadable")) == 1
+        for value in (b"ready", b"nonsense"):
+            hosted.put("servers/e7", value)
+            await asyncio.sleep(0.6)
+        assert [entry["known"] for entry in events_of(watcher, "endpoint_unreadable")] == [
+            False,
+            True,
+        ]
+        hosted.delete("servers/e7")
+        await asyncio.sleep(0.6)
+        assert not watcher.unreadable
+
+    watch(scenario)
+
+
 @pytest.mark.parametrize(
     ("known_state", "reported_state", "applied"),
     [
