--- /dev/null
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_odd_entries.py
@@ -0,0 +1,167 @@
+"""Tests of a site in whose list of workers another writer left an odd entry."""
+
+import asyncio
+
+import msgspec
+import pytest
+from loguru import logger
+
+from corianderhaven.daemon._fleet_daemon import FleetDaemon
+from corianderhaven.daemon.tests.hosted_site import (
+    heads,
+    hosted_site,
+    node_settings,
+    send_draft,
+    send_request,
+    serves_all_models,
+    wait_until,
+    workers,
+)
+from corianderhaven.daemon.tests.odd_entries import (
+    FORMS,
+    odd_entry,
+)
+
+FAILURES = {"daemon_failed", "keeper_failed", "peer_exchange_failed", "digest_unreadable"}
+SERVED_WITHIN_S = 8.0
+MAX_LINES = 2  # of one daemon about one odd entry, however often it is read
+
+
+def tasks_of(daemon):
+    tasks = [daemon.watcher.task, daemon.lease.task, daemon.keeper.task, daemon.proven_parts.task]
+    return tasks + daemon.exchange.tasks + daemon.gateway.tasks
+
+
+@pytest.fixture(autouse=True)
+def failed_handlers():
+    """Errors that a handler of requests did not expect; a test fails if there are any."""
+    lines = []
+    sink = logger.add(
+        lambda message: lines.append(message.record["exception"]),
+        level="ERROR",
+        filter=lambda record: record["message"] == "request handler failed",
+    )
+    yield lines
+    logger.remove(sink)
+    assert not lines
+
+
+async def send_until_served(send, daemon):
+    """Send a request, and again while it is refused, as callers do beside other load."""
+    async with asyncio.timeout(SERVED_WITHIN_S):
+        while (await send(daemon)).status != 200:
+            await asyncio.sleep(0.1)
+
+
+async def check_requests(daemons):
+    """Check that each daemon serves requests of all kinds."""
+    kinds = (
+        lambda daemon: send_request(daemon, "/issue/x", "POST", body=b"{}"),
+        lambda daemon: send_request(daemon, "/status/x"),
+        send_draft,
+        lambda daemon: send_draft(daemon, model="large"),
+    )
+    for _ in range(3):
+        await asyncio.gather(*(send_until_served(send, d) for send in kinds for d in daemons))
+
+
+async def check_serving(daemons):
+    """Check that each daemon serves requests of all kinds and that all its tasks run."""
+    await check_requests(daemons)
+    for daemon in daemons:
+        assert not [task for task in tasks_of(daemon) if task.done()]
+        assert not FAILURES & {entry["event"] for entry in daemon.decisions.entries}
+
+
+async def start_late_daemon(site, daemons):
+    """Start a daemon that reads the list of workers as it is now, and check that it serves."""
+    late = FleetDaemon(node_settings(site, "edge-a-4", "127.0.0.4"))
+    await late.start()
+    daemons.append(late)
+    await wait_until(lambda: serves_all_models(late, site))
+
+
+def replica_names(site):
+    return {worker.engine.group.name for name in ("large", "small") for worker in heads(site, name)}
+
+
+async def lose_replica(site, daemons):
+    """End the head of a replica, and check that the keeper forms another one with a new VM."""
+    before = replica_names(site)
+    site.kill(heads(site, "large")[0].id)
+    for number in range(2):
+        await site.add_engine("a", f"new-{number}")
+    await wait_until(lambda: replica_names(site) - before)
+    await wait_until(lambda: all(serves_all_models(daemon, site) for daemon in daemons))
+
+
+async def check_site_with(odd_id, put_odd):
+    """Check that a site serves, forms replicas and takes new daemons with an odd entry."""
+    async with hosted_site(daemons=3) as (site, daemons):
+        put_odd(site)
+        await asyncio.sleep(0.4)
+        await check_serving(daemons)
+        await start_late_daemon(site, daemons)
+        put_odd(site)
+        await lose_replica(site, daemons)
+        await check_serving(daemons)
+        for daemon in daemons:
+            assert daemon.directory.get(odd_id) is None
+            assert count_lines(daemon, odd_id) <= MAX_LINES
+
+
+def count_lines(daemon, endpoint_id):
+    return sum(entry.get("endpoint") == endpoint_id for entry in daemon.decisions.entries)
+
+
+@pytest.mark.parametrize("form", FORMS)
+def test_odd_entry_of_a_new_worker_leaves_a_site_as_it_was(form):
+    def put_odd(site):
+        site.store.put("servers/i-0", odd_entry(form))
+
+    asyncio.run(check_site_with("i-0", put_odd))
+
+
+def test_limited_requests_are_answered_beside_an_entry_of_countless_slots():
+    """Capacities were summed with it, which no float can hold, and the requests ended with 502."""
+
+    async def scenario():
+        async with hosted_site() as (site, daemons):
+            for worker in workers(site, "ledger"):
+                worker.faults.limits = ("5",)
+            await check_requests(daemons)
+            key = f"servers/{workers(site, 'ledger')[0].id}"
+            entry = {**msgspec.json.decode(site.store.items[key].value), "sequence": 1_000_000}
+            site.store.put(key, odd_entry("slots-4000-digits", entry))
+            await asyncio.sleep(0.4)
+            requests = [send_request(daemons[0], "/status/x") for _ in range(20)]
+            assert 200 in {answer.status for answer in await asyncio.gather(*requests)}
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("service", ["ledger", "draft-pool"])
+@pytest.mark.parametrize("form", ["born-4000-digits", "sequence-4000-digits", "slots-0", "deep"])
+def test_worker_is_used_again_after_an_odd_entry_in_its_place(form, service):
+    """It was taken for an earlier life of a worker whose entry named a start far ahead."""
+
+    async def scenario():
+        async with hosted_site(daemons=2, site_fields={"plain_workers": 4}) as (site, daemons):
+            worker = workers(site, service)[-1]
+            key = f"servers/{worker.id}"
+            entry = {**msgspec.json.decode(site.store.items[key].value), "address": "127.0.0.9:9"}
+            requests = asyncio.create_task(check_requests(daemons))
+            for _ in range(3):
+                site.store.put(key, odd_entry(form, entry))
+                await asyncio.sleep(0.1)
+            site.store.delete(key)
+            await requests
+            await wait_until(lambda: all(address_of(d, worker) == worker.address for d in daemons))
+            await asyncio.sleep(0.2)
+            await check_serving(daemons)
+
+    def address_of(daemon, worker):
+        known = daemon.directory.get(worker.id)
+        return known and known.address
+
+    asyncio.run(scenario())
