--- a/libraries/daemon/src/corianderhaven/daemon/tests/odd_entries.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/odd_entries.py
@@ -37,6 +37,7 @@
     "deep": b"[" * DEPTH + b"]" * DEPTH,
 }
 FORMS = sorted(ODD_FIELDS.keys() | ODD_BYTES.keys())
+ODD_IDS = ["", "i\r\nx: y", "i-\u00e9", "i 1", "\U0001f600"]  # no header carries them unchanged
 
 
 def encode_entry(entry, fields=()):
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_odd_entries.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_odd_entries.py
@@ -19,6 +19,9 @@
 )
 from corianderhaven.daemon.tests.odd_entries import (
     FORMS,
+    ODD_IDS,
+    SOUND_ENTRY,
+    encode_entry,
     odd_entry,
 )
 
@@ -122,6 +125,19 @@
     asyncio.run(check_site_with("i-0", put_odd))
 
 
+@pytest.mark.parametrize("service", ["ledger", "draft-pool"])
+@pytest.mark.parametrize("odd_id", ODD_IDS, ids=ascii)
+def test_entry_whose_id_no_header_can_carry_is_not_used(odd_id, service):
+    """Each request that was sent to it failed, and so did each replica that was to have it."""
+
+    def put_odd(site):
+        address = workers(site, service)[0].address
+        entry = {**SOUND_ENTRY, "service": service, "address": address, "staged": ["large"]}
+        site.store.put(f"servers/{odd_id}", encode_entry(entry))
+
+    asyncio.run(check_site_with(odd_id, put_odd))
+
+
 def test_limited_requests_are_answered_beside_an_entry_of_countless_slots():
     """Capacities were summed with it, which no float can hold, and the requests ended with 502."""
 
