Read numbers in headers only within bounds

Callers got 502 for requests that had run when their worker's answer carried an Instance-Load of a digit that isn't ASCII, or of 5,000 digits (ValueError), one of 400 digits while peers were silent, or a Keep-Alive of 400 digits or more (OverflowError): the error ended the handler of the request. A request with such a Token-Count or Length-Hint got 502 without having been sent.

What is passed on to workers and callers is unchanged.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_odd_entries.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_odd_entries.py
@@ -25,6 +25,12 @@
     odd_entry,
 )
 
+
+def ascii_id(value):
+    """Return a short name of a value for the name of a test."""
+    return ascii(value)[:40]
+
+
 FAILURES = {"daemon_failed", "keeper_failed", "peer_exchange_failed", "digest_unreadable"}
 SERVED_WITHIN_S = 8.0
 MAX_LINES = 2  # of one daemon about one odd entry, however often it is read
@@ -126,7 +132,7 @@
 
 
 @pytest.mark.parametrize("service", ["ledger", "draft-pool"])
-@pytest.mark.parametrize("odd_id", ODD_IDS, ids=ascii)
+@pytest.mark.parametrize("odd_id", ODD_IDS, ids=ascii_id)
 def test_entry_whose_id_no_header_can_carry_is_not_used(odd_id, service):
     """Each request that was sent to it failed, and so did each replica that was to have it."""
 
@@ -181,3 +187,62 @@
         return known and known.address
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (b"corianderhaven-instance-load", b"\xb2,0,8"),
+        (b"corianderhaven-instance-load", b"9" * 5_000 + b",0,8"),
+        (b"corianderhaven-instance-load", b"9" * 400 + b",0,8"),
+        (b"keep-alive", b"timeout=" + b"9" * 400),
+        (b"keep-alive", b"timeout=" + b"9" * 5_000),
+        (b"server-limit", b"1e308"),
+        (b"server-leaving", b"\xb2"),
+    ],
+    ids=ascii_id,
+)
+def test_answer_with_an_odd_statement_of_its_worker_reaches_its_caller(name, value):
+    """The request had run, and its caller got 502 or a closed connection."""
+
+    async def scenario():
+        async with hosted_site(daemons=2) as (site, daemons):
+            for worker in site.workers.values():
+                worker.faults.headers = {name: value}
+            daemons[1].close()  # loads of answers count while peers are silent
+            await asyncio.sleep(0.7)
+            for _ in range(3):
+                for path, method in (("/issue/x", "POST"), ("/status/x", "GET")):
+                    answer = await send_request(daemons[0], path, method, body=b"")
+                    assert (answer.status, answer.complete) == (200, True)
+                assert (await send_draft(daemons[0])).complete
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("corianderhaven-token-count", "\u00b2,40"),
+        ("corianderhaven-token-count", "9" * 5_000 + ",40"),
+        ("corianderhaven-token-count", "9" * 400 + ",40"),
+        ("corianderhaven-length-hint", "\u00b2"),
+        ("corianderhaven-length-hint", "9" * 400),
+        ("corianderhaven-length-hint", "9" * 5_000),
+    ],
+    ids=ascii_id,
+)
+def test_request_with_an_odd_count_is_served(name, value):
+    """It ended with 502, as the error was not expected."""
+
+    async def scenario():
+        async with hosted_site() as (site, daemons):
+            headers = [
+                ("corianderhaven-model", "small"),
+                ("corianderhaven-prompt-prefix", "5c1e07a2:40,91bd3f06:60"),
+                (name, value.encode("latin-1")),
+            ]
+            answer = await send_request(daemons[0], "/draft/x", "POST", body=b"{}", headers=headers)
+            assert (answer.status, answer.complete) == (200, True)
+
+    asyncio.run(scenario())
--- a/libraries/gateway/src/corianderhaven/gateway/_connection_pool.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_connection_pool.py
@@ -8,6 +8,8 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
+from corianderhaven.common import MS_PER_S
+
 MAX_IDLE_PER_ENDPOINT = 6
 MAX_IDLE_MS = 8_000.0
 INITIAL_IDLE_MS = 1_000.0  # endpoints with a shorter timeout don't declare it
@@ -129,7 +131,7 @@
     for parameter in (head.header("keep-alive") or "").split(","):
         name, _, value = parameter.strip().partition("=")
         if name.lower() == "timeout" and value.isascii() and value.isdigit():
-            return max(0.0, min(MAX_IDLE_MS, int(value) * 1000.0 - KEEP_ALIVE_MARGIN_MS))
+            return max(0.0, min(MAX_IDLE_MS, float(value) * MS_PER_S - KEEP_ALIVE_MARGIN_MS))
     return MAX_IDLE_MS
 
 
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -74,6 +74,8 @@
         Run the request, then close the connection within the head of the answer.
     limits : tuple of str
         Values of the header in which the worker names its limit of requests per second.
+    headers : dict of bytes to bytes
+        Headers of answers, in place of those of the same names.
     """
 
     shed: bool = False
@@ -96,6 +98,7 @@
     shed_copy_ms: float | None = None
     cut_head: bool = False
     limits: tuple = ()
+    headers: dict = field(default_factory=dict)
 
 
 @dataclass
@@ -521,12 +524,13 @@
             request_id = "another"
         stamp = f"{worker.id}.{new_id('stamp')}"
         load = f"{worker.active},0,9"
-        return [
-            (b"corianderhaven-attempt-id", request_id.encode()),
-            (b"corianderhaven-server-stamp", stamp.encode()),
-            (b"corianderhaven-instance-load", load.encode()),
-            *self._statements(worker),
-        ]
+        headers = {
+            b"corianderhaven-attempt-id": request_id.encode(),
+            b"corianderhaven-server-stamp": stamp.encode(),
+            b"corianderhaven-instance-load": load.encode(),
+            **worker.faults.headers,
+        }
+        return [*headers.items(), *self._statements(worker)]
 
     async def _run(self, worker, request, caller):
         faults, engine = worker.faults, worker.engine
