Take no odd row of an earlier follower, and the others all the same

While builds run side by side, a follower of an earlier one passes on entries with numbers of any size. The reader of a new build used them, and lost requests and workers as the earlier one does. A row that can't be decoded (a state that isn't known here) ended the application of the whole feed, and the same feed came again with each exchange: the reader had stopped following the list.

A row whose numbers are negative or beyond 63 bits, or whose state is unknown, names no endpoint; the rest of the feed is applied. endpoint_unreadable tells it with source=peer.

Ruled out: that a follower of this build passes on such a row; its entries are bounded where they are decoded.

Red before: test_feed.py -k odd_row, 16 of 16. Green now with the whole file (65).

--- a/libraries/fleet/src/corianderhaven/fleet/_feed.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_feed.py
@@ -21,6 +21,7 @@
 # Age of a follower's last answer from the store after which one with a more recent answer is
 # preferred; longer than the longest intervals of reading and of exchanges together.
 PREFER_OTHER_AGE_MS = 1_300.0
+MAX_NUMBER = 2**63 - 1
 AGE_SLACK_MS = 500.0  # of the ages of two followers' contents, to call one of them older
 
 
@@ -275,7 +276,15 @@
             listed = {row.id for row in feed.endpoints}
             removed = [i for i in self.directory.records if i not in listed]
         for row in feed.endpoints:
-            self.directory.apply_peer_entry(_endpoint(row), (row.era, row.revision))
+            try:
+                endpoint = _endpoint(row)
+            except ValueError as error:
+                self.directory.drop(row.id)
+                self.decisions.record(
+                    "endpoint_unreadable", endpoint=row.id, source="peer", reason=str(error)
+                )
+                continue
+            self.directory.apply_peer_entry(endpoint, (row.era, row.revision))
         for endpoint_id in removed:
             self.directory.drop(endpoint_id)
         self.directory.synced = True
@@ -314,10 +323,18 @@
 
 
 def _endpoint(row):
+    """Return the `Endpoint` of a row; raises ValueError if it can't be true.
+
+    Followers of an earlier version pass on whatever an entry names.
+    """
+    numbers = [row.slots - 1, row.entry_number, row.started_ms]
     membership = None
     if row.membership is not None:
         replica, generation, rank, state = row.membership
         membership = Membership(replica, generation, rank, ReplicaState(state))
+        numbers += [generation, rank]
+    if not all(0 <= number <= MAX_NUMBER for number in numbers):
+        raise ValueError("a number is out of range")
     return Endpoint(
         id=row.id,
         service=row.service,
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_feed.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_feed.py
@@ -13,9 +13,11 @@
     FeedReader,
     FeedRequest,
     FeedWriter,
+    Membership,
     ReplicaState,
     StoreItem,
 )
+from corianderhaven.fleet._directory import EndpointRecord
 from corianderhaven.fleet.tests.memory_fleet import endpoint, member
 
 
@@ -157,6 +159,40 @@
     assert reader.stale_for_ms() == 0.0
 
 
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"slots": 0},
+        {"slots": 10**400},
+        {"entry_number": 10**30},
+        {"started_ms": -1},
+        {"started_ms": 10**30},
+        {"membership": Membership("m.7.1", 10**400, 0, ReplicaState.OPEN)},
+        {"membership": Membership("m.7.1", 70_001, -1, ReplicaState.OPEN)},
+        {"membership": Membership("m.7.1", 70_001, 0, "undefined")},
+    ],
+    ids=lambda odd: ascii(odd)[:60],
+)
+@pytest.mark.parametrize("known", [True, False])
+def test_odd_row_of_an_earlier_follower_hides_no_other_and_names_no_endpoint(odd, known):
+    clock, writer, reader = make_pair()
+    writer.directory.update("e1", endpoint(1), (1, 10))
+    if known:
+        writer.directory.update("e2", endpoint(2), (1, 11))
+        exchange(writer, reader)
+        exchange(writer, reader)
+        assert reader.directory.get("e2") is not None
+    writer.directory.records["e2"] = EndpointRecord(replace(endpoint(2), **odd), 0.0, (1, 12))
+    writer.record_endpoint("e2")
+    writer.directory.update("e3", endpoint(3), (1, 13))
+    exchange(writer, reader)
+    exchange(writer, reader)
+    assert contents(reader).keys() == {"e1", "e3"}
+    assert reader.position == writer.position
+    lines = [e for e in reader.decisions.entries if e["event"] == "endpoint_unreadable"]
+    assert [line["endpoint"] for line in lines] == ["e2"]
+
+
 def make_zone():
     """Return a clock, two followers that know one endpoint, and a reader that follows the first."""
     clock = ManualClock()
