Log an unreadable record of a daemon once, not ten times a second

Each daemon goes through the daemons' records in the store every 100 ms, and logged one that it couldn't read each time: ten lines a second from each daemon, for as long as another writer's record stayed. It is now logged once for each time it is written.

Other odd records (addresses and ports out of range, names that no header carries, odd records of parts and under other keys) left a site of three daemons as it was; that passed before and is kept.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_odd_entries.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_odd_entries.py
@@ -246,3 +246,53 @@
             assert (answer.status, answer.complete) == (200, True)
 
     asyncio.run(scenario())
+
+
+ODD_RECORDS = {
+    "daemons/edge-a-0": [
+        b"",
+        b"\xff\xfe",
+        b"[" * 200_000,
+        b'{"address": 7, "zone": "a"}',
+        b'{"address": "", "zone": "a"}',
+        b'{"address": "127.0.0.9:70000", "zone": "a"}',
+        b'{"address": "127.0.0.9:0", "zone": "a"}',
+        b'{"address": "127.0.0.9:' + b"1" * 5_000 + b'", "zone": "a"}',
+        b'{"address": "127.0.0.9:9", "zone": "\\r\\n"}',
+    ],
+    "daemons/": [b'{"address": "127.0.0.9:9", "zone": "a"}'],
+    "daemons/\r\nx: y": [b'{"address": "127.0.0.9:9", "zone": "a"}'],
+    "parts/0": [
+        b"",
+        b"[" * 200_000,
+        b'{"part": 7, "proven": true}',
+        b'{"part": "x", "proven": true, "group": [7]}',
+        b'{"part": "' + b"x" * 500_000 + b'", "proven": true}',
+    ],
+    "other": [b"\xff"],
+}
+MAX_RECORD_LINES = 8  # of one daemon about an odd record, which may be a peer's that is silent
+
+
+@pytest.mark.parametrize("key", ODD_RECORDS, ids=ascii_id)
+def test_odd_record_of_the_daemons_leaves_a_site_as_it_was(key):
+    """A record that could not be read wrote ten lines a second to the log of each daemon."""
+
+    async def scenario():
+        async with hosted_site(daemons=3) as (site, daemons):
+            for value in ODD_RECORDS[key]:
+                site.store.put(f"corianderhaven/{key}", value)
+                await asyncio.sleep(1.0)
+                for daemon in daemons:
+                    lines = [e for e in daemon.decisions.entries if names_record(e, key)]
+                    assert len(lines) <= MAX_RECORD_LINES, lines[-3:]
+                    daemon.decisions.entries.clear()
+            await check_serving(daemons)
+            await start_late_daemon(site, daemons)
+            await lose_replica(site, daemons)
+            await check_serving(daemons)
+
+    def names_record(entry, key):
+        return entry.get("key") == f"corianderhaven/{key}" or entry.get("peer") == key[8:]
+
+    asyncio.run(scenario())
--- a/libraries/fleet/src/corianderhaven/fleet/_peer_exchange.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peer_exchange.py
@@ -63,6 +63,7 @@
         self.decisions = decisions
         self.source_ip = source_ip
         self.exchanges = {}
+        self.unreadable = {}  # revisions of the records that were logged as unreadable, by key
         self.fetch = None
         self.tasks = []
         self.record_lease = None
@@ -133,16 +134,19 @@
 
     def _listed_daemons(self):
         """Return the daemons listed in the store, as (name, address, zone)."""
-        listed = []
+        listed, unreadable = [], {}
         for key, item in self.watcher.own_items.items():
             if not key.startswith(self.key_prefix):
                 continue
             try:
                 record = msgspec.json.decode(item.value, type=DaemonRecord)
             except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-                self.decisions.record("daemon_record_unreadable", key=key, reason=str(error))
+                unreadable[key] = item.revision
+                if self.unreadable.get(key) != item.revision:
+                    self.decisions.record("daemon_record_unreadable", key=key, reason=str(error))
                 continue
             listed.append((key[len(self.key_prefix) :], record.address, record.zone))
+        self.unreadable = unreadable
         return listed
 
     async def _update_exchanges(self):
