Replace a keeper's record that another writer left

A record under the keeper's key that has no lease never ends, so no daemon campaigned and none ordered: a site that started with it formed no replica and served nothing; one whose keeper's record was replaced by it had no keeper from that keeper's next end on, for good.

A keeper's own record always has a lease. One without is replaced on the condition of its revision, which is read from the store first. A keeper that sees a newer record than its own steps down at its next renewal (keeper_record_replaced); a successor waits for a whole lease before it orders, so that the two never order at the same time.

Ruled out: that a daemon takes a keeper's record for one without a lease because it knows it from a feed, which tells none: only followers campaign, on what they read, and the store is asked once more.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_odd_entries.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_odd_entries.py
@@ -296,3 +296,40 @@
         return entry.get("key") == f"corianderhaven/{key}" or entry.get("peer") == key[8:]
 
     asyncio.run(scenario())
+
+
+KEEPER_KEY = "corianderhaven/keeper"
+
+
+def test_record_of_no_keeper_keeps_none_from_being_elected():
+    """A record that another writer left there had no lease, so it never ended."""
+
+    async def scenario():
+        async with hosted_site(daemons=0, wait=False) as (site, daemons):
+            site.store.put(KEEPER_KEY, b"nobody")
+            for number in (1, 2):
+                settings = node_settings(site, f"edge-a-{number}", f"127.0.0.{number}")
+                daemons.append(FleetDaemon(settings))
+                await daemons[-1].start()
+            await wait_until(lambda: all(serves_all_models(d, site) for d in daemons), 12.0)
+            assert site.store.items[KEEPER_KEY].lease in site.store.leases
+
+    asyncio.run(scenario())
+
+
+def test_keeper_whose_record_was_replaced_steps_down_before_its_successor_orders():
+    async def scenario():
+        async with hosted_site(daemons=3) as (site, daemons):
+            (former,) = (d for d in daemons if d.lease.tenure is not None)
+            tenure = former.lease.tenure
+            site.store.put(KEEPER_KEY, b"nobody")
+            async with asyncio.timeout(10.0):
+                while not any(d.lease.may_order() and d.lease.tenure != tenure for d in daemons):
+                    may_order = [d for d in daemons if d.lease.may_order()]
+                    assert may_order in ([], [former])
+                    await asyncio.sleep(0.01)
+            assert [d.lease.tenure is not None for d in daemons].count(True) == 1
+            await lose_replica(site, daemons)
+            await check_serving(daemons)
+
+    asyncio.run(scenario())
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
@@ -26,6 +26,9 @@
     generations as a fencing token. A tenure ends as soon as a later era is seen: the restored
     store may have lost the lease, and given it to another daemon.
 
+    A record without a lease is no keeper's: another writer left it, and it would never end. It is
+    replaced, and a holder whose record was replaced by it steps down.
+
     Parameters
     ----------
     store : MetadataStore
@@ -53,6 +56,7 @@
         self.decisions = decisions
         self.lease = None
         self.tenure = None
+        self.record_revision = 0
         self.latest_tenure = 0
         self.valid_until_ms = 0.0
         self.orders_from_ms = 0.0
@@ -158,12 +162,16 @@
         await self.store.renew_lease(self.lease)
         if self.tenure != tenure:
             return  # the tenure ended while the call was under way
+        record = self.watcher.own_items.get(self.key)
+        if record is not None and record.revision > self.record_revision:
+            self.decisions.record("keeper_record_replaced", tenure=tenure)
+            await self._give_up_lease()
+            return
         self.valid_until_ms = sent_ms + LEASE_MS
 
     async def _campaign(self):
-        absent = self.key not in self.watcher.own_items
         # Only daemons that follow the store know whether there is a keeper.
-        if not (self.watcher.following and self.watcher.store_reachable and absent):
+        if not (self.watcher.following and self.watcher.store_reachable and self._is_vacant()):
             self.watcher.own_changed.clear()
             try:
                 async with asyncio.timeout(RENEWAL_INTERVAL_MS / MS_PER_S):
@@ -172,12 +180,13 @@
                 pass  # check the record again
             return
         await asyncio.sleep(random.random() * CAMPAIGN_JITTER_MS / MS_PER_S)
-        if self.key in self.watcher.own_items:
+        if not self._is_vacant():
             return
+        foreign_revision = await self._foreign_revision()
         sent_ms = self.clock.boot_ms()
         lease = await self.store.grant_lease(LEASE_MS)
         try:
-            revision = await self.store.put_if(self.key, self.value, 0, lease)
+            revision = await self.store.put_if(self.key, self.value, foreign_revision, lease)
         except StoreUnavailableError as error:
             if not error.outcome_unknown or isinstance(error, StoreRestoredError):
                 raise
@@ -186,16 +195,30 @@
             await self.store.revoke_lease(lease)
             await asyncio.sleep(RENEWAL_INTERVAL_MS / MS_PER_S / 3)
             return
-        self.lease = lease
+        self.lease, self.record_revision = lease, revision
         self.tenure = self.store.era.number * REVISIONS_PER_ERA + revision
         self.latest_tenure = max(self.latest_tenure, self.tenure)
         self.valid_until_ms = sent_ms + LEASE_MS
         # This daemon's digests have reported the store as reachable for that long already.
         reachable_for_ms = self.clock.now_ms() - self.watcher.reachable_since_ms
-        wait_ms = max(0.0, TAKEOVER_DELAY_MS - reachable_for_ms, self._era_wait_ms())
+        # A holder whose record another writer replaced counts on its lease until it sees that.
+        foreign_wait_ms = LEASE_MS if foreign_revision else 0.0
+        wait_ms = max(TAKEOVER_DELAY_MS - reachable_for_ms, self._era_wait_ms(), foreign_wait_ms)
         self.orders_from_ms = self.clock.boot_ms() + wait_ms
         self.decisions.record("keeper_elected", tenure=self.tenure, wait_ms=round(wait_ms))
 
+    def _is_vacant(self):
+        """Return whether there is no record of a keeper, as far as this daemon has read."""
+        record = self.watcher.own_items.get(self.key)
+        return record is None or not record.lease
+
+    async def _foreign_revision(self):
+        """Return the revision of a record that is no keeper's, 0 if there is none."""
+        if self.key not in self.watcher.own_items:
+            return 0
+        item = await self.store.read(self.key)
+        return item.revision if item is not None and not item.lease else 0
+
     def _era_wait_ms(self):
         """Return how long a holder that has not seen the era may still count on its lease.
 
