Keep the previous configuration in force when one can't be carried out

One with no slots, a rate of prefill of 0, a number of 400 digits or an idle timeout beyond what a socket takes was put in force, and requests ended with 502 (ZeroDivisionError, OverflowError) or connections failed as they opened; with replicas of no VMs the planner would not return.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_odd_entries.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_odd_entries.py
@@ -333,3 +333,27 @@
             await check_serving(daemons)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("part", "name", "value"),
+    [("engine", "slots", 0), ("engine", "read_per_s", 0.0), ("limits", "idle_timeout_ms", 1e308)],
+)
+def test_configuration_that_cannot_be_carried_out_leaves_the_previous_one(part, name, value):
+    """Requests ended with 502, as each estimate or connection failed."""
+
+    async def scenario():
+        async with hosted_site(daemons=2) as (site, daemons):
+            version = daemons[0].active_config.version
+            config = msgspec.json.decode(site.store.items["op/config"].value)
+            config["version"] = version + 1
+            (config if part == "limits" else config["services"][0])[part][name] = value
+            site.store.put("op/config", msgspec.json.encode(config))
+            await asyncio.sleep(0.6)
+            await check_serving(daemons)
+            assert {daemon.active_config.version for daemon in daemons} == {version}
+            site.publish_config()
+            await wait_until(lambda: all(d.active_config.version > version for d in daemons))
+            await check_serving(daemons)
+
+    asyncio.run(scenario())
