Keep a margin at the end of a drain that fits the grace period

Requests that were still at an endpoint were ended 0.7 s before the end of the grace period, whatever its length: 1.8 ms after the SIGTERM with 0.5 s, 302 ms with 1 s, 1,303 ms with 2 s, 3,302 ms with 4 s, before the last sixth in which an endpoint may still be at work without the request counting as lost (LOST).

The margin is now at most an eighth of the grace period; the time for the last answers and for slow callers are shares of it, the same as before at 8 s. Nothing else bounds these times, so no constant is left that a short grace period could fall below.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -57,8 +57,9 @@
 DAEMONS_PREFIX = STORE_PREFIX + "daemons/"
 DRAIN_NOTICE_MS = 2_600.0  # two readiness checks one second apart, and their latency
 SHUTDOWN_MARGIN_MS = 700.0  # kept before SIGKILL for ending unfinished requests cleanly
-LAST_ANSWERS_MS = 300.0  # of this margin, to answer the requests that are ended
-FLUSH_MS = 200.0  # of this margin, for callers that still read their answers
+MARGIN_FRACTION = 0.125  # of the grace period at most, so that a short one isn't used up
+LAST_ANSWERS_FRACTION = 0.43  # of this margin, to answer the requests that are ended
+FLUSH_FRACTION = 0.28  # of this margin, for callers that still read their answers
 IDLE_TIMEOUT_FACTOR = 1.2  # callers may reuse a connection for most of the idle timeout
 DRAIN_POLL_MS = 20.0
 LEAVING_ANNOUNCE_MS = 3_000.0  # several exchanges between any two daemons
@@ -200,13 +201,14 @@
             waiting=self.gateway.waiting_requests(),
         )
         self.callers_server.closing = True
-        end_ms = start_ms + max(0.0, self.settings.grace_ms - SHUTDOWN_MARGIN_MS)
+        margin_ms = self._shutdown_margin_ms()
+        end_ms = start_ms + self.settings.grace_ms - margin_ms
         self.gateway.end_by(end_ms)
         self.keeper.close()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(DRAIN_NOTICE_MS / MS_PER_S):
                 await self.lease.resign()
-        while self.clock.now_ms() < end_ms + LAST_ANSWERS_MS:
+        while self.clock.now_ms() < end_ms + LAST_ANSWERS_FRACTION * margin_ms:
             notice_over = self.clock.now_ms() - start_ms > DRAIN_NOTICE_MS
             # Requests that arrive later could be cut off at the end of the grace period.
             self.gateway.draining = notice_over
@@ -223,14 +225,18 @@
         """Answer the requests in flight at once, as this daemon can't go on."""
         self.callers_server.closing = True
         self.gateway.draining = True
-        end_ms = self.clock.now_ms() + LAST_ANSWERS_MS
+        end_ms = self.clock.now_ms() + LAST_ANSWERS_FRACTION * self._shutdown_margin_ms()
         self.gateway.end_by(self.clock.now_ms())
         while self.gateway.in_flight and self.clock.now_ms() < end_ms:
             await asyncio.sleep(DRAIN_POLL_MS / MS_PER_S)
         await self._flush_answers()
 
+    def _shutdown_margin_ms(self):
+        return min(SHUTDOWN_MARGIN_MS, MARGIN_FRACTION * self.settings.grace_ms)
+
     async def _flush_answers(self):
-        await asyncio.gather(self.callers_server.flush(FLUSH_MS), self.peers_server.flush(FLUSH_MS))
+        flush_ms = FLUSH_FRACTION * self._shutdown_margin_ms()
+        await asyncio.gather(self.callers_server.flush(flush_ms), self.peers_server.flush(flush_ms))
 
     @property
     def ready(self):
