Give slow callers the rest of the grace period to read their answers

Callers saw: an answer that its caller read slowly was cut in a planned stop, although most of the grace period was left: 0.2 s after the last request had ended, and 2.8 s after the SIGTERM at the earliest.

Cause: a request ends for the drain when its answer is in the transport's buffer, up to 64 KiB of which the kernel may not have taken yet. The time to flush these was meant for the end of the grace period and was used whenever the drain was over. A drain that ends early now leaves what is left of the grace period to them; one whose callers have read all ends as early as before.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -209,7 +209,8 @@
             async with asyncio.timeout(DRAIN_NOTICE_MS / MS_PER_S):
                 await self.lease.resign()
         notice_end_ms = min(start_ms + DRAIN_NOTICE_MS, end_ms)
-        while self.clock.now_ms() < end_ms + LAST_ANSWERS_FRACTION * margin_ms:
+        last_answers_ms = end_ms + LAST_ANSWERS_FRACTION * margin_ms
+        while self.clock.now_ms() < last_answers_ms:
             notice_over = self.clock.now_ms() > notice_end_ms
             self.gateway.draining = notice_over
             if notice_over and not self.gateway.in_flight:
@@ -218,7 +219,7 @@
         left, cut = self.gateway.in_flight, self.gateway.open_requests.cut_count
         finished = not left and not cut
         self.decisions.record("drain_ended", finished=finished, left=left, cut=cut)
-        await self._flush_answers()
+        await self._flush_answers(max(0.0, last_answers_ms - self.clock.now_ms()))
         return finished
 
     async def _end_requests(self):
@@ -234,8 +235,15 @@
     def _shutdown_margin_ms(self):
         return min(SHUTDOWN_MARGIN_MS, MARGIN_FRACTION * self.settings.grace_ms)
 
-    async def _flush_answers(self):
-        flush_ms = FLUSH_FRACTION * self._shutdown_margin_ms()
+    async def _flush_answers(self, remaining_ms=0.0):
+        """Let callers read the rest of their answers.
+
+        Parameters
+        ----------
+        remaining_ms : float
+            Time that was left for the requests, which have ended sooner.
+        """
+        flush_ms = remaining_ms + FLUSH_FRACTION * self._shutdown_margin_ms()
         await asyncio.gather(self.callers_server.flush(flush_ms), self.peers_server.flush(flush_ms))
 
     @property
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_late_in_the_grace.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_late_in_the_grace.py
@@ -1,6 +1,7 @@
 """Tests of what callers get whose requests come late in the grace period of a planned stop."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -12,6 +13,7 @@
     wait_until,
     workers,
 )
+from corianderhaven.standins import _hosting_site
 
 LAST_PART = 5 / 6  # of the grace period; what is cut sooner counts as lost
 INTERVAL_MS = 40.0
@@ -115,3 +117,53 @@
         assert site.clock.now_ms() - started_ms < grace_ms
 
     run_scenario(scenario, grace_ms=grace_ms)
+
+
+async def open_raw(daemon, rcvbuf=None):
+    """Return the reader and writer of a connection to a daemon."""
+    host, _, port = daemon.callers_server.address.rpartition(":")
+    sock = socket.socket()
+    sock.setblocking(False)
+    if rcvbuf:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, rcvbuf)
+    await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+    return await asyncio.open_connection(sock=sock, limit=rcvbuf or 1 << 16)
+
+
+def head_of(kind, length, request_id="raw-1"):
+    lines = [
+        f"POST /{kind}/1 HTTP/1.1",
+        "host: site.example",
+        f"corianderhaven-attempt-id: {request_id}",
+        "corianderhaven-deadline-ms: 4000",
+        "authorization: Bearer key-a",
+        f"content-length: {length}",
+    ]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def test_answer_that_a_caller_reads_slowly_arrives_whole_while_the_grace_lasts(monkeypatch):
+    """Guards against LOST: 0.2 s after the last request had ended, answers were cut."""
+    body = b"x" * 60_000  # less than the transport buffers without a wait
+    monkeypatch.setattr(_hosting_site, "_plain_body", lambda worker: body)
+
+    async def scenario(site, daemons):
+        (daemon,) = daemons
+        reader, writer = await open_raw(daemon, 4_096)
+        await wait_until(lambda: daemon.callers_server.connections)
+        for connection in daemon.callers_server.connections:
+            sock = connection.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        writer.write(head_of("issue", 1) + b"x")
+        await wait_until(lambda: site.runs and not daemon.gateway.in_flight)
+        started_ms = site.clock.now_ms()
+        stopping = begin_stop(daemon)
+        await wait_until(lambda: site.clock.now_ms() - started_ms > 3_200.0)
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 ")
+        assert await reader.read() == body
+        await stopping
+        assert site.clock.now_ms() - started_ms < 3_600.0
+        writer.close()
+
+    run_scenario(scenario, grace_ms=4_000.0)
