Answer requests whose bodies are still being read when a drain ends early

Callers saw: a request whose body was still on its way had its connection closed without an answer 2.6 s after the SIGTERM, once no other request was in flight, although the process had time until the end of the grace period.

Cause: flush closed every connection without a handler, and a request has none until its body is complete. Connections on which part of a request has come now stay open for the time of the flush; the request is refused with 503 and Retry-After when it is complete. It is not run.

The tests of bodies that end within a drain and of pipelined requests (sent 0, 1.0, 2.5 and 2.7 s after the SIGTERM) pass before any fix and are kept: of the latter, the first is answered with Connection: close, and none of the others is passed on. One run of the 2.7 s case failed on its own long stream, which a grace period of 4 s cut at 3.5 s; it has 5 s now, so that only the pipelined ones are judged.

--- a/libraries/common/src/corianderhaven/common/_async_server.py
+++ b/libraries/common/src/corianderhaven/common/_async_server.py
@@ -76,6 +76,7 @@
         self.user_timeout_ms = server.user_timeout_ms()
         self.task = None
         self.handling = False
+        self.reading = False
         self.head_sent = False
 
     def connection_made(self, transport):
@@ -84,6 +85,11 @@
         self.server.connections.add(self)
         self.task = asyncio.get_running_loop().create_task(self._run())
 
+    @property
+    def is_receiving(self):
+        """Whether part of a request has come that isn't handled yet."""
+        return self.reading or bool(self.parser.trailing_data[0])
+
     def limit_unread(self):
         """Abort a connection that sends while its request is handled, up to a further request.
 
@@ -131,7 +137,7 @@
         request = await self._read_request(limits)
         if request is None:
             return False
-        self.handling = True
+        self.reading, self.handling = False, True
         self.head_sent = False
         try:
             await self.server.handler(request, self)
@@ -148,6 +154,7 @@
         """Return the next request, or None when the connection has to close."""
         if not await self._wait_for_first_byte(limits):
             return None
+        self.reading = True
         try:
             async with asyncio.timeout(limits.header_timeout_ms / MS_PER_S):
                 event = await self.next_event()
@@ -310,7 +317,7 @@
     async def flush(self, timeout_ms):
         """Stop listening, and close the connections once their answers have been sent.
 
-        Connections whose requests are still handled stay open until `close`.
+        Connections whose requests are still read or handled stay open until `close`.
 
         Parameters
         ----------
@@ -319,7 +326,7 @@
         """
         self.server.close()
         for connection in tuple(self.connections):
-            if not connection.handling:
+            if not connection.handling and not connection.is_receiving:
                 connection.transport.close()
         end_ms = self.clock.now_ms() + timeout_ms
         while self.connections and self.clock.now_ms() < end_ms:
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_late_in_the_grace.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_late_in_the_grace.py
@@ -167,3 +167,75 @@
         writer.close()
 
     run_scenario(scenario, grace_ms=4_000.0)
+
+
+@pytest.mark.parametrize("kind", ["issue", "status"])
+def test_request_whose_body_is_still_read_when_a_drain_is_over_is_refused_and_not_run(kind):
+    """Its connection was closed once the last other request had ended, however long the grace."""
+
+    async def scenario(site, daemons):
+        (daemon,) = daemons
+        reader, writer = await open_raw(daemon)
+        writer.write(head_of(kind, 8) + b"half")
+        await asyncio.sleep(0.1)
+        started_ms = site.clock.now_ms()
+        stopping = begin_stop(daemon)
+        await wait_until(lambda: site.clock.now_ms() - started_ms > 3_000.0)
+        writer.write(b"half")
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert b"retry-after: " in answer.lower()
+        await stopping
+        assert site.clock.now_ms() - started_ms < 3_600.0
+        assert not site.runs
+        writer.close()
+
+    run_scenario(scenario, grace_ms=4_000.0)
+
+
+@pytest.mark.parametrize("done_ms", [500.0, 2_000.0])
+def test_request_whose_body_ends_within_a_drain_is_served(done_ms):
+    async def scenario(site, daemons):
+        (daemon,) = daemons
+        reader, writer = await open_raw(daemon)
+        writer.write(head_of("issue", 8) + b"half")
+        await asyncio.sleep(0.1)
+        stopping = begin_stop(daemon)
+        await asyncio.sleep(done_ms / MS_PER_S)
+        writer.write(b"half")
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert b"connection: close" in answer.lower()
+        await stopping
+        assert [run.body for run in site.runs] == [b"halfhalf"]
+        writer.close()
+
+    run_scenario(scenario, grace_ms=4_000.0)
+
+
+@pytest.mark.parametrize("after_ms", [0.0, 1_000.0, 2_500.0, 2_700.0])
+def test_of_pipelined_requests_none_is_passed_on_and_cut(after_ms):
+    """An answer that closes its connection says that those behind it haven't been handled."""
+
+    async def scenario(site, daemons):
+        (daemon,) = daemons
+        for worker in workers(site, "ledger"):
+            worker.faults.slow_ms = SLOW_MS
+        stream = asyncio.create_task(send_draft(daemon, "small"))
+        reader, writer = await open_raw(daemon)
+        await wait_until(lambda: site.runs)
+        stopping = begin_stop(daemon)
+        await asyncio.sleep(after_ms / MS_PER_S)
+        writer.write(b"".join(head_of("issue", 1, f"raw-{n}") + b"x" for n in range(3)))
+        answers = await reader.read()
+        assert answers.count(b"HTTP/1.1 ") == 1
+        assert b"connection: close" in answers.lower()
+        served = answers.startswith(b"HTTP/1.1 200 ")
+        assert served or answers.startswith(b"HTTP/1.1 503 ")
+        assert served == (after_ms < 2_600.0)
+        assert [r.request_id for r in site.runs if r.target == "/issue/1"] == ["raw-0"] * served
+        assert (await stream).complete
+        await stopping
+        writer.close()
+
+    run_scenario(scenario, site_fields={"token_ms": 110.0, "events": 28}, grace_ms=5_000.0)
