Drain while the lease is handed over, and whatever comes of that

A drain first waited for the store to confirm that the keeper's lease is revoked (0.9 s if the store gives no answer, up to 2.6 s allowed) and only then looked at its requests. With a grace period of 0.5 s, SIGKILL came in the middle of that, before any last answer was flushed. Another error than an unreachable store (an answer 410, for which the lease has no case) would have ended the process with all connections open. Both are one fault: the answers of callers depended on a call that doesn't concern them.

The lease is now revoked beside the drain, for as long as the notice, and what goes wrong is recorded (keeper_resign_unheard; a timeout left no line before).

test_store_that_gives_no_answer_does_not_delay_a_drain_beyond_its_grace (with a store that hangs; the one that refuses passed before) and test_lease_that_cannot_be_given_up_ends_no_drain failed before, and pass.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -1,7 +1,6 @@
 """Daemon for a platform that keeps endpoints and configuration in its metadata store."""
 
 import asyncio
-import contextlib
 import math
 import random
 import signal
@@ -205,10 +204,8 @@
         end_ms = start_ms + self.settings.grace_ms - margin_ms
         self.gateway.end_by(end_ms)
         self.keeper.close()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(DRAIN_NOTICE_MS / MS_PER_S):
-                await self.lease.resign()
         notice_end_ms = min(start_ms + DRAIN_NOTICE_MS, end_ms)
+        resigning = asyncio.create_task(self._resign(notice_end_ms - start_ms))
         last_answers_ms = end_ms + LAST_ANSWERS_FRACTION * margin_ms
         while self.clock.now_ms() < last_answers_ms:
             notice_over = self.clock.now_ms() > notice_end_ms
@@ -218,10 +215,19 @@
             await asyncio.sleep(DRAIN_POLL_MS / MS_PER_S)
         left, cut = self.gateway.in_flight, self.gateway.open_requests.cut_count
         finished = not left and not cut
+        await resigning
         self.decisions.record("drain_ended", finished=finished, left=left, cut=cut)
         await self._flush_answers(max(0.0, last_answers_ms - self.clock.now_ms()))
         return finished
 
+    async def _resign(self, timeout_ms):
+        """Hand the lease over; requests are drained meanwhile, and whatever comes of it."""
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                await self.lease.resign()
+        except Exception as error:
+            self.decisions.record("keeper_resign_unheard", reason=repr(error))
+
     async def _end_requests(self):
         """Answer the requests in flight at once, as this daemon can't go on."""
         self.callers_server.closing = True
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_late_in_the_grace.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_late_in_the_grace.py
@@ -13,6 +13,7 @@
     wait_until,
     workers,
 )
+from corianderhaven.fleet import HistoryGoneError
 from corianderhaven.standins import _hosting_site
 
 LAST_PART = 5 / 6  # of the grace period; what is cut sooner counts as lost
@@ -239,3 +240,43 @@
         writer.close()
 
     run_scenario(scenario, site_fields={"token_ms": 110.0, "events": 28}, grace_ms=5_000.0)
+
+
+@pytest.mark.parametrize("fault", [{"answer_ms": 60_000.0}, {"away": True}])
+def test_store_that_gives_no_answer_does_not_delay_a_drain_beyond_its_grace(fault):
+    """Guards against LOST: a drain waited for its lease to be revoked, also beyond its end."""
+
+    async def scenario(site, daemons):
+        (daemon,) = daemons
+        assert daemon.lease.tenure is not None
+        for name, value in fault.items():
+            setattr(site.store.faults, name, value)
+        started_ms = site.clock.now_ms()
+        stopping = begin_stop(daemon)
+        await wait_until(lambda: daemon.gateway.draining)
+        assert site.clock.now_ms() - started_ms < 500.0
+        assert await stopping
+        assert site.clock.now_ms() - started_ms < 500.0
+
+    run_scenario(scenario, grace_ms=500.0)
+
+
+def test_lease_that_cannot_be_given_up_ends_no_drain():
+    """Guards against LOST: an unexpected answer of the store would have ended the process."""
+
+    async def scenario(site, daemons):
+        (daemon,) = daemons
+
+        async def resign():
+            raise HistoryGoneError("/api/kv-lease-end/1")
+
+        daemon.lease.resign = resign
+        for worker in workers(site, "ledger"):
+            worker.faults.slow_ms = SLOW_MS
+        sending = asyncio.create_task(SEND["issue"](daemon))
+        await wait_until(lambda: site.runs)
+        assert await begin_stop(daemon)
+        assert (await sending).status == 200
+        assert "keeper_resign_unheard" in {e["event"] for e in daemon.decisions.entries}
+
+    run_scenario(scenario, grace_ms=1_000.0)
