Forward no requests to a daemon that is about to end

Callers of a daemon without paths saw: a request that may not be repeated ended with 502 when it was forwarded to a peer at the moment at which this peer, draining, closed its listeners: nobody had run it, but that can't be known of a connection that breaks before the peer has accepted the request.

Cause: nothing told peers that a daemon drains. They learned it by being declined, once every 0.5 s and for each request once more, until the daemon was gone, and the last of these tries may cross its end.

Within 0.5 s of the SIGTERM the last try has been made, 2 s before the earliest end of a drain of the usual length.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -402,6 +402,9 @@
         digest.era = self.era.number
         digest.tenure = self.lease.latest_tenure
         digest.config_version = self.active_config.version
+        if self.draining and self.active_config.config is not None:
+            # Peers forward no requests to a daemon that reaches no endpoint; this one takes none.
+            digest.lost_services = list(self.active_config.config.services)
         digest.leaving = self.directory.recently_leaving(LEAVING_ANNOUNCE_MS)
         within_ms = OPENED_ANNOUNCE_MS if digest.store_reachable else math.inf
         digest.opened = {
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_late_in_the_grace.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_late_in_the_grace.py
@@ -13,12 +13,15 @@
     wait_until,
     workers,
 )
+from corianderhaven.daemon.tests.partition import RESET, partitionable
 from corianderhaven.fleet import HistoryGoneError
+from corianderhaven.gateway import _peer_forwarder
 from corianderhaven.standins import _hosting_site
 
 LAST_PART = 5 / 6  # of the grace period; what is cut sooner counts as lost
 INTERVAL_MS = 40.0
 SLOW_MS = 300.0
+FORWARDED_SLOW_MS = 80.0  # less than an idempotent request waits before it is sent again
 SEND = {
     "issue": lambda daemon, **fields: send_request(daemon, "/issue/1", "POST", body=b"x", **fields),
     "status": lambda daemon, **fields: send_request(daemon, "/status/1", **fields),
@@ -280,3 +283,70 @@
         assert "keeper_resign_unheard" in {e["event"] for e in daemon.decisions.entries}
 
     run_scenario(scenario, grace_ms=1_000.0)
+
+
+async def lose_paths(site, daemon, links):
+    """Cut a daemon off from the endpoints, and wait until it has others serve its callers."""
+    links.cut(daemon, RESET)
+
+    async def is_forwarded():
+        answers = [await SEND[kind](daemon) for kind in ("draft", "status")]
+        decisions = daemon.decisions.entries
+        forwards = [e["result"] for e in decisions if e["event"] == "request_forwarded"]
+        return len(forwards) > 4 and all(a.status == 200 for a in answers)
+
+    while not await is_forwarded():
+        await asyncio.sleep(0.05)
+
+
+def test_request_is_not_forwarded_to_a_daemon_that_is_about_to_end(monkeypatch):
+    """A request that may not be repeated ended with 502, as it crossed the close of its peer."""
+    monkeypatch.setattr(_peer_forwarder, "AVOIDED_MS", 0.0)
+
+    async def scenario(site, daemons):
+        cut, stopped, _ = daemons
+        await wait_until(lambda: all(len(d.peers.peers) == 2 for d in daemons))
+        with partitionable(site) as links:
+            await lose_paths(site, cut, links)
+            begun_ms = site.clock.wall_ms()
+            stopping = begin_stop(stopped)
+            sending = []
+            while site.clock.wall_ms() - begun_ms < 1_300.0:
+                sending.append(asyncio.create_task(SEND["issue"](cut)))
+                await asyncio.sleep(0.002)
+            answers = await asyncio.gather(*sending)
+            await stopping
+        assert {a.status for a in answers} == {200}
+        assert {site.run_counts()[a.request_id] for a in answers} == {1}
+        tried = [
+            e["at_ms"]
+            for e in cut.decisions.entries
+            if e["event"] == "request_forwarded" and e["peer"] == stopped.settings.name
+        ]
+        assert tried
+        assert max(tried) - begun_ms < 500.0
+
+    run_scenario(scenario, daemons=3, grace_ms=1_000.0)
+
+
+@pytest.mark.parametrize("kind", SEND)
+@pytest.mark.parametrize("stops", [(1,), (0,), (0, 1)])
+def test_forwarded_requests_are_answered_while_their_daemons_stop(stops, kind):
+    """The peer drains, the daemon without paths does, or both at once."""
+
+    async def scenario(site, daemons):
+        for worker in workers(site, "ledger"):
+            worker.faults.slow_ms = FORWARDED_SLOW_MS
+        await wait_until(lambda: all(len(d.peers.peers) == 2 for d in daemons))
+        with partitionable(site) as links:
+            await lose_paths(site, daemons[0], links)
+            stopping = asyncio.gather(*(begin_stop(daemons[n]) for n in stops))
+            answers = await answers_during(stopping, daemons[0], SEND[kind])
+        assert {(a.status, a.complete) for a in answers} <= {(200, True), (503, True)}
+        refused = {a.request_id for a in answers if a.status == 503}
+        assert not refused & set(site.run_counts())
+        assert sum(a.status == 200 for a in answers) > len(answers) / 2
+        if kind == "issue":
+            assert max(site.run_counts()[a.request_id] for a in answers) == 1
+
+    run_scenario(scenario, daemons=3, site_fields={"token_ms": 20.0}, grace_ms=3_000.0)
