Ignore signals at the end of a stop, so that it ends with its exit code

A SIGHUP or a further SIGTERM that came in the last instants of a stop ended the process with -1 or -15 in place of 0, and the last log lines (drain_ended among them) may be missing.

Cause: when the event loop is closed, asyncio restores the default actions of all signals with handlers, 0.1 to 0.3 s before the process is gone. They are ignored from the end of the drain on. During the drain itself, a further SIGTERM changes nothing and SIGHUP reloads the settings, as before.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -69,6 +69,7 @@
 JOIN_TIMEOUT_MS = 1_500.0  # peers that the store lists may all be gone
 FORWARDING_BYTES = 1_024  # of headers that a daemon adds to a request that it forwards
 OPENED_ANNOUNCE_MS = 3_000.0  # by then every daemon has read the head's own entry
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOADABLE_SETTINGS = ("grace_ms", "stall_ms", "retry_ratio", "retry_slack", "retry_window_ms")
 
 
@@ -96,7 +97,7 @@
         """Serve until SIGTERM or SIGINT, then drain; returns whether all requests finished."""
         self.stop_event = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
+        for signal_number in STOP_SIGNALS:
             loop.add_signal_handler(signal_number, self.request_drain)
         await self.start()
         loop.add_signal_handler(signal.SIGHUP, self.reload)
@@ -104,7 +105,12 @@
         monitor = loop.create_task(self._monitor_tasks())
         await self.stop_event.wait()
         monitor.cancel()
-        return await self.stop()
+        finished = await self.stop()
+        # The default actions would end the process once the loop is closed.
+        for signal_number in (*STOP_SIGNALS, signal.SIGHUP):
+            loop.remove_signal_handler(signal_number)
+            signal.signal(signal_number, signal.SIG_IGN)
+        return finished
 
     async def stop(self):
         """Drain, or end all requests at once if the daemon has failed; return whether all finished.
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_processes.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_hosted_processes.py
@@ -6,6 +6,8 @@
 import sys
 from pathlib import Path
 
+import pytest
+
 from corianderhaven.daemon.tests.hosted_site import wait_until
 from corianderhaven.standins import HostedDaemonProcess, HostingSite, small_models
 
@@ -59,3 +61,26 @@
             site.close()
 
     assert asyncio.run(scenario()) == 0
+
+
+@pytest.mark.parametrize("signal_number", [signal.SIGHUP, signal.SIGTERM])
+def test_signals_during_a_stop_do_not_end_it(tmp_path, signal_number):
+    """Guards against the default action, which applied again once the event loop was closed."""
+
+    async def scenario():
+        site = await HostingSite(["a"], 2, small_models(), 1).start()
+        daemon = HostedDaemonProcess("d", "a", site.store_server.address, str(tmp_path), grace_s=1)
+        try:
+            await wait_until(lambda: b"daemon_started" in (tmp_path / "d.log").read_bytes())
+            daemon.process.send_signal(signal.SIGTERM)
+            while daemon.process.poll() is None:
+                daemon.process.send_signal(signal_number)
+                await asyncio.sleep(0.002)
+            return daemon.process.returncode
+        finally:
+            daemon.kill()
+            site.close()
+
+    assert asyncio.run(scenario()) == 0
+    log = (tmp_path / "d.log").read_bytes()
+    assert log.count(b"drain_begun") == log.count(b"drain_ended") == 1
