--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_late_in_the_grace.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_late_in_the_grace.py
@@ -400,3 +400,39 @@
 
     fields = {"token_ms": 30.0, "events": 20}
     run_scenario(scenario, daemons=3, site_fields=fields, grace_ms=4_000.0)
+
+
+def run_with_stopped_peer(send, check, slow_ms=0.0, **site_fields):
+    """Send a request by way of a peer, stop that peer, and check the answer."""
+
+    async def scenario(site, daemons):
+        cut, *peers = daemons
+        await wait_until(lambda: all(len(d.peers.peers) == 2 for d in daemons))
+        with partitionable(site) as links:
+            await lose_paths(site, cut, links)
+            for worker in workers(site, "ledger"):
+                worker.faults.slow_ms = slow_ms
+            sending = asyncio.create_task(send(cut))
+            await wait_until(lambda: any(p.gateway.in_flight for p in peers))
+            await asyncio.sleep(0.3)
+            (peer,) = [p for p in peers if p.gateway.in_flight]
+            await begin_stop(peer)
+            check(await sending, site)
+
+    run_scenario(scenario, daemons=3, site_fields=site_fields, grace_ms=1_500.0)
+
+
+def test_request_that_hangs_at_a_peer_that_stops_is_answered_as_unknown():
+    def check(answer, site):
+        assert (answer.status, answer.complete) == (504, True)
+        assert site.run_counts()[answer.request_id] == 1
+
+    run_with_stopped_peer(SEND["issue"], check, slow_ms=20_000.0)
+
+
+def test_stream_by_way_of_a_peer_that_stops_goes_on_at_another():
+    def check(answer, site):
+        assert (answer.status, answer.complete) == (200, True)
+        assert answer.event_ids == list(range(1, 31))
+
+    run_with_stopped_peer(SEND["draft"], check, token_ms=90.0, events=30)
