--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -1,7 +1,6 @@
 """Daemon for a platform that keeps endpoints and configuration in its metadata store."""
 
 import asyncio
-import contextlib
 import math
 import random
 import signal
@@ -57,8 +56,9 @@
 DAEMONS_PREFIX = STORE_PREFIX + "daemons/"
 DRAIN_NOTICE_MS = 2_600.0  # two readiness checks one second apart, and their latency
 SHUTDOWN_MARGIN_MS = 700.0  # kept before SIGKILL for ending unfinished requests cleanly
-LAST_ANSWERS_MS = 300.0  # of this margin, to answer the requests that are ended
-FLUSH_MS = 200.0  # of this margin, for callers that still read their answers
+MARGIN_FRACTION = 0.125  # of the grace period at most, so that a short one isn't used up
+LAST_ANSWERS_FRACTION = 0.43  # of this margin, to answer the requests that are ended
+FLUSH_FRACTION = 0.28  # of this margin, for callers that still read their answers
 IDLE_TIMEOUT_FACTOR = 1.2  # callers may reuse a connection for most of the idle timeout
 DRAIN_POLL_MS = 20.0
 LEAVING_ANNOUNCE_MS = 3_000.0  # several exchanges between any two daemons
@@ -69,6 +69,7 @@
 JOIN_TIMEOUT_MS = 1_500.0  # peers that the store lists may all be gone
 FORWARDING_BYTES = 1_024  # of headers that a daemon adds to a request that it forwards
 OPENED_ANNOUNCE_MS = 3_000.0  # by then every daemon has read the head's own entry
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOADABLE_SETTINGS = ("grace_ms", "stall_ms", "retry_ratio", "retry_slack", "retry_window_ms")
 
 
@@ -96,7 +97,7 @@
         """Serve until SIGTERM or SIGINT, then drain; returns whether all requests finished."""
         self.stop_event = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
+        for signal_number in STOP_SIGNALS:
             loop.add_signal_handler(signal_number, self.request_drain)
         await self.start()
         loop.add_signal_handler(signal.SIGHUP, self.reload)
@@ -104,7 +105,12 @@
         monitor = loop.create_task(self._monitor_tasks())
         await self.stop_event.wait()
         monitor.cancel()
-        return await self.stop()
+        finished = await self.stop()
+        # The default actions would end the process once the loop is closed.
+        for signal_number in (*STOP_SIGNALS, signal.SIGHUP):
+            loop.remove_signal_handler(signal_number)
+            signal.signal(signal_number, signal.SIG_IGN)
+        return finished
 
     async def stop(self):
         """Drain, or end all requests at once if the daemon has failed; return whether all finished.
@@ -200,37 +206,57 @@
             waiting=self.gateway.waiting_requests(),
         )
         self.callers_server.closing = True
-        end_ms = start_ms + max(0.0, self.settings.grace_ms - SHUTDOWN_MARGIN_MS)
+        margin_ms = self._shutdown_margin_ms()
+        end_ms = start_ms + self.settings.grace_ms - margin_ms
         self.gateway.end_by(end_ms)
         self.keeper.close()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(DRAIN_NOTICE_MS / MS_PER_S):
-                await self.lease.resign()
-        while self.clock.now_ms() < end_ms + LAST_ANSWERS_MS:
-            notice_over = self.clock.now_ms() - start_ms > DRAIN_NOTICE_MS
-            # Requests that arrive later could be cut off at the end of the grace period.
+        notice_end_ms = min(start_ms + DRAIN_NOTICE_MS, end_ms)
+        resigning = asyncio.create_task(self._resign(notice_end_ms - start_ms))
+        last_answers_ms = end_ms + LAST_ANSWERS_FRACTION * margin_ms
+        while self.clock.now_ms() < last_answers_ms:
+            notice_over = self.clock.now_ms() > notice_end_ms
             self.gateway.draining = notice_over
             if notice_over and not self.gateway.in_flight:
                 break
             await asyncio.sleep(DRAIN_POLL_MS / MS_PER_S)
         left, cut = self.gateway.in_flight, self.gateway.open_requests.cut_count
         finished = not left and not cut
+        await resigning
         self.decisions.record("drain_ended", finished=finished, left=left, cut=cut)
-        await self._flush_answers()
+        await self._flush_answers(max(0.0, last_answers_ms - self.clock.now_ms()))
         return finished
 
+    async def _resign(self, timeout_ms):
+        """Hand the lease over; requests are drained meanwhile, and whatever comes of it."""
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                await self.lease.resign()
+        except Exception as error:
+            self.decisions.record("keeper_resign_unheard", reason=repr(error))
+
     async def _end_requests(self):
         """Answer the requests in flight at once, as this daemon can't go on."""
         self.callers_server.closing = True
         self.gateway.draining = True
-        end_ms = self.clock.now_ms() + LAST_ANSWERS_MS
+        end_ms = self.clock.now_ms() + LAST_ANSWERS_FRACTION * self._shutdown_margin_ms()
         self.gateway.end_by(self.clock.now_ms())
         while self.gateway.in_flight and self.clock.now_ms() < end_ms:
             await asyncio.sleep(DRAIN_POLL_MS / MS_PER_S)
         await self._flush_answers()
 
-    async def _flush_answers(self):
-        await asyncio.gather(self.callers_server.flush(FLUSH_MS), self.peers_server.flush(FLUSH_MS))
+    def _shutdown_margin_ms(self):
+        return min(SHUTDOWN_MARGIN_MS, MARGIN_FRACTION * self.settings.grace_ms)
+
+    async def _flush_answers(self, remaining_ms=0.0):
+        """Let callers read the rest of their answers.
+
+        Parameters
+        ----------
+        remaining_ms : float
+            Time that was left for the requests, which have ended sooner.
+        """
+        flush_ms = remaining_ms + FLUSH_FRACTION * self._shutdown_margin_ms()
+        await asyncio.gather(self.callers_server.flush(flush_ms), self.peers_server.flush(flush_ms))
 
     @property
     def ready(self):
@@ -382,6 +408,9 @@
         digest.era = self.era.number
         digest.tenure = self.lease.latest_tenure
         digest.config_version = self.active_config.version
+        if self.draining and self.active_config.config is not None:
+            # Peers forward no requests to a daemon that reaches no endpoint; this one takes none.
+            digest.lost_services = list(self.active_config.config.services)
         digest.leaving = self.directory.recently_leaving(LEAVING_ANNOUNCE_MS)
         within_ms = OPENED_ANNOUNCE_MS if digest.store_reachable else math.inf
         digest.opened = {
--- a/libraries/gateway/src/corianderhaven/gateway/_attempt_kinds.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_attempt_kinds.py
@@ -100,7 +100,8 @@
             context.waited_ms += self.clock.now_ms() - queued_ms
         if isinstance(endpoint, Refusal):
             return endpoint
-        refusal = self._check_parts()  # what is known may have changed meanwhile
+        # What is known may have changed meanwhile.
+        refusal = self.gateway.check_drain(context) or self._check_parts()
         if refusal is None:
             return endpoint
         self.release(endpoint)
@@ -182,7 +183,8 @@
         queued.excluded = excluded
         endpoint = await queue.acquire(queued)
         context.waited_ms += self.clock.now_ms() - queued_ms
-        refusal = self._check_parts()  # what is known may have changed meanwhile
+        # What is known may have changed meanwhile.
+        refusal = self.gateway.check_drain(context) or self._check_parts()
         if isinstance(endpoint, Refusal) or refusal is None:
             return endpoint
         self.release(endpoint)
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -297,6 +297,7 @@
 
     def _update_routes(self, config):
         self.route_table = RouteTable(config)
+        self.open_requests.keep_routes({route.name for route in config.routes})
 
     async def _handle(self, request, caller, origin):
         metadata = self.wire.read_request(request)
@@ -336,7 +337,11 @@
     async def _serve(self, context):
         try:
             async with self.open_requests.open(context):
-                await self._route(context)
+                refusal = self.check_drain(context)
+                if refusal is None:
+                    await self._route(context)
+                else:
+                    await self._refuse(context, refusal.reason, refusal.retry_after_ms)
         except TimeoutError:
             await self._end_at_deadline(context)
         except asyncio.CancelledError:
@@ -348,6 +353,20 @@
         finally:
             self._log_end(context)
 
+    def check_drain(self, context):
+        """Return a `Refusal` if the rest of a drain has no time for a request, or None."""
+        if not context.cut_by_drain or context.endpoints_used:
+            return None
+        engine = context.service.engine if context.service else None
+        model = engine.model(context.metadata.model) if engine else None
+        answer_ms = context.route.goal_ms or DEFAULT_GOAL_MS
+        if model is not None:
+            estimator = self.dispatcher.estimator(context.service.name, engine, model)
+            answer_ms = self.dispatcher.queued_request(context, estimator, engine).answer_ms
+        if self.open_requests.has_time(context, answer_ms):
+            return None
+        return Refusal("draining", NOT_READY_RETRY_AFTER_MS)
+
     async def _route(self, context):
         """Serve a request by the kind of its service."""
         engine = context.service.engine if context.service else None
