--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -9,7 +9,7 @@
 from ._admission import PATHS_LOST, Refusal, dispatch_periodically
 from ._attempt_kinds import PlainAttempts, StreamAttempts
 from ._crash_guard import CrashGuard, digest_request, reason_for
-from ._dispatcher import Dispatcher
+from ._dispatcher import DEFAULT_GOAL_MS, Dispatcher
 from ._endpoint_limits import SHARED_MS, EndpointLimits
 from ._event_stream import EventSplitter
 from ._forwarding import DECLINED, unwrap
