Soak's test of two builds asks the process which build it runs

Cause: the test read /proc/PID/environ right after Popen had returned. Popen returns when its pipe closes on exec, and the kernel sets up the new program's environment a little later; until then the file is empty. An empty file also let the starts that should run this build pass whatever they ran.

Now the daemon of the test's other build writes a line to its log before it does anything else, and each log must also hold daemon_started, so a missing line is none that comes later. This is stricter: a PYTHONPATH that is set but not used would fail as well. The order of starts and builds that is checked is the same.

With change_build doing nothing, or the daemon's process started without the other build's packages, it fails.

--- a/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
+++ b/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
@@ -377,36 +377,58 @@
     asyncio.run(scenario())
 
 
+OTHER_BUILD_LINE = b"this process runs the other build"
+PRINT_OTHER_BUILD = (
+    f"import sys\nprint({OTHER_BUILD_LINE.decode()!r}, file=sys.stderr, flush=True)\n"
+)
+
+
 def link_packages(folder):
-    """Make a folder with the packages of this build, as of an installed one."""
+    """Make a folder with the packages of this build, whose daemon logs that it is the other one."""
     packages = Path(folder) / "other" / "corianderhaven"
     packages.mkdir(parents=True)
     for path in set(corianderhaven.__path__):
         for package in Path(path).iterdir():
             if (package / "__init__.py").exists():
                 (packages / package.name).symlink_to(package)
+    daemon = packages / "daemon"
+    original = daemon.readlink()
+    daemon.unlink()
+    daemon.mkdir()
+    for part in original.iterdir():
+        if part.name not in ("__main__.py", "__pycache__"):
+            (daemon / part.name).symlink_to(part)
+    main_text = (original / "__main__.py").read_text()
+    (daemon / "__main__.py").write_text(PRINT_OTHER_BUILD + main_text)
     return str(packages.parent)
 
 
+def runs_other_build(log_path):
+    """Return whether a process that has started as a daemon runs the other build."""
+    log = Path(log_path).read_bytes()
+    assert b'"event":"daemon_started"' in log
+    return OTHER_BUILD_LINE in log.splitlines()
+
+
 def test_daemons_of_two_builds_replace_each_other_and_serve(tmp_path, monkeypatch):
+    """The build is what a process says of itself: its environ is empty until exec has ended."""
     faults = [Fault("daemon_changes_build", at_s, 0.0, n) for at_s, n in ((0.3, 0.0), (2.0, 0.5))]
     monkeypatch.setattr(_soak_run, "plan_faults", lambda seed, seconds: [])
     monkeypatch.setattr(_soak_run, "plan_build_changes", lambda seed, seconds: faults)
-    other = link_packages(tmp_path)
-    run = SoakRun(7, 4.0, 3, str(tmp_path), other_build=other)
-    started = []
+    run = SoakRun(7, 4.0, 3, str(tmp_path), other_build=link_packages(tmp_path))
+    logs = []
     launch = SoakDaemon._launch
 
     def record_launch(daemon):
         launch(daemon)
-        environment = Path(f"/proc/{daemon.process.process.pid}/environ").read_bytes()
-        started.append((daemon.name, f"PYTHONPATH={other}".encode() in environment.split(b"\0")))
+        logs.append((daemon.name, daemon.process.log.name))
 
     monkeypatch.setattr(SoakDaemon, "_launch", record_launch)
     report = asyncio.run(run.run())
     assert report.breaches == []
     assert report.recovered_s is not None
     assert report.faults == {"daemon_changes_build": 2}
+    started = [(name, runs_other_build(log)) for name, log in logs]
     assert started[:3] == [("entry-00", False), ("entry-01", True), ("entry-02", False)]
     assert started[3:] == [("entry-00", True), ("entry-01", False)]
 
