Soak: workers that stand still and go on, and streams that may not end by that

The soak had no fault that loses nothing: a worker was killed, reset, cut or misbehaved.

The fault workers_pause lets one worker, those of a zone, six in ten or all stand still for 0.2 to 2.0 s, one time in ten for 4 to 5 s, and go on where they were; seven in ten pauses follow a change of configuration within 0.8 s. Pauses are drawn apart and added to the plan, so the other faults of a seed stay the same.

New invariant "no stream cut without a loss": a stream whose head a caller got may not break off before its deadline if no fault other than a pause or a configuration was active from 4 s before its begin until its end. That an unsafe request runs at most once was checked already, and is during pauses.

--- a/libraries/soak/src/corianderhaven/soak/_callers.py
+++ b/libraries/soak/src/corianderhaven/soak/_callers.py
@@ -56,6 +56,7 @@
     async def send(self, kind, timeout_s=RESPONSE_TIMEOUT_S, newest=False):
         """Send one request and check its response; returns the `Attempt`."""
         attempt = Attempt(f"soak-{next(_request_numbers)}", kind, self.daemon.name, now_ms())
+        attempt.deadline_ms = DEADLINE_MS
         if kind == "version":
             # Sometimes asks for the previous version, which must not be served after the newest.
             lag = 0 if newest else self.rng.choice(VERSION_LAGS)
@@ -67,6 +68,7 @@
                 await self._exchange(attempt)
         except (ConnectionLostError, TimeoutError) as error:
             attempt.error = str(error) or type(error).__name__
+            attempt.broken_off = isinstance(error, ConnectionLostError)
             self._drop_connection()
         attempt.ended_ms = now_ms()
         self.invariants.check_attempt(attempt)
--- a/libraries/soak/src/corianderhaven/soak/_fault_injector.py
+++ b/libraries/soak/src/corianderhaven/soak/_fault_injector.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import itertools
+import random
 
 from corianderhaven.standins import ENGINE_SERVICE, PLAIN_SERVICE, WorkerFaults, default_routes
 
+from ._daemons import now_ms
+from ._faults import CONFIG_CHANGE_KIND, PAUSE_KIND
+
 SLOW_STORE_MS = 120.0  # 30 times the usual response time of the store
 NAMED_LIMITS = ("3.0", "0.5")  # requests per second, as on the wire
 CRASHING_KINDS = ("status", "issue", "draft")
@@ -20,6 +24,9 @@
 # selected among the many engines.
 MIN_PLAIN_WORKER_SHARE = 0.4
 RESTORE_S = 0.3  # for which a store that is restored is away
+PAUSED_SHARE = 0.6  # of the workers, when neither one, nor a zone, nor all of them pause
+# Through these alone, no daemon, connection or worker is lost.
+HARMLESS_KINDS = (PAUSE_KIND, CONFIG_CHANGE_KIND)
 LEAVING_S = 1.0  # a leaving worker keeps serving for this long
 MISBEHAVIOURS = [
     {"shed": True},
@@ -75,10 +82,15 @@
         """Inject one fault; a daemon fault is skipped if the daemon already has one."""
         self.active_count += 1
         self.started_count += 1
+        harmful = fault.kind not in HARMLESS_KINDS
+        if harmful:
+            self.invariants.begin_loss()
         try:
             await getattr(self, fault.kind)(fault)
         finally:
             self.active_count -= 1
+            if harmful:
+                self.invariants.end_loss(now_ms())
 
     def _select(self, candidates, fault):
         return candidates[int(fault.selector * len(candidates))] if candidates else None
@@ -266,6 +278,28 @@
         await asyncio.sleep(fault.duration_s)
         worker.faults = WorkerFaults()
 
+    async def workers_pause(self, fault):
+        """Let one worker, those of a zone, many or all stand still, and go on where they were."""
+        paused = self._select_paused(fault)
+        self.site.pause(paused)
+        try:
+            await asyncio.sleep(fault.duration_s)
+        finally:
+            self.site.resume(paused)
+
+    def _select_paused(self, fault):
+        """Return the IDs of the workers that pause; each quarter of the selectors has its share."""
+        live = sorted(w.id for w in self.site.workers.values() if w.listed)
+        quarter, rest = divmod(fault.selector * 4, 1.0)
+        if quarter == 0:
+            return [live[int(rest * len(live))]] if live else []
+        if quarter == 1:
+            zone = self.site.zones[int(rest * len(self.site.zones))]
+            return [worker_id for worker_id in live if self.site.workers[worker_id].zone == zone]
+        if quarter == 2:
+            return random.Random(rest).sample(live, round(PAUSED_SHARE * len(live)))
+        return live
+
     async def prompt_part_crashes_engines(self, fault):
         """Let some drafts hold a new part that ends each engine that writes on it."""
         part = f"{next(self.part_numbers):x}"
--- a/libraries/soak/src/corianderhaven/soak/_faults.py
+++ b/libraries/soak/src/corianderhaven/soak/_faults.py
@@ -39,6 +39,15 @@
 PARTITION_KIND = "daemon_loses_endpoints"
 BUILD_CHANGE_GAP_S = 2.0
 BUILD_CHANGE_KIND = "daemon_changes_build"
+CONFIG_CHANGE_KIND = "config_change"
+PAUSE_KIND = "workers_pause"
+PAUSE_GAP_S = 0.6
+MIXED_PAUSE_GAP_S = 3.0  # among other faults, so that most of these also act without a pause
+MIN_PAUSE_S, MAX_PAUSE_S = 0.2, 2.0
+LONG_PAUSE_SHARE = 0.1
+MIN_LONG_PAUSE_S, MAX_LONG_PAUSE_S = 4.0, 5.0  # longer than callers and routes wait
+CONFIG_CHANGE_SHARE = 0.7  # of the pauses
+CONFIG_CHANGE_LEAD_S = 0.8
 
 
 @dataclass(frozen=True)
@@ -84,6 +93,25 @@
     return faults
 
 
+def plan_worker_pauses(seed, seconds, mean_gap_s=PAUSE_GAP_S):
+    """Return pauses of workers, most of them beside a change of configuration, sorted by time.
+
+    A pause begins after the end of the one before it.
+    """
+    rng = random.Random(f"pauses {seed} {mean_gap_s}")
+    faults, at_s = [], 0.0
+    while (at_s := at_s + rng.uniform(0.05, 2 * mean_gap_s)) < seconds:
+        duration_s = rng.uniform(MIN_PAUSE_S, MAX_PAUSE_S)
+        if rng.random() < LONG_PAUSE_SHARE:
+            duration_s = rng.uniform(MIN_LONG_PAUSE_S, MAX_LONG_PAUSE_S)
+        faults.append(Fault(PAUSE_KIND, round(at_s, 3), round(duration_s, 3), rng.random()))
+        if rng.random() < CONFIG_CHANGE_SHARE:
+            changed_s = max(0.0, at_s - rng.uniform(0.0, CONFIG_CHANGE_LEAD_S))
+            faults.append(Fault(CONFIG_CHANGE_KIND, round(changed_s, 3), 0.0, 0.0))
+        at_s += duration_s
+    return sorted(faults, key=lambda f: f.at_s)
+
+
 def _plan_partitions(seed, seconds):
     """Return the partitions of daemons from the endpoints."""
     rng = random.Random(f"partitions {seed}")
--- a/libraries/soak/src/corianderhaven/soak/_invariants.py
+++ b/libraries/soak/src/corianderhaven/soak/_invariants.py
@@ -5,6 +5,9 @@
 
 MAX_RUNS = {"issue": 1, "status": 2, "draft": 2}
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# After the end of a fault, until no connection and no worker is lost through it any more.
+LOSS_AFTEREFFECT_MS = 4_000.0
+DEADLINE_MARGIN_MS = 100.0  # a daemon may end a response a little before the deadline
 
 
 @dataclass
@@ -21,6 +24,10 @@
         Whether the response was received up to its regular end.
     event_ids : list of int
         Ids of the received events of a stream, in order.
+    deadline_ms : float
+        Time that the caller allows, from `sent_ms` on.
+    broken_off : bool
+        Whether the connection ended before the response did.
     """
 
     id: str
@@ -36,6 +43,8 @@
     event_ids: list = field(default_factory=list)
     ended_ms: float | None = None
     error: str = ""
+    deadline_ms: float = 3_000.0
+    broken_off: bool = False
 
 
 @dataclass(frozen=True)
@@ -72,6 +81,17 @@
         self.newest_versions = {}
         self.checked_run_count = 0
         self.runs = defaultdict(list)
+        self.active_losses = 0
+        self.without_loss_since_ms = 0.0
+
+    def begin_loss(self):
+        """Record the begin of a fault through which daemons, connections or workers may be lost."""
+        self.active_losses += 1
+
+    def end_loss(self, ended_ms):
+        """Record the end of such a fault."""
+        self.active_losses -= 1
+        self.without_loss_since_ms = ended_ms + LOSS_AFTEREFFECT_MS
 
     def record_sent(self, attempt):
         """Record the kind of a request before a worker runs it."""
@@ -90,6 +110,7 @@
             self._check_version(attempt)
         elif attempt.status == 200:
             self._check_response(attempt)
+            self._check_stream_end(attempt)
 
     def check_runs(self):
         """Check the runs that workers started since the last call, and the engines' replicas."""
@@ -146,5 +167,17 @@
         elif attempt.complete and attempt.body != b"whole answer of " + worker.encode():
             self._add_violation("whole answer", attempt.id, repr(attempt.body[:60]))
 
+    def _check_stream_end(self, attempt):
+        """Check that a stream ended whole, unless something may have been lost meanwhile."""
+        may_be_lost = self.active_losses or attempt.sent_ms < self.without_loss_since_ms
+        time_left_ms = attempt.sent_ms + attempt.deadline_ms - attempt.ended_ms
+        is_early = time_left_ms > DEADLINE_MARGIN_MS
+        if attempt.kind == "draft" and attempt.broken_off and is_early and not may_be_lost:
+            self._add_violation(
+                "no stream cut without a loss",
+                attempt.id,
+                f"after {attempt.event_ids}, {attempt.ended_ms - attempt.sent_ms:.0f} ms",
+            )
+
     def _add_violation(self, invariant, attempt, detail):
         self.violations.append(Violation(invariant, attempt, detail))
--- a/libraries/soak/src/corianderhaven/soak/_main.py
+++ b/libraries/soak/src/corianderhaven/soak/_main.py
@@ -5,6 +5,7 @@
 import signal
 import tempfile
 from pathlib import Path
+from typing import Literal
 
 from corianderhaven.common import SettingsError, check_positive, run_program
 
@@ -23,6 +24,7 @@
     logs: str = "",
     faults: bool = True,
     other_build: str = "",
+    pauses: Literal["none", "mixed", "only"] = "mixed",
 ):
     """Inject seeded random faults into real daemons; exits with 1 if an invariant was violated.
 
@@ -34,6 +36,8 @@
     :param faults: whether to inject faults; without, the usage of each daemon shows what grows
     :param other_build: folder with the installed packages of another build, as the deploy file's
         build leaves them; daemons of both run side by side and replace each other
+    :param pauses: whether workers also stand still for a while: not at all, among the other faults
+        of the seed and after them, or without any other fault
     """
     check_positive("minutes", minutes)
     check_positive("seeds", seeds)
@@ -43,7 +47,7 @@
         raise SettingsError(f"other_build holds no packages: {other_build!r}")
     failed = []
     for seed_number in range(seed, seed + seeds):
-        report = _run_seed(seed_number, minutes, processes, logs, faults, other_build)
+        report = _run_seed(seed_number, minutes, processes, logs, faults, other_build, pauses)
         print(json.dumps(report.as_dict()), flush=True)
         if report.breaches:
             failed.append(seed_number)
@@ -52,14 +56,14 @@
     return 1 if failed else 0
 
 
-def _run_seed(seed_number, minutes, processes, logs, faults, other_build):
+def _run_seed(seed_number, minutes, processes, logs, faults, other_build, pauses):
     with tempfile.TemporaryDirectory() as scratch:
         folder = scratch
         if logs:
             folder = str(Path(logs) / f"seed-{seed_number}")
             Path(folder).mkdir(parents=True, exist_ok=True)
         seconds = minutes * S_PER_MINUTE
-        soak_run = SoakRun(seed_number, seconds, processes, folder, faults, other_build)
+        soak_run = SoakRun(seed_number, seconds, processes, folder, faults, other_build, pauses)
         return asyncio.run(_run(soak_run))
 
 
--- a/libraries/soak/src/corianderhaven/soak/_soak_run.py
+++ b/libraries/soak/src/corianderhaven/soak/_soak_run.py
@@ -1,17 +1,19 @@
 """Runs the soak test of one seed and reports the violated invariants."""
 
 import asyncio
+import contextlib
 import ipaddress
 import random
 from collections import Counter
 from dataclasses import asdict, astuple, dataclass, field
 
+from corianderhaven.common import MS_PER_S
 from corianderhaven.standins import HostingSite, small_models
 
 from ._callers import Caller, response_times_s
-from ._daemons import SoakDaemon
+from ._daemons import SoakDaemon, now_ms
 from ._fault_injector import FaultInjector, publish_version
-from ._faults import plan_build_changes, plan_faults
+from ._faults import MIXED_PAUSE_GAP_S, plan_build_changes, plan_faults, plan_worker_pauses
 from ._invariants import InvariantChecker, Violation
 from ._link_proxy import LinkProxy
 
@@ -21,6 +23,7 @@
 TOKEN_MS = 25.0  # streams last long enough for faults to hit them halfway
 STARTUP_TIMEOUT_S = 20.0  # 100 processes started at once take about 10 s
 RECOVERY_TIMEOUT_S = 12.0  # from the last fault until every daemon serves every kind again
+PAUSES_FRACTION = 0.5  # of the time of the other faults, for pauses without these
 EARLY_USAGE_FRACTION = 0.25  # of the run; queues, rate estimates and pools have filled by then
 POLL_INTERVAL_S = 0.1
 KINDS = ("draft", "issue", "status")
@@ -90,15 +93,22 @@
     other_build : str
         Folder with the installed packages of another build. Half of the daemons start with it,
         and faults replace daemons of one build by those of the other.
+    pauses : {"none", "mixed", "only"}
+        Whether workers also stand still now and then. With "mixed" they do so among the other
+        faults, and without these for a while once the daemons have recovered from them; with
+        "only" there are no other faults.
     """
 
-    def __init__(self, seed, seconds, processes, folder, faults=True, other_build=""):
+    def __init__(
+        self, seed, seconds, processes, folder, faults=True, other_build="", pauses="none"
+    ):
         self.seed = seed
         self.seconds = seconds
         self.processes = processes
         self.folder = folder
         self.faults = faults
         self.other_build = other_build
+        self.pauses = pauses if faults else "none"
         self.early_usage = {}
         self.attempts = []
         self.drains = []
@@ -123,28 +133,13 @@
             )
             for n in range(self.processes)
         ]
-        callers, tasks = [], []
         try:
             await asyncio.gather(*(d.start() for d in self.daemons))
             await self._wait_until_served(STARTUP_TIMEOUT_S)
-            callers = [
-                Caller(d, site, self.invariants, self.seed * 1_000 + n, self.attempts)
-                for n, d in enumerate(self.daemons * CALLERS_PER_DAEMON)
-            ]
-            tasks = [asyncio.create_task(c.run()) for c in callers]
-            faults = await self._inject_faults()
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-            recovered_s = await self._wait_until_served(RECOVERY_TIMEOUT_S)
-            if recovered_s is None:
-                self.invariants.violations.append(
-                    Violation("served again", "", f"not within {RECOVERY_TIMEOUT_S} s")
-                )
-            self.invariants.check_runs()
+            faults, recovered_s = await self._play(self._plan(), self.seconds)
+            if self.pauses == "mixed" and not self.invariants.violations:
+                faults += await self._play_pauses()
         finally:
-            for caller in callers:
-                caller.close()
             for daemon in self.daemons:
                 daemon.close()
             site.close()
@@ -152,6 +147,41 @@
                 link.close()
         return self._report(faults, recovered_s)
 
+    async def _play(self, plan, seconds):
+        """Inject faults while callers send; returns their number by kind and the recovery time."""
+        async with self._callers():
+            faults = await self._inject_faults(plan, seconds)
+        recovered_s = await self._wait_until_served(RECOVERY_TIMEOUT_S)
+        if recovered_s is None:
+            self._add_violation("served again", "", f"not within {RECOVERY_TIMEOUT_S} s")
+        self.invariants.check_runs()
+        return faults, recovered_s
+
+    async def _play_pauses(self):
+        """Let workers pause while no other fault acts; returns the number of faults by kind."""
+        wait_ms = self.invariants.without_loss_since_ms - now_ms()
+        await asyncio.sleep(max(0.0, wait_ms / MS_PER_S))
+        seconds = PAUSES_FRACTION * self.seconds
+        faults, _ = await self._play(plan_worker_pauses(self.seed, seconds), seconds)
+        return faults
+
+    @contextlib.asynccontextmanager
+    async def _callers(self):
+        """Let callers send to all daemons until the block ends."""
+        callers = [
+            Caller(d, self.site, self.invariants, self.seed * 1_000 + n, self.attempts)
+            for n, d in enumerate(self.daemons * CALLERS_PER_DAEMON)
+        ]
+        tasks = [asyncio.create_task(c.run()) for c in callers]
+        try:
+            yield
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        finally:
+            for caller in callers:
+                caller.close()
+
     def _builds(self, number):
         """Return the builds of a daemon; daemons start with them by turns."""
         if not self.other_build:
@@ -162,9 +192,13 @@
     def _plan(self):
         if not self.faults:
             return []
+        if self.pauses == "only":
+            return plan_worker_pauses(self.seed, self.seconds)
         plan = plan_faults(self.seed, self.seconds)
         if self.other_build:
             plan += plan_build_changes(self.seed, self.seconds)
+        if self.pauses == "mixed":
+            plan += plan_worker_pauses(self.seed, self.seconds, MIXED_PAUSE_GAP_S)
         return sorted(plan, key=lambda fault: fault.at_s)
 
     async def _proxy_worker(self, worker_id, address):
@@ -172,7 +206,7 @@
         proxy = self.worker_links[worker_id] = await LinkProxy(address).start()
         return proxy.address
 
-    async def _inject_faults(self):
+    async def _inject_faults(self, plan, seconds):
         injector = FaultInjector(
             self.site,
             self.daemons,
@@ -181,17 +215,17 @@
             self._record_drain,
             self._check_partitioned,
         )
-        plan = self._plan()
         loop = asyncio.get_running_loop()
         started, tasks = loop.time(), []
-        loop.call_later(self.seconds * EARLY_USAGE_FRACTION, self._record_early_usage)
+        if not self.early_usage:
+            loop.call_later(seconds * EARLY_USAGE_FRACTION, self._record_early_usage)
         for fault in plan:
             await asyncio.sleep(max(0.0, started + fault.at_s - loop.time()))
             tasks.append(asyncio.create_task(injector.inject(fault)))
             if self.invariants.violations:
                 break
         else:
-            await asyncio.sleep(max(0.0, started + self.seconds - loop.time()))
+            await asyncio.sleep(max(0.0, started + seconds - loop.time()))
         await asyncio.gather(*tasks)
         self.usage = self._usage_since_early()
         for link in self.worker_links.values():
--- a/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
+++ b/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
@@ -21,7 +21,8 @@
 from corianderhaven.soak._callers import Caller
 from corianderhaven.soak._daemons import SoakDaemon
 from corianderhaven.soak._fault_injector import FaultInjector
-from corianderhaven.soak._faults import plan_build_changes
+from corianderhaven.soak._faults import plan_build_changes, plan_worker_pauses
+from corianderhaven.soak._invariants import DEADLINE_MARGIN_MS, LOSS_AFTEREFFECT_MS
 from corianderhaven.standins import ENGINE_SERVICE, HostingSite, WorkerFaults, small_models
 
 RUN_S = 5.0
@@ -143,6 +144,48 @@
     assert violated_names(invariants) == ["configuration never back"]
 
 
+def check_draft(invariants, **fields):
+    attempt = Attempt("r1", "draft", "d1", 10_000.0, status=200, request_id="r1", stamp="w1.7")
+    attempt.event_ids, attempt.broken_off, attempt.ended_ms = [1, 2], True, 11_000.0
+    for name, value in fields.items():
+        setattr(attempt, name, value)
+    invariants.check_attempt(attempt)
+    return violated_names(invariants)
+
+
+def test_stream_cut_while_nothing_is_lost_is_detected(site, invariants):
+    site.runs.append(make_run("r1"))
+    invariants.kinds["r1"] = "draft"
+    invariants.begin_loss()
+    invariants.end_loss(10_000.0 - LOSS_AFTEREFFECT_MS)
+    assert check_draft(invariants) == ["no stream cut without a loss"]
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"broken_off": False},  # the caller gave up
+        {"ended_ms": 13_000.0 - DEADLINE_MARGIN_MS},
+        {"kind": "issue"},
+        {"status": 503},
+    ],
+)
+def test_stream_that_a_daemon_may_end_violates_nothing(site, invariants, fields):
+    site.runs.append(make_run("r1"))
+    invariants.kinds["r1"] = "draft"
+    assert check_draft(invariants, **fields) == []
+
+
+@pytest.mark.parametrize("ended", [[], [10_500.0], [10_000.0 - LOSS_AFTEREFFECT_MS + 1.0]])
+def test_stream_cut_beside_a_loss_violates_nothing(site, invariants, ended):
+    site.runs.append(make_run("r1"))
+    invariants.kinds["r1"] = "draft"
+    invariants.begin_loss()
+    for ended_ms in ended:
+        invariants.end_loss(ended_ms)
+    assert check_draft(invariants) == []
+
+
 def test_violation_at_engines_is_detected(site, invariants):
     site.engines.violations.append("TWO: e1")
     invariants.check_runs()
@@ -250,9 +293,14 @@
 
 def test_every_fault_kind_has_an_injector_method():
     from corianderhaven.soak._fault_injector import MISBEHAVIOURS, FaultInjector
-    from corianderhaven.soak._faults import BUILD_CHANGE_KIND, FAULT_WEIGHTS, PARTITION_KIND
+    from corianderhaven.soak._faults import (
+        BUILD_CHANGE_KIND,
+        FAULT_WEIGHTS,
+        PARTITION_KIND,
+        PAUSE_KIND,
+    )
 
-    kinds = [*FAULT_WEIGHTS, PARTITION_KIND, BUILD_CHANGE_KIND]
+    kinds = [*FAULT_WEIGHTS, PARTITION_KIND, BUILD_CHANGE_KIND, PAUSE_KIND]
     assert all(callable(getattr(FaultInjector, kind)) for kind in kinds)
     assert all(WorkerFaults(**fields) != WorkerFaults() for fields in MISBEHAVIOURS)
 
@@ -442,3 +490,114 @@
     plan = plan_build_changes(3, 60.0)
     assert plan == plan_build_changes(3, 60.0) != plan_build_changes(4, 60.0)
     assert all(0.0 < fault.at_s < 60.0 for fault in plan)
+
+
+def split_pauses(plan):
+    pauses = [fault for fault in plan if fault.kind == "workers_pause"]
+    return pauses, [fault.at_s for fault in plan if fault.kind == "config_change"]
+
+
+def test_worker_pauses_depend_only_on_the_seed():
+    plan = plan_worker_pauses(3, 60.0)
+    assert plan == plan_worker_pauses(3, 60.0) != plan_worker_pauses(4, 60.0)
+    assert plan == sorted(plan, key=lambda fault: fault.at_s)
+    assert all(0.0 <= fault.at_s < 60.0 for fault in plan)
+
+
+def test_worker_pauses_are_repeated_and_mostly_beside_a_configuration():
+    plans = [split_pauses(plan_worker_pauses(seed, 12.0)) for seed in range(50)]
+    assert all(len(pauses) > 1 for pauses, _ in plans)
+    for pauses, _ in plans:
+        ends = [pause.at_s + pause.duration_s for pause in pauses]
+        assert all(end < later.at_s + 0.002 for end, later in zip(ends, pauses[1:], strict=False))
+    beside = [
+        any(pause.at_s - 0.9 < at_s <= pause.at_s for at_s in changes)
+        for pauses, changes in plans
+        for pause in pauses
+    ]
+    assert 0.6 < sum(beside) / len(beside) < 0.95
+    durations = [pause.duration_s for pauses, _ in plans for pause in pauses]
+    assert min(durations) < 0.4
+    assert any(duration > 4.0 for duration in durations)
+    assert all(0.2 <= duration <= 2.0 or 4.0 <= duration <= 5.0 for duration in durations)
+    selectors = {int(4 * pause.selector) for pauses, _ in plans for pause in pauses}
+    assert selectors == {0, 1, 2, 3}
+
+
+def test_worker_pauses_leave_the_other_faults_of_a_seed_unchanged(tmp_path):
+    mixed = SoakRun(3, 60.0, 3, str(tmp_path), pauses="mixed")._plan()
+    plan = SoakRun(3, 60.0, 3, str(tmp_path))._plan()
+    added = [fault for fault in mixed if fault not in plan]
+    assert [fault for fault in mixed if fault not in added] == plan == plan_faults(3, 60.0)
+    assert {fault.kind for fault in added} == {"workers_pause", "config_change"}
+    assert SoakRun(3, 60.0, 3, str(tmp_path), faults=False, pauses="mixed")._plan() == []
+
+
+@pytest.mark.parametrize(
+    ("selector", "paused"),
+    [(0.07, ["e-a-2"]), (0.49, ["e-b-0", "e-b-1", "e-b-2"]), (0.6, 5), (0.9, 8)],
+)
+def test_pause_holds_the_selected_workers_and_lets_them_go_on(invariants, selector, paused):
+    async def scenario():
+        site = await HostingSite(["a", "b"], 3, small_models(), 2).start()
+        injector = FaultInjector(site, [], {}, invariants, None, None)
+        pause = asyncio.create_task(injector.inject(Fault("workers_pause", 0.0, 0.2, selector)))
+        await asyncio.sleep(0.1)
+        held = sorted(w.id for w in site.workers.values() if not w.running.is_set())
+        await pause
+        running = [worker.running.is_set() for worker in site.workers.values()]
+        site.close()
+        return held, running
+
+    held, running = asyncio.run(scenario())
+    assert (held if isinstance(paused, list) else len(held)) == paused
+    assert all(running)
+
+
+@pytest.mark.parametrize(
+    ("kind", "is_loss"), [("workers_pause", 0), ("config_change", 0), ("store_away", 1)]
+)
+def test_injector_tells_through_which_faults_something_may_be_lost(invariants, kind, is_loss):
+    async def scenario():
+        site = await HostingSite(["a"], 2, small_models(), 1).start()
+        injector = FaultInjector(site, [], {}, invariants, None, None)
+        fault = asyncio.create_task(injector.inject(Fault(kind, 0.0, 0.1, 0.9)))
+        await asyncio.sleep(0.05)
+        active = invariants.active_losses
+        await fault
+        site.close()
+        return active
+
+    assert asyncio.run(scenario()) == is_loss
+    assert invariants.active_losses == 0
+    assert (invariants.without_loss_since_ms > LOSS_AFTEREFFECT_MS) == bool(is_loss)
+
+
+def test_run_detects_streams_that_end_while_nothing_is_lost(tmp_path, monkeypatch):
+    """Callers' connections are reset beside a change of configuration, which loses none."""
+    faults = [Fault("config_change", 0.5 + 0.3 * n, 0.0, 0.0) for n in range(6)]
+
+    async def reset_callers(self, fault):
+        for daemon in self.daemons:
+            daemon.caller_link.reset()
+
+    monkeypatch.setattr(_soak_run, "plan_worker_pauses", lambda seed, seconds: faults)
+    monkeypatch.setattr(FaultInjector, "config_change", reset_callers)
+    run = SoakRun(7, 3.0, 2, str(tmp_path), pauses="only")
+    report = asyncio.run(run.run())
+    assert {b["promise"] for b in report.breaches} == {"no stream cut without a loss"}
+
+
+@pytest.mark.parametrize("selector", [0.0, 0.99])
+def test_workers_that_pause_and_go_on_cut_no_stream(tmp_path, monkeypatch, selector):
+    """One worker, then all of them stand still for longer than a daemon waits for an answer."""
+    faults = [Fault("workers_pause", at_s, 1.3, selector) for at_s in (0.5, 2.4)]
+    monkeypatch.setattr(_soak_run, "plan_worker_pauses", lambda seed, seconds: faults)
+    monkeypatch.setattr(_soak_run, "CALLERS_PER_DAEMON", 10)
+    run = SoakRun(7, 4.0, 3, str(tmp_path), pauses="only")
+    report = asyncio.run(run.run())
+    assert report.breaches == []
+    assert report.recovered_s is not None
+    assert report.faults == {"workers_pause": 2}
+    assert report.outcomes["draft 200"] > 10
+    assert report.outcomes["issue 200"] > 10
