--- a/libraries/soak/src/corianderhaven/soak/_soak_run.py
+++ b/libraries/soak/src/corianderhaven/soak/_soak_run.py
@@ -20,6 +20,7 @@
 ZONES = ("a", "b", "c")
 ENGINES_PER_ZONE = 5  # two large replicas and a spare: losing a member leaves one replica
 CALLERS_PER_DAEMON = 4  # about 15 requests/s, with a mean pause of 0.15 s per caller
+PAUSE_CALLERS_PER_DAEMON = 10  # while only workers pause, so that many streams meet a pause
 TOKEN_MS = 25.0  # streams last long enough for faults to hit them halfway
 STARTUP_TIMEOUT_S = 20.0  # 100 processes started at once take about 10 s
 RECOVERY_TIMEOUT_S = 12.0  # from the last fault until every daemon serves every kind again
@@ -48,6 +49,11 @@
         Number of faults by kind that came due, skipped ones included.
     outcomes : dict of str to int
         Number of requests by kind and status.
+    streams_without_loss : int
+        Streams that were checked to end whole because nothing was lost meanwhile.
+    max_lag_s : float
+        By how much this process, with its store, workers and callers, was late at most. Daemons
+        that see all of these stand still do so for want of processor time.
     recovered_s : float or None
         Time from the last fault until every daemon served every kind of request again; None
         if that exceeded `RECOVERY_TIMEOUT_S`.
@@ -66,6 +72,8 @@
     outcomes: dict
     drains: int
     answer_p95_s: float
+    streams_without_loss: int
+    max_lag_s: float
     recovered_s: float | None
     usage: dict = field(default_factory=dict)
     breaches: list = field(default_factory=list)
@@ -110,6 +118,7 @@
         self.other_build = other_build
         self.pauses = pauses if faults else "none"
         self.early_usage = {}
+        self.max_lag_s = 0.0
         self.attempts = []
         self.drains = []
 
@@ -133,13 +142,13 @@
             )
             for n in range(self.processes)
         ]
+        lag = asyncio.create_task(self._measure_lag())
         try:
             await asyncio.gather(*(d.start() for d in self.daemons))
             await self._wait_until_served(STARTUP_TIMEOUT_S)
-            faults, recovered_s = await self._play(self._plan(), self.seconds)
-            if self.pauses == "mixed" and not self.invariants.violations:
-                faults += await self._play_pauses()
+            faults, recovered_s = await self._play_all()
         finally:
+            lag.cancel()
             for daemon in self.daemons:
                 daemon.close()
             site.close()
@@ -147,9 +156,26 @@
                 link.close()
         return self._report(faults, recovered_s)
 
-    async def _play(self, plan, seconds):
+    async def _measure_lag(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + POLL_INTERVAL_S
+            await asyncio.sleep(POLL_INTERVAL_S)
+            self.max_lag_s = max(self.max_lag_s, loop.time() - due)
+
+    async def _play_all(self):
+        """Play the faults of the seed and the pauses; returns the same as `_play`."""
+        if self.pauses == "only":
+            return await self._play_pauses(self.seconds)
+        faults, recovered_s = await self._play(self._plan(), self.seconds, CALLERS_PER_DAEMON)
+        if self.pauses == "mixed" and not self.invariants.violations:
+            pauses, _ = await self._play_pauses(PAUSES_FRACTION * self.seconds)
+            faults += pauses
+        return faults, recovered_s
+
+    async def _play(self, plan, seconds, callers_per_daemon):
         """Inject faults while callers send; returns their number by kind and the recovery time."""
-        async with self._callers():
+        async with self._callers(callers_per_daemon):
             faults = await self._inject_faults(plan, seconds)
         recovered_s = await self._wait_until_served(RECOVERY_TIMEOUT_S)
         if recovered_s is None:
@@ -157,20 +183,19 @@
         self.invariants.check_runs()
         return faults, recovered_s
 
-    async def _play_pauses(self):
-        """Let workers pause while no other fault acts; returns the number of faults by kind."""
+    async def _play_pauses(self, seconds):
+        """Let workers pause while no other fault acts; returns the same as `_play`."""
         wait_ms = self.invariants.without_loss_since_ms - now_ms()
         await asyncio.sleep(max(0.0, wait_ms / MS_PER_S))
-        seconds = PAUSES_FRACTION * self.seconds
-        faults, _ = await self._play(plan_worker_pauses(self.seed, seconds), seconds)
-        return faults
+        plan = plan_worker_pauses(self.seed, seconds)
+        return await self._play(plan, seconds, PAUSE_CALLERS_PER_DAEMON)
 
     @contextlib.asynccontextmanager
-    async def _callers(self):
+    async def _callers(self, callers_per_daemon):
         """Let callers send to all daemons until the block ends."""
         callers = [
             Caller(d, self.site, self.invariants, self.seed * 1_000 + n, self.attempts)
-            for n, d in enumerate(self.daemons * CALLERS_PER_DAEMON)
+            for n, d in enumerate(self.daemons * callers_per_daemon)
         ]
         tasks = [asyncio.create_task(c.run()) for c in callers]
         try:
@@ -192,8 +217,6 @@
     def _plan(self):
         if not self.faults:
             return []
-        if self.pauses == "only":
-            return plan_worker_pauses(self.seed, self.seconds)
         plan = plan_faults(self.seed, self.seconds)
         if self.other_build:
             plan += plan_build_changes(self.seed, self.seconds)
@@ -305,6 +328,8 @@
             dict(sorted(outcomes.items())),
             len(self.drains),
             round(times[int(len(times) * 0.95)], 3) if times else 0.0,
+            self.invariants.streams_without_loss,
+            round(self.max_lag_s, 2),
             round(recovered_s, 2) if recovered_s is not None else None,
             self.usage,
             [asdict(violation) for violation in violations],
