Show that odd messages to the peers' address leave a site as it was

Fifteen odd bodies, of which five can't be read (400, digest_unreadable or permit_request_unreadable) and ten name what can't be true. Two daemons go on serving, and no task or handler ends.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_odd_entries.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_odd_entries.py
@@ -6,6 +6,7 @@
 import pytest
 from loguru import logger
 
+from corianderhaven.common import AsyncHttpClient
 from corianderhaven.daemon._fleet_daemon import FleetDaemon
 from corianderhaven.daemon.tests.hosted_site import (
     heads,
@@ -298,6 +299,46 @@
     asyncio.run(scenario())
 
 
+DIGEST = {"daemon": "edge-b-9", "address": "127.0.0.9:9", "zone": "b"}
+UNREADABLE_MESSAGES = [
+    b"",
+    b"\xff",
+    b"[" * 200_000,
+    b'{"digest": 7}',
+    encode_entry({}, {"digest": encode_entry(DIGEST, {"heads": b'{"x": [1, 1e400]}'})}),
+]
+ODD_PARTS_OF_DIGESTS = [
+    {"heads": {"x": [10**4_000, -1]}},
+    {"heads": {"x": [1, 1e308]}},
+    {"suspects": {"x": -1e308, "y": 1e308}, "unreachable": {"x": 1e308}},
+    {"leaving": {"x": 10**4_000}},
+    {"opened": {"x": ["a", 10**4_000, -1]}},
+    {"config_version": 10**4_000},
+    {"parts": {"x": [{"e": 1e308}, 1e308]}},
+    {"limits": {"x": [10**4_000, 1e308, -1e308]}},
+    {"lost_services": ["ledger"] * 1_000},
+    {"address": "", "zone": "\r\n"},
+]
+
+
+def test_odd_message_to_the_peers_address_leaves_a_site_as_it_was():
+    async def scenario():
+        async with hosted_site(daemons=2) as (site, daemons):
+            digests = [encode_entry({"digest": {**DIGEST, **odd}}) for odd in ODD_PARTS_OF_DIGESTS]
+            client = AsyncHttpClient(daemons[0].settings.peers)
+            for body in UNREADABLE_MESSAGES:
+                for path in ("/peer/digest", "/peer/permits"):
+                    assert (await client.call("POST", path, body)).status == 400
+            daemons[0].decisions.entries.clear()
+            for body in digests:
+                assert (await client.call("POST", "/peer/digest", body)).status == 200
+                await asyncio.sleep(0.2)
+            client.close()
+            await check_serving(daemons)
+
+    asyncio.run(scenario())
+
+
 KEEPER_KEY = "corianderhaven/keeper"
 
 
