Take no announcement of an opened head for newer than its leaving

In the kept logs of a broken run a head's entry said at +0.506 s that it was in no replica, and 35 ms later the directory held it as open again, at the same store revision: no entry, but the former keeper's announcement of opened heads, which it goes on sending for three seconds, also after a SIGTERM. It even came back to its sender in a zone's summary. The successor took it for the head's return, dissolved the replica again, and forgot that it had seen the head leave; the late join and open that followed were then taken for nothing new.

Cause: an announcement was only compared with the present membership, and none is older than any.

Now an incarnation's highest generation is kept, and only a higher one is news. An engine refuses joins of lower generations, so nothing true is lost: an announcement of a generation that an entry or a report has already shown was ignored before, too, while the head was in the replica.

Test, red before (OPEN for None): test_announcement_of_an_opened_head_does_not_bring_it_back.

--- a/libraries/fleet/src/corianderhaven/fleet/_directory.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_directory.py
@@ -50,6 +50,8 @@
         None if the entry is not missing.
     unassigned_since_ms : float
         Time since which this daemon has known the incarnation to be in no replica.
+    highest_generation : int
+        Highest generation that the incarnation is known to have had.
     """
 
     endpoint: Endpoint
@@ -57,6 +59,7 @@
     revision: int
     expires_ms: float | None = None
     unassigned_since_ms: float = 0.0
+    highest_generation: int = 0
 
 
 class EndpointDirectory:
@@ -181,13 +184,15 @@
         if endpoint.leaving:
             self._note_departed(endpoint, True)
         now = self.clock.now_ms()
-        self.records[key] = EndpointRecord(endpoint, now, revision)
-        was_unassigned = (
-            known is not None
-            and known.endpoint.membership is None
-            and known.endpoint.started_ms == endpoint.started_ms
-        )
-        self.records[key].unassigned_since_ms = known.unassigned_since_ms if was_unassigned else now
+        record = EndpointRecord(endpoint, now, revision, unassigned_since_ms=now)
+        if known is not None and known.endpoint.started_ms == endpoint.started_ms:
+            record.highest_generation = known.highest_generation
+            if known.endpoint.membership is None:
+                record.unassigned_since_ms = known.unassigned_since_ms
+        if endpoint.membership is not None:
+            generation = endpoint.membership.generation
+            record.highest_generation = max(record.highest_generation, generation)
+        self.records[key] = record
         if known is None or known.endpoint != endpoint:
             self._log_change(known, endpoint, revision)
             self._mark_changed(key)
@@ -234,8 +239,7 @@
         record = self.records.get(endpoint_id)
         if record is None or record.endpoint.started_ms != started_ms:
             return
-        known = record.endpoint.membership
-        if known is not None and known.generation >= generation:
+        if record.highest_generation >= generation:
             return
         opened = Membership(replica, generation, 0, ReplicaState.OPEN)
         endpoint = replace(record.endpoint, membership=opened)
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_store_watcher.py
@@ -378,6 +378,14 @@
     assert newer.get("e1").membership.replica == "m.1.3"
 
 
+def test_announcement_of_an_opened_head_does_not_bring_it_back():
+    """A former keeper's digest came back by a zone's summary after the head had left."""
+    directory = directory_with(member(endpoint(1, entry_number=4), "m.1.2", 0, generation=12))
+    directory.update("e1", endpoint(1, entry_number=5), 4)
+    directory.update_from_keeper("e1", "m.1.2", 12, 0)
+    assert directory.get("e1").membership is None
+
+
 def test_record_is_written_after_its_first_write_failed():
     """Only its lease was renewed from then on, and no peer ever found the daemon."""
 
