Order an endpoint's entries, reports and answers by what it counts

Seen: the directory took whatever came last for the newest. A report that lagged showed a head open that had answered that it left; an entry on its way brought a head back that a report had shown gone.

Which counts are comparable: an entry's number counts entries, a report's the orders; they share nothing.

- two reports are ordered by their counts; with equal counts, one that shows what an earlier report showed before an entry of another replica is older than that entry;
- an answer raises the count that is known at least: a report that counts fewer is older, for 0.5 s;
- a higher generation is newer, and a lower one older, whatever tells of it;
- entries that have shown what the report showed go on from there.
One that hasn't, and differs, is in doubt: the report stands, and the keeper asks for another until one confirms or refutes it (log entry_doubted).
A daemon that is keeper no more goes by entries alone.

--- a/libraries/fleet/src/corianderhaven/fleet/_directory.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_directory.py
@@ -6,7 +6,16 @@
 
 from corianderhaven.common import DecisionLog
 
-from ._types import Endpoint, Membership, ReplicaState
+from ._membership_order import (
+    REPORT_LAG_MS,
+    EntryOrder,
+    counts_fewer_orders,
+    is_counted_newer,
+    is_older_report,
+    is_same_replica,
+    order_of_entry,
+)
+from ._types import Endpoint, EngineReport, Membership, ReplicaState
 
 # The platform guarantees that a live endpoint that reaches the store writes its entry again
 # within this time after an outage during which the entry expired.
@@ -15,6 +24,8 @@
 STALE_INCARNATION_MS = 3_000.0
 MAX_DEPARTED = 2_000  # about 200 KB; more than leave within the age of a store's copy
 MAX_RECENT = 64  # bounds the size of digests
+DOUBT_PROBE_MS = 250.0  # between two reports that are to confirm or refute an entry
+DOUBT_MS = 3_000.0  # limit on how long an entry waits for a report that confirms or refutes it
 # Transitions that a member makes by itself and never reverses within a generation: a report
 # of the first state is older than a report of the second.
 ONE_WAY_TRANSITIONS = {
@@ -39,6 +50,23 @@
     since_ms: float
 
 
+@dataclass
+class Doubt:
+    """Membership in an entry that may be older than the newest report.
+
+    Parameters
+    ----------
+    since_ms : float
+        Arrival of the first such entry; a report that was asked for `REPORT_LAG_MS` later is newer.
+    probe_ms : float
+        Time at which a report is next asked for.
+    """
+
+    membership: Membership | None
+    since_ms: float
+    probe_ms: float
+
+
 @dataclass
 class EndpointRecord:
     """Endpoint with the time and store revision of its last update.
@@ -52,6 +80,15 @@
         Time since which this daemon has known the incarnation to be in no replica.
     highest_generation : int
         Highest generation that the incarnation is known to have had.
+    entered : Membership or None
+        What the newest entry says.
+    report : EngineReport or None
+        Newest report of the incarnation, with what orders have changed since by their answers.
+    order_ms : float or None
+        Time of the last such answer; a report that is asked for `REPORT_LAG_MS` later is newer.
+    entries_behind : bool
+        Whether the entries haven't shown yet what the report showed.
+    doubt : Doubt or None
     """
 
     endpoint: Endpoint
@@ -60,6 +97,11 @@
     expires_ms: float | None = None
     unassigned_since_ms: float = 0.0
     highest_generation: int = 0
+    entered: Membership | None = None
+    report: EngineReport | None = None
+    order_ms: float | None = None
+    entries_behind: bool = False
+    doubt: Doubt | None = None
 
 
 class EndpointDirectory:
@@ -130,7 +172,7 @@
 
     def apply_peer_entry(self, endpoint, revision):
         """Apply what a daemon that follows the store knows of an endpoint."""
-        self._replace_if_newer(endpoint.id, endpoint, revision)
+        self._apply_entry(endpoint.id, endpoint, revision)
         self._drop_misattributed(endpoint)
 
     def drop(self, key):
@@ -154,9 +196,84 @@
                 # The same entry was listed again: it still exists and holds nothing new.
                 known.expires_ms = None
             return
-        self._replace_if_newer(key, endpoint, revision)
+        self._apply_entry(key, endpoint, revision)
         self._drop_misattributed(endpoint)
 
+    def _apply_entry(self, key, endpoint, revision):
+        """Apply an entry; a report that may be newer keeps its membership until that is certain."""
+        known, entered = self.records.get(key), endpoint.membership
+        if known is not None and known.report is not None:
+            number, last_number = endpoint.entry_number, known.endpoint.entry_number
+            same = endpoint.started_ms == known.endpoint.started_ms
+            if same and number == last_number > 0 and entered == known.entered:
+                endpoint = replace(endpoint, membership=known.endpoint.membership)
+            elif same and number > 0 and number >= last_number:
+                endpoint = self._weigh_entry(known, endpoint)
+        self._replace_if_newer(key, endpoint, revision)
+        record = self.records.get(key)
+        if record is not None and _is_of_entry(record.endpoint, endpoint):
+            record.entered = entered
+
+    def _weigh_entry(self, known, endpoint):
+        """Return the entry `endpoint` with the newer membership of its own and the known one."""
+        current, entered = known.endpoint.membership, endpoint.membership
+        order = EntryOrder.NEWER
+        if known.entries_behind:
+            order = order_of_entry(entered, current, known.highest_generation)
+        if order is EntryOrder.NEWER:
+            known.entries_behind = False
+            known.doubt = None
+            return endpoint
+        if order is EntryOrder.UNKNOWN:
+            now = self.clock.now_ms()
+            if known.doubt is None:
+                known.doubt = Doubt(entered, now, now)
+                self._record_doubt(endpoint, "unknown")
+                self.changed.set()
+            known.doubt.membership = entered
+        return replace(endpoint, membership=current)
+
+    def _record_doubt(self, endpoint, order):
+        member = endpoint.membership
+        self.decisions.record(
+            "entry_doubted",
+            endpoint=endpoint.id,
+            replica=member.replica if member else None,
+            state=str(member.state) if member else None,
+            order=order,
+        )
+
+    def take_due_doubts(self):
+        """Return the endpoints that should be asked for a report, as their entries are in doubt.
+
+        An entry that no report has refuted within `DOUBT_MS` holds.
+        """
+        now = self.clock.now_ms()
+        due = []
+        for key, record in list(self.records.items()):
+            if record.doubt is None:
+                continue
+            if now - record.doubt.since_ms >= DOUBT_MS:
+                self._accept_doubted(key, record)
+            elif now >= record.doubt.probe_ms:
+                record.doubt.probe_ms = now + DOUBT_PROBE_MS
+                due.append(record.endpoint)
+        return due
+
+    def forget_reports(self):
+        """Go by the entries alone, as this daemon asks for no more reports."""
+        for key, record in list(self.records.items()):
+            if record.doubt is not None:
+                self._accept_doubted(key, record)
+            self.records[key].report = None
+            self.records[key].entries_behind = False
+
+    def _accept_doubted(self, key, record):
+        endpoint = replace(record.endpoint, membership=record.doubt.membership)
+        record.doubt, record.report, record.entries_behind = None, None, False
+        self._record_doubt(endpoint, "newer")
+        self._replace_if_newer(key, endpoint, record.revision)
+
     def _drop_misattributed(self, endpoint):
         """Drop an ended endpoint that a report of this one, at its address, seemed to restart."""
         record = self.records.get(endpoint.id)
@@ -171,9 +288,9 @@
                 self.decisions.record("endpoint_gone", endpoint=other_id, address_of=endpoint.id)
                 self._mark_changed(other_id)
 
-    def _replace_if_newer(self, key, endpoint, revision):
+    def _replace_if_newer(self, key, endpoint, revision, counted_newer=False):
         known = self.records.get(key)
-        if known is not None and self._is_outdated(known, endpoint):
+        if known is not None and self._is_outdated(known, endpoint, counted_newer):
             return
         former = self.departed.get(key)
         if former is not None:
@@ -187,6 +304,9 @@
         record = EndpointRecord(endpoint, now, revision, unassigned_since_ms=now)
         if known is not None and known.endpoint.started_ms == endpoint.started_ms:
             record.highest_generation = known.highest_generation
+            record.entered, record.entries_behind = known.entered, known.entries_behind
+            record.report, record.order_ms = known.report, known.order_ms
+            record.doubt = known.doubt
             if known.endpoint.membership is None:
                 record.unassigned_since_ms = known.unassigned_since_ms
         if endpoint.membership is not None:
@@ -197,10 +317,15 @@
             self._log_change(known, endpoint, revision)
             self._mark_changed(key)
 
-    def update_from_report(self, endpoint_id, report):
+    def update_from_report(self, endpoint_id, report, asked_ms=None):
         """Apply the state that an engine returned when queried.
 
         Returns False if the report is that of another endpoint, which has the address now.
+
+        Parameters
+        ----------
+        asked_ms : float or None
+            Time at which the report was asked for; None means just now.
         """
         record = self.records.get(endpoint_id)
         if record is None:
@@ -211,17 +336,78 @@
             if owner not in (None, endpoint_id):
                 self.decisions.record("address_reused", endpoint=endpoint_id, by=owner)
                 return False
+        asked_ms = self.clock.now_ms() if asked_ms is None else asked_ms
+        if not restarted and is_older_report(report, record, asked_ms):
+            return True
         endpoint = replace(
             record.endpoint,
             started_ms=report.started_ms,
             staged=report.staged,
             membership=report.membership,
         )
-        self._replace_if_newer(endpoint_id, endpoint, record.revision)
+        self._replace_if_newer(
+            endpoint_id, endpoint, record.revision, is_counted_newer(report, record)
+        )
         if restarted:
             self.reported_restarts.add(endpoint_id)
+        self._note_report(self.records[endpoint_id], report, asked_ms)
         return True
 
+    def _note_report(self, record, report, asked_ms):
+        """Keep a report that was applied, and end the doubt in an entry that it answers."""
+        membership = record.endpoint.membership
+        if record.endpoint.started_ms != report.started_ms or membership != report.membership:
+            return
+        record.report, record.order_ms = report, None
+        record.entries_behind = record.entered != membership
+        if record.doubt is not None:
+            confirmed = is_same_replica(record.doubt.membership, membership)
+            if confirmed or asked_ms - record.doubt.since_ms >= REPORT_LAG_MS:
+                self._record_doubt(record.endpoint, "newer" if confirmed else "older")
+                record.doubt = None
+
+    def newest_report(self, endpoint_id, report):
+        """Return what is known from `report`, just received, and from answers to orders."""
+        record = self.records.get(endpoint_id)
+        if record is None or record.report is None:
+            return report
+        older = counts_fewer_orders(report, record, self.clock.now_ms())
+        return record.report if older and record.report.started_ms == report.started_ms else report
+
+    def note_order(self, endpoint_id, count_before, began, membership):
+        """Apply the answer to an order that was carried out.
+
+        Parameters
+        ----------
+        count_before : int or None
+            Orders that the endpoint had reported when the order was sent.
+        began : bool
+            Whether the order began something, rather than finding its state already there.
+        membership : Membership or None
+            What the endpoint is in after the order.
+        """
+        record = self.records.get(endpoint_id)
+        last = record.report if record is not None else None
+        if last is None or None in (count_before, last.order_count):
+            return
+        raised = began or not is_same_replica(last.membership, membership)
+        count = count_before + raised
+        if last.order_count > count or (raised and last.order_count == count):
+            return  # a newer report has come meanwhile
+        current = record.endpoint.membership
+        if membership is None and current and is_same_replica(current, last.membership):
+            left = replace(record.endpoint, membership=None)
+            self._replace_if_newer(endpoint_id, left, record.revision)
+            record = self.records[endpoint_id]
+        record.report = replace(last, order_count=count, membership=membership)
+        record.order_ms = self.clock.now_ms()
+        record.entries_behind = record.entered != record.endpoint.membership
+
+    def last_report(self, endpoint_id):
+        """Return the newest report of an endpoint, with later answers to orders, or None."""
+        record = self.records.get(endpoint_id)
+        return record.report if record is not None else None
+
     def _find_at_address(self, address, started_ms):
         """Return the id of the endpoint at an address that started then by its entry, or None."""
         return next(
@@ -305,7 +491,7 @@
             return endpoint.started_ms < former.started_ms
         return 0 < endpoint.entry_number <= former.entry_number
 
-    def _is_outdated(self, known, endpoint):
+    def _is_outdated(self, known, endpoint, counted_newer=False):
         """Return whether `endpoint` is older than the known state of the endpoint."""
         old = known.endpoint
         if endpoint.started_ms != old.started_ms:
@@ -313,6 +499,8 @@
             return recent and endpoint.started_ms < old.started_ms
         if 0 < endpoint.entry_number < old.entry_number:
             return True
+        if counted_newer:
+            return False
         reported, current = endpoint.membership, old.membership
         if reported is None or current is None or reported.generation != current.generation:
             return False
@@ -383,6 +571,11 @@
     return (endpoint.address, endpoint.started_ms)
 
 
+def _is_of_entry(endpoint, entry):
+    """Return whether an endpoint is known from an entry, apart from its membership."""
+    return (endpoint.started_ms, endpoint.entry_number) == (entry.started_ms, entry.entry_number)
+
+
 def _logged_fields(endpoint):
     """Return the fields whose changes are logged."""
     return (
--- a/libraries/fleet/src/corianderhaven/fleet/_interfaces.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_interfaces.py
@@ -129,8 +129,11 @@
         """Return the `EngineReport`, or None if the engine does not respond."""
 
     @abstractmethod
-    async def join(self, endpoint, replica, generation, model, members):
-        """Make an endpoint a member of a replica; the first of `members` is the head."""
+    async def join(self, endpoint, replica, generation, model, members, order_count=None):
+        """Make an endpoint a member of a replica; the first of `members` is the head.
+
+        It is `UNFIT` if the endpoint hasn't accepted just `order_count` orders, unless None.
+        """
 
     @abstractmethod
     async def open(self, head, replica, generation):
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper.py
@@ -113,6 +113,8 @@
                 continue
             if not self.lease.may_order():
                 continue
+            for endpoint in self.directory.take_due_doubts():
+                self.replica_tasks.spawn(self.sender.probe([endpoint]))
             for service in config.services.values():
                 if service.engine is not None:
                     self._reconcile_or_log(service)
@@ -128,6 +130,7 @@
         self.replica_tasks = None
         self.last_members, self.first_seen_ms, self.confirmed_until_ms = {}, {}, {}
         self.sender.unresponsive.clear()
+        self.directory.forget_reports()
         if self.lease.tenure is None:
             return
         self.replica_tasks = ReplicaTasks(
--- a/libraries/fleet/src/corianderhaven/fleet/_order_sender.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_order_sender.py
@@ -36,13 +36,19 @@
         self.decisions = decisions
         self.unresponsive = {}
 
-    async def send(self, operation, endpoint, subject, call):
+    async def send(self, operation, endpoint, subject, call, change=None):
         """Send an order up to `ORDER_ATTEMPTS` times until there is a response.
 
         Returns the `OrderResult`, which is `NOT_SENT` if this daemon may not send orders. An
         endpoint that refuses isn't planned with for a while.
+
+        Parameters
+        ----------
+        change : callable or None
+            Returns what the endpoint is in after the order, given its `Membership` before.
         """
         result = OrderResult.UNKNOWN
+        known = self.directory.last_report(endpoint.id)
         for attempt in range(ORDER_ATTEMPTS):
             if not self.lease.may_order():
                 return OrderResult.NOT_SENT
@@ -60,6 +66,10 @@
                 return result
             if result is OrderResult.REFUSED:
                 self.mark_unresponsive(endpoint.id)
+            if result in ACCEPTED and known is not None:
+                after = change(known.membership) if change else known.membership
+                began = result is OrderResult.BEGUN
+                self.directory.note_order(endpoint.id, known.order_count, began, after)
             if result is not OrderResult.UNKNOWN:
                 return result
             await asyncio.sleep(ORDER_RETRY_INTERVAL_MS / MS_PER_S)
@@ -67,13 +77,19 @@
 
     async def leave(self, endpoint, key):
         """Remove an endpoint from replica `key`; returns whether it is certain to have left."""
+
+        def member_after(member):
+            left = member is not None and (member.replica, member.generation) == key
+            return None if left else member
+
         result = await self.send(
-            "leave", endpoint, key[0], lambda: self.orders.leave(endpoint, *key)
+            "leave", endpoint, key[0], lambda: self.orders.leave(endpoint, *key), member_after
         )
         if result in ACCEPTED:
             return True
+        asked_ms = self.clock.now_ms()
         report = await self.orders.report(endpoint, PROBE_TIMEOUT_MS)
-        if report is None or not self.directory.update_from_report(endpoint.id, report):
+        if report is None or not self.directory.update_from_report(endpoint.id, report, asked_ms):
             self.mark_unresponsive(endpoint.id)
             return False
         member = report.membership
@@ -84,7 +100,8 @@
 
         async def report_after(endpoint, delay_ms):
             await asyncio.sleep(delay_ms / MS_PER_S)
-            return await self.orders.report(endpoint, PROBE_TIMEOUT_MS)
+            asked_ms = self.clock.now_ms()
+            return await self.orders.report(endpoint, PROBE_TIMEOUT_MS), asked_ms
 
         async def probe_one(endpoint):
             attempts = [
@@ -92,8 +109,10 @@
                 for number in range(PROBE_ATTEMPTS)
             ]
             for done in asyncio.as_completed(attempts):
-                report = await done
-                if report is not None and self.directory.update_from_report(endpoint.id, report):
+                report, asked_ms = await done
+                if report is not None and self.directory.update_from_report(
+                    endpoint.id, report, asked_ms
+                ):
                     self.unresponsive.pop(endpoint.id, None)
                     return report
             self.mark_unresponsive(endpoint.id)
--- a/libraries/fleet/src/corianderhaven/fleet/_types.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_types.py
@@ -71,7 +71,13 @@
 
 @dataclass(frozen=True)
 class EngineReport:
-    """State that an engine returns when queried directly."""
+    """State that an engine returns when queried directly.
+
+    Parameters
+    ----------
+    order_count : int or None
+        Orders that this incarnation has accepted; rises with each that begins something.
+    """
 
     started_ms: int
     busy: bool
@@ -80,6 +86,7 @@
     queued: int
     active: int
     time_factor: float
+    order_count: int | None = None
 
 
 @dataclass(frozen=True)
--- a/libraries/fleet/src/corianderhaven/fleet/tests/memory_fleet.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/memory_fleet.py
@@ -34,6 +34,7 @@
 ENTRY_TTL_MS = 3_600.0
 COPY_INTERVAL_S = 0.05
 DIGEST_DELAY_S = 0.3
+OPENED_ANNOUNCE_MS = 3_000.0
 KEEPER_KEY = "own/keeper"
 
 
@@ -89,15 +90,18 @@
             await asyncio.sleep(0.35)
             return OrderResult.UNKNOWN
         engine = fleet.hosted.engines[endpoint.id]
-        if fleet.random.random() < fleet.order_loss:
-            delay_s = fleet.random.uniform(2.0, 12.0)
-            loop = asyncio.get_running_loop()
-            loop.call_later(delay_s, fleet.execute_late, engine, body)
+        if fleet.random.random() < fleet.order_loss or fleet.loses_first_order(engine, body):
+            fleet.delay_order(engine, body)
             await asyncio.sleep(0.35)
             return OrderResult.UNKNOWN
         status = fleet.hosted.order(engine, body)
         fleet.outdated_orders += status == 412
         fleet.publish(engine)
+        if body["operation"] == "leave":
+            fleet.hasten_late_orders(engine, body["group"], had_left=status == 200)
+        if fleet.answer_loss and fleet.random.random() < fleet.answer_loss:
+            await asyncio.sleep(0.35)
+            return OrderResult.UNKNOWN
         return {
             200: OrderResult.DONE,
             202: OrderResult.BEGUN,
@@ -105,7 +109,7 @@
             412: OrderResult.OUTDATED,
         }[status]
 
-    async def join(self, endpoint, replica, generation, model, members):
+    async def join(self, endpoint, replica, generation, model, members, order_count=None):
         return await self._order(
             endpoint,
             operation="join",
@@ -113,6 +117,7 @@
             epoch=generation,
             model=model,
             members=members,
+            **({} if order_count is None else {"expected": order_count}),
         )
 
     async def open(self, head, replica, generation):
@@ -225,6 +230,18 @@
         self.keepers_without_engines = set()
         self.outage_confirmed = False
         self.order_loss = 0.0
+        self.answer_loss = 0.0
+        self.first_order_loss = 0.0
+        self.kinds_sent = set()
+        self.hastening = False  # late orders of a replica follow a leave of it
+        self.late_orders = []
+        self.late_s = (2.0, 12.0)
+        self.late_orders_unconditional = False
+        self.entry_delay_s = 0.0
+        self.report_lag_s = 0.0
+        self.reports = {}
+        self.deliveries = {}
+        self.draining = {}
         self.requests_started = 0
         self.keepers = {}
         self.watchers = {}
@@ -278,19 +295,62 @@
     def lease_holder(self):
         return next((k for k in self.keepers.values() if k.lease.tenure is not None), None)
 
+    def loses_first_order(self, engine, body):
+        """Return whether the first order of its kind to an engine and replica gets no answer."""
+        kind = (engine.id, body["operation"], body.get("group"))
+        if not self.first_order_loss or kind in self.kinds_sent:
+            return False
+        self.kinds_sent.add(kind)
+        return self.random.random() < self.first_order_loss
+
+    def delay_order(self, engine, body):
+        """Have an engine carry out an order some seconds later."""
+        if self.late_orders_unconditional:
+            body = {key: value for key, value in body.items() if key != "expected"}
+        order = (engine, body)
+        self.late_orders.append(order)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.random.uniform(*self.late_s), self._execute_delayed, order)
+
+    def hasten_late_orders(self, engine, group, had_left):
+        """Have an engine that was made to leave carry out late orders of that replica soon."""
+        if not self.hastening or self.random.random() > (0.9 if had_left else 0.3):
+            return
+        delay_s = 0.0
+        for operation, most_s in (("join", 0.15), ("open", 0.8)):
+            for order in self.late_orders:
+                body = order[1]
+                if order[0] is engine and (body["operation"], body.get("group")) == (
+                    operation,
+                    group,
+                ):
+                    delay_s += self.random.uniform(0.0, most_s)
+                    loop = asyncio.get_running_loop()
+                    loop.call_later(delay_s, self._execute_delayed, order)
+                    break
+            delay_s += 0.25
+
+    def _execute_delayed(self, order):
+        if order in self.late_orders:
+            self.late_orders.remove(order)
+            self.execute_late(*order)
+
     def execute_late(self, engine, body):
         if engine.alive:
             self.hosted.order(engine, body)
             self.publish(engine)
 
     def endpoint_of(self, engine):
+        engine.entry_count += 1
+        return self._state_of(engine)
+
+    def _state_of(self, engine):
         state = self.hosted.state(engine)
         membership = None
         if state is not None:
             group = engine.group
             rank = group.members.index(engine.id)
             membership = Membership(group.name, group.epoch, rank, ReplicaState(state))
-        engine.entry_count += 1
         return endpoint(
             int(engine.id[1:]),
             engine.domain,
@@ -301,10 +361,23 @@
         )
 
     def report(self, endpoint_id):
-        entry = self.endpoint_of(self.hosted.engines[endpoint_id])
-        return EngineReport(entry.started_ms, False, entry.staged, entry.membership, 0, 0, 1.0)
+        self._record_report(self.hosted.engines[endpoint_id])
+        made_ms = self.clock.now_ms() - self.report_lag_s * self.random.random() * 1000
+        reports = self.reports[endpoint_id]
+        newest = reports[-1][1]
+        made_before = [r for t, r in reports if t <= made_ms and r.started_ms == newest.started_ms]
+        return made_before[-1] if made_before else newest
+
+    def _record_report(self, engine):
+        state = self._state_of(engine)
+        report = EngineReport(
+            state.started_ms, False, state.staged, state.membership, 0, 0, 1.0, engine.order_count
+        )
+        reports = self.reports.setdefault(engine.id, deque(maxlen=50))
+        reports.append((self.clock.now_ms(), report))
 
     def publish(self, engine):
+        self._record_report(engine)
         entry = self.endpoint_of(engine)
         if not self.store_down and not engine.without_store:
             self.entries[engine.id] = entry
@@ -314,7 +387,18 @@
                 and not self.store_down
                 and not engine.without_store
             ):
-                directory.update(engine.id, entry, self.position())
+                self._deliver(directory, entry)
+
+    def _deliver(self, directory, entry):
+        """Apply an entry to a directory, after a delay but in order."""
+        if not self.entry_delay_s:
+            directory.update(entry.id, entry, self.position())
+            return
+        loop = asyncio.get_running_loop()
+        due = self.deliveries.get((directory, entry.id), 0.0)
+        due = max(due, loop.time() + self.random.uniform(0.0, self.entry_delay_s))
+        self.deliveries[directory, entry.id] = due + 1e-6
+        loop.call_at(due, directory.update, entry.id, entry, self.position())
 
     def position(self):
         """Return the position of the latest entry in the store's history."""
@@ -340,8 +424,33 @@
         directory.note_store_recovery()
         directory.replace_all((i, entry, self.position()) for i, entry in self.entries.items())
 
-    def _exchange_digests(self):
-        """Tell all daemons the latest era and tenure that any of them knows."""
+    def drain_keeper(self):
+        """Have the lease's holder end its tenure and go on for some seconds, as after a SIGTERM."""
+        keeper = self.lease_holder()
+        name = next(n for n, k in self.keepers.items() if k is keeper)
+        keeper.close()
+        self.draining[name] = self.keepers.pop(name)
+        loop = asyncio.get_running_loop()
+        self.resigning = loop.create_task(keeper.lease.resign())
+        loop.call_later(self.random.uniform(2.0, 5.0), self._end_daemon, name)
+
+    def _end_daemon(self, name):
+        self.draining.pop(name).lease.close()
+        del self.directories[name]
+
+    def _opened_heads(self):
+        """Return the heads that keepers, present and former, announce as opened."""
+        daemons = [*self.keepers.values(), *self.draining.values()]
+        return [k.opened_heads(OPENED_ANNOUNCE_MS) for k in daemons]
+
+    def _exchange_digests(self, opened_heads):
+        """Tell all daemons the latest era and tenure that any of them knows, and opened heads."""
+        for opened in opened_heads:
+            for head_id, head in opened.items():
+                for directory in self.directories.values():
+                    directory.update_from_keeper(
+                        head_id, head.replica, head.generation, head.started_ms
+                    )
         if not self.keepers:
             return
         era = max(e.number for e in self.eras.values())
@@ -365,7 +474,9 @@
             self.store.revision += 1
             self._record_copy()
             if self.keepers:
-                asyncio.get_running_loop().call_later(DIGEST_DELAY_S, self._exchange_digests)
+                asyncio.get_running_loop().call_later(
+                    DIGEST_DELAY_S, self._exchange_digests, self._opened_heads()
+                )
             cut_off = self._list_after_outage(cut_off)
             all_cut_off = self.store_down or self.daemons_without_store >= set(self.directories)
             # Digests are valid for 600 ms.
