Let an endpoint's newest report decide whether it may join a replica

Cause: that report was weighed against the keeper's conclusion, and the conclusion won. And a join that arrived after late orders, or was itself carried out late, found another state than the report.

Now an endpoint that reports a replica which it may serve leaves it first, whatever was concluded (log member_in_released_replica). Only a broken replica, and one that this tenure never ordered to open, as the spares' own, is joined over. Each join names the count of orders on which this rests, so it is refused if any order was carried out in between, and a late copy of it can't bring a member back. A refused join is sent again with the new report; if that shows the replica, an answer was lost.

The stand-in's engines check the expected count before all else, so that a repeated join is refused.

Model: entries arrive late, reports lag, answers are lost, former keepers announce their heads, and late orders follow a leave.

--- a/libraries/fleet/src/corianderhaven/fleet/_keeper_state.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper_state.py
@@ -28,6 +28,8 @@
         End of the last attempt to dissolve a replica.
     released : set of (str, int)
         Replicas that can no longer serve, so that their members are free.
+    never_opened : set of (str, int)
+        Replicas of this tenure that it has never ordered to open, and never will.
     broken_by_ms : dict of (str, int) to float
         Latest time at which a replica with an unreachable head declares itself broken.
     last_replicas : dict of str to (str, int)
@@ -55,6 +57,7 @@
     dissolving: set = field(default_factory=set)
     last_dissolve_ms: dict = field(default_factory=dict)
     released: set = field(default_factory=set)
+    never_opened: set = field(default_factory=set)
     broken_by_ms: dict = field(default_factory=dict)
     last_replicas: dict = field(default_factory=dict)
     last_models: dict = field(default_factory=dict)
--- a/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
@@ -1,6 +1,7 @@
 """Tasks that form and dissolve replicas, stage weights and prepare standby members."""
 
 import asyncio
+import functools
 from dataclasses import dataclass
 
 from corianderhaven.common import MS_PER_S
@@ -9,8 +10,8 @@
 from ._interfaces import OrderResult
 from ._keeper_state import KeeperState
 from ._order_sender import ACCEPTED, GENERATIONS_PER_TENURE
-from ._replicas import replica_name
-from ._types import ReplicaState
+from ._replicas import model_of, replica_name
+from ._types import Membership, ReplicaState
 
 LATE_ORDER_MS = 15_000.0  # engines carry out orders some seconds late, if they don't answer
 STALL_MARGIN_MS = 500.0  # added to the time after which a head without members breaks
@@ -21,6 +22,9 @@
 UNFIT_RETRY_MS = 1_000.0  # a sixteenth of the longest load time
 POLL_INTERVAL_MS = 40.0  # a fifth of the shortest join time
 DISSOLVE_RETRY_MS = 700.0  # between attempts while no member responds
+JOIN_ATTEMPTS = 8  # of a join that its endpoint refuses; reports lag by some hundred ms
+LEAVE_ATTEMPTS = 5  # to make an endpoint leave before it may join
+LEAVE_CHECK_MS = 10.0  # from such a leave to the next report
 
 
 @dataclass(frozen=True)
@@ -94,6 +98,7 @@
         key = self._next_key(action.model)
         self.keeper_state.warming.add(action.endpoint.id)
         self.keeper_state.released.add(key)
+        self.keeper_state.never_opened.add(key)
         self.spawn(self._prepare_standby(action, key))
 
     def begin_staging(self, engine, action):
@@ -149,6 +154,7 @@
             # Only this task opens the replica: if it never sent the order, the members are free.
             if not open_sent:
                 keeper_state.released.add(key)
+                keeper_state.never_opened.add(key)
             took_ms = round(self.clock.now_ms() - started_ms)
             self.decisions.record("replica_formed", replica=key[0], opened=opened, took_ms=took_ms)
 
@@ -165,16 +171,56 @@
             + READY_MARGIN_MS
         )
 
-    async def _all_free(self, endpoints):
-        """Probe whether endpoints are in no replica that may serve; entries may be outdated."""
-        reports = await self.sender.probe(endpoints)
-        for endpoint_id, report in reports.items():
-            if report is not None:
+    async def _report_free(self, endpoints):
+        """Return reports, by id, in which all endpoints may join a replica, or None.
+
+        What an endpoint reports decides: one in a released replica may have entered it again, and
+        has to leave first.
+        """
+        for _ in range(LEAVE_ATTEMPTS):
+            reports = await self.sender.probe(endpoints)
+            if not all(reports.values()):
+                return None
+            reports = {i: self.directory.newest_report(i, r) for i, r in reports.items()}
+            for endpoint_id, report in reports.items():
                 self.observe_head(endpoint_id, report.membership)
-        members = [report and report.membership for report in reports.values()]
-        return all(reports.values()) and all(
-            m is None or (m.replica, m.generation) in self.keeper_state.released for m in members
+            if any(not self._is_released(report) for report in reports.values()):
+                return None
+            members = [e for e in endpoints if not self._may_join(reports[e.id])]
+            if not members:
+                return reports
+            left = await asyncio.gather(*(self._leave(e, reports[e.id]) for e in members))
+            if not all(left):
+                return None
+            await asyncio.sleep(LEAVE_CHECK_MS / MS_PER_S)
+        return None
+
+    def _is_released(self, report):
+        member = report.membership
+        return member is None or (member.replica, member.generation) in self.keeper_state.released
+
+    def _may_join(self, report):
+        """Return whether an engine may join a replica if it accepts no order after its report.
+
+        A head that is ready may have accepted the order to open, and opens without a further one.
+        """
+        member = report.membership
+        if member is None:
+            return True
+        key = (member.replica, member.generation)
+        if key in self.keeper_state.never_opened:
+            return True
+        return key in self.keeper_state.released and member.state is ReplicaState.BROKEN
+
+    async def _leave(self, endpoint, report):
+        member = report.membership
+        self.decisions.record(
+            "member_in_released_replica",
+            replica=member.replica,
+            endpoint=endpoint.id,
+            state=str(member.state),
         )
+        return await self.sender.leave(endpoint, (member.replica, member.generation))
 
     def observe_head(self, endpoint_id, member):
         """Take note of what an endpoint reports, if it was the head of a dissolved replica."""
@@ -186,24 +232,50 @@
 
     async def _join_all(self, action, key):
         ids = [e.id for e in action.members]
-        if not await self._all_free(action.members):
+        reports = await self._report_free(action.members)
+        if reports is None:
             return False
-
-        async def join(endpoint):
-            async def send_join():
-                result = await self.orders.join(endpoint, *key, action.model, ids)
-                if result is OrderResult.UNKNOWN and endpoint.id == ids[0]:
-                    self.keeper_state.join_unanswered.add(key)
-                return result
-
-            return await self.sender.send("join", endpoint, key[0], send_join)
-
-        results = await asyncio.gather(*(join(e) for e in action.members))
+        results = await asyncio.gather(
+            *(self._join("join", e, key, ids, reports[e.id]) for e in action.members)
+        )
         for endpoint, result in zip(action.members, results, strict=True):
             if result is OrderResult.UNKNOWN:
                 self.sender.mark_unresponsive(endpoint.id)
         return all(result in ACCEPTED for result in results)
 
+    async def _join(self, operation, endpoint, key, ids, report):
+        """Order an endpoint to join, provided that it has accepted no order since `report`.
+
+        Otherwise a late order could bring it into another replica in between.
+        """
+        joined = Membership(*key, ids.index(endpoint.id), ReplicaState.JOINING)
+        for _ in range(JOIN_ATTEMPTS):
+            send_join = functools.partial(self._send_join, endpoint, key, ids, report.order_count)
+            result = await self.sender.send(
+                operation, endpoint, key[0], send_join, lambda _: joined
+            )
+            if result is not OrderResult.UNFIT or report.order_count is None:
+                return result
+            # It accepted an order since, perhaps this one, whose answer was lost.
+            await asyncio.sleep(2 * POLL_INTERVAL_MS / MS_PER_S)
+            report = (await self.sender.probe([endpoint]))[endpoint.id]
+            if report is None:
+                return OrderResult.UNKNOWN
+            report = self.directory.newest_report(endpoint.id, report)
+            member = report.membership
+            if member is not None and (member.replica, member.generation) == key:
+                return OrderResult.DONE
+            if not self._may_join(report):
+                return OrderResult.UNFIT
+        return OrderResult.UNFIT
+
+    async def _send_join(self, endpoint, key, ids, order_count):
+        model = model_of(key[0])
+        result = await self.orders.join(endpoint, *key, model, ids, order_count)
+        if result is OrderResult.UNKNOWN and endpoint.id == ids[0]:
+            self.keeper_state.join_unanswered.add(key)
+        return result
+
     async def _open(self, ids, key):
         head = self.directory.get(ids[0])
         if head is None:
@@ -215,7 +287,8 @@
                 self.keeper_state.open_unanswered.add(key)
             return result
 
-        result = await self.sender.send("open", head, key[0], send_open)
+        opened = Membership(*key, 0, ReplicaState.OPEN)
+        result = await self.sender.send("open", head, key[0], send_open, lambda _: opened)
         if result not in (*ACCEPTED, OrderResult.UNKNOWN):
             return False
         return await self._wait_states(ids[:1], key, ReplicaState.OPEN, OPEN_REPORT_TIMEOUT_MS)
@@ -244,14 +317,10 @@
     async def _prepare_standby(self, action, key):
         endpoint = action.endpoint
         try:
-            if not await self._all_free([endpoint]):
+            reports = await self._report_free([endpoint])
+            if reports is None:
                 return
-            await self.sender.send(
-                "standby",
-                endpoint,
-                key[0],
-                lambda: self.orders.join(endpoint, *key, action.model, [endpoint.id]),
-            )
+            await self._join("standby", endpoint, key, [endpoint.id], reports[endpoint.id])
             await asyncio.sleep(STANDBY_RETRY_MS / MS_PER_S)
         finally:
             self.keeper_state.warming.discard(endpoint.id)
@@ -326,6 +395,9 @@
         head = replica.head
         if head is None or head.id in self.sender.unresponsive:
             return False
+        if self.directory.last_report(head.id) is None:
+            # Without it, reports from before the leave can't be told from later ones.
+            await self.sender.probe([head])
         return await self.sender.leave(head, key)
 
     async def _close_gracefully(self, head, key):
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_keeper_model.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_keeper_model.py
@@ -147,6 +147,51 @@
     assert open_replicas == alive // 2
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_violations_under_stale_messages_and_orders_that_follow_a_leave(seed):
+    """Guards against TWO: late orders brought a head back that was made to leave twice.
+
+    A former keeper announces the head as opened for some seconds more, entries arrive after newer
+    reports, reports lag, answers are lost, and heads that left carry out late orders at once.
+    """
+
+    async def simulate(clock):
+        fleet = MemoryFleet(clock, seed, domains=1, per_domain=4)
+        rng = fleet.random
+        fleet.hastening, fleet.late_s = True, (6.0, 12.0)
+        fleet.late_orders_unconditional = seed % 2 == 1  # as those of earlier versions
+        fleet.entry_delay_s, fleet.report_lag_s = 0.4, 0.2
+        for engine in fleet.hosted.engines.values():
+            engine.staged = ["small"]
+        await asyncio.sleep(8.0)
+        for number in range(6):
+            fleet.first_order_loss, fleet.answer_loss = 0.9, 0.2
+            opened = fleet.open_replicas()
+            for engine_number in range(100 + 3 * number, 102 + 3 * number):
+                fleet.add_engine(engine_number, "d0", staged=("small",))
+            end = clock.now_ms() + 8_000.0
+            while fleet.open_replicas() == opened and clock.now_ms() < end:
+                await asyncio.sleep(0.1)
+            fleet.first_order_loss = fleet.answer_loss = 0.0
+            await asyncio.sleep(rng.uniform(0.4, 1.8))
+            fleet.drain_keeper()
+            fleet.add_keeper(f"successor-{number}")
+            while fleet.lease_holder() is None:
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(0.3)
+            await lose_newest_replica(fleet)
+            await asyncio.sleep(rng.uniform(2.0, 5.0))
+            fleet.add_engine(102 + 3 * number, "d0", staged=("small",))
+            await asyncio.sleep(rng.uniform(2.0, 4.0))
+        await asyncio.sleep(25.0)
+        alive = sum(engine.alive for engine in fleet.hosted.engines.values())
+        return fleet.hosted.violations, fleet.open_replicas("small"), alive
+
+    violations, open_replicas, alive = run_in_virtual_time(simulate)
+    assert violations == []
+    assert open_replicas == alive // 2
+
+
 def test_empty_fleet_is_formed_within_the_load_limits():
     async def simulate(clock):
         fleet = MemoryFleet(clock, domains=4, per_domain=10, traffic=False)
--- a/libraries/standins/src/corianderhaven/standins/_hosting_engine.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_engine.py
@@ -133,6 +133,8 @@
         operation = body.get("operation")
         if operation not in ORDER_OPERATIONS:
             return 400
+        if body.get("expected", engine.order_count) != engine.order_count:
+            return 409
         if operation == "phase":
             return self._load(engine, body["model"])
         if operation == "join":
