See by the answer to a leave that a head was away

In the kept logs the late join follows the leave by 0.13 s, and the entries that show the head away and back arrive in one batch, between two looks of the keeper. It never saw the head away, and took it for free.

The answer to the leave makes the directory show no replica; the keeper now takes note of that at once.

--- a/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
@@ -371,6 +371,9 @@
                 keeper_state.released.add(key)
                 if replica.head is not None:
                     keeper_state.record_left(replica.head.id, key)
+                    head = self.directory.get(replica.head.id)
+                    # Its next entries may come at once, the last of which shows it back.
+                    self.observe_head(replica.head.id, head and head.membership)
                 await self._release_survivors(replica, key)
             else:
                 await self._release_without_head(replica, key)
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_late_orders.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_late_orders.py
@@ -182,3 +182,38 @@
         return reported, fleet.open_replicas("small"), fleet.hosted.violations
 
     assert run_in_virtual_time(simulate) == (["e0"], 4, [])
+
+
+def test_head_whose_leaving_and_return_arrive_at_once_joins_no_other_replica():
+    """Guards against TWO: the entry of a head that had left was read with those of its return."""
+
+    async def simulate(clock):
+        fleet = small_fleet(clock)
+        await asyncio.sleep(8)
+        head = open_head(fleet)
+        group = head.group
+        replace_keeper(fleet)
+        await asyncio.sleep(4)
+        publish, returned = fleet.publish, []
+
+        def publish_once_returned(engine):
+            if engine is not head or returned:
+                publish(engine)
+
+        fleet.publish = publish_once_returned
+        fleet.hosted.kill(group.members[1])
+        fleet.lease_holder().suspect(head.id, "test")
+        while head.group is not None:
+            await asyncio.sleep(0.02)
+        join, open_order = late_orders(group)
+        fleet.execute_late(head, join)
+        await asyncio.sleep(0.2)
+        returned.append(True)
+        publish(head)
+        fleet.execute_late(head, open_order)
+        await asyncio.sleep(0.4)
+        fleet.add_engine(8, "d0", staged=("small",))
+        await asyncio.sleep(20)
+        return fleet.open_replicas("small"), fleet.hosted.violations
+
+    assert run_in_virtual_time(simulate) == (4, [])
