Wait for a report when an engine says that it has a model staged already

A report up to 0.2 s old, asked for by a probe, still showed nothing staged after the entry had shown the model; the planner staged it anew, was told "done", probed, and read the same old report.

--- a/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
@@ -9,6 +9,7 @@
 from ._formation import FormationPlanner
 from ._interfaces import OrderResult
 from ._keeper_state import KeeperState
+from ._membership_order import REPORT_LAG_MS
 from ._order_sender import ACCEPTED, GENERATIONS_PER_TENURE
 from ._replicas import model_of, replica_name
 from ._types import Membership, ReplicaState
@@ -340,11 +341,15 @@
                 self.keeper_state.held_until_ms[endpoint.id] = self.clock.now_ms() + UNFIT_RETRY_MS
             if result is OrderResult.DONE:
                 await self.sender.probe([endpoint])
-            if result is not OrderResult.BEGUN:
+            if result not in ACCEPTED:
                 return
             load_ms = engine.model(model).load_s * MS_PER_S
             factor = max(1.0, keeper_state.active_loads / engine.max_concurrent_loads)
-            deadline_ms = self.clock.now_ms() + load_ms * factor + READY_MARGIN_MS
+            # Reports may lag behind an engine that has the weights already.
+            wait_ms = load_ms * factor + READY_MARGIN_MS
+            if result is OrderResult.DONE:
+                wait_ms = REPORT_LAG_MS
+            deadline_ms = self.clock.now_ms() + wait_ms
             while self.clock.now_ms() < deadline_ms:
                 current = self.directory.get(endpoint.id)
                 if current is None or model in current.staged:
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_refused_orders.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_refused_orders.py
@@ -1,6 +1,7 @@
 """Tests of orders that endpoints refuse, and of orders that this daemon may not send."""
 
 import asyncio
+from dataclasses import replace
 
 from corianderhaven.fleet import OrderResult
 from corianderhaven.fleet.tests.memory_fleet import MemoryFleet
@@ -9,6 +10,7 @@
 SCENARIO_S = 9.0
 PAUSE_S = 2.0  # for which an endpoint that refuses an order isn't planned with
 LOSS_S = 0.05
+LAG_MS = 150.0
 
 
 def test_refused_stage_order_is_not_repeated_at_once():
@@ -58,3 +60,30 @@
         return set(keeper.sender.unresponsive)
 
     assert run_in_virtual_time(simulate) == set()
+
+
+def test_stage_order_is_not_repeated_while_reports_lag_behind_the_load():
+    """A report from before the end of a load was believed: 15 orders in 150 ms."""
+
+    async def simulate(clock):
+        fleet = MemoryFleet(clock, domains=1, per_domain=1, keepers=1)
+        fleet.hosted.engines["e0"].staged = ["large"]
+        await asyncio.sleep(8.0)
+        sender = fleet.keepers["k0"].sender
+        stage, report, results = sender.orders.stage, sender.orders.report, []
+        lag_end_ms = clock.now_ms() + LAG_MS
+
+        async def note_result(endpoint, model):
+            results.append(await stage(endpoint, model))
+            return results[-1]
+
+        async def report_late(endpoint, timeout_ms):
+            current = await report(endpoint, timeout_ms)
+            return replace(current, staged=()) if clock.now_ms() < lag_end_ms else current
+
+        sender.orders.stage, sender.orders.report = note_result, report_late
+        await sender.probe([fleet.directories["k0"].get("e0")])
+        await asyncio.sleep(2.0)
+        return len(results)
+
+    assert 1 <= run_in_virtual_time(simulate) <= 2
