Ask silent members once more when others of their replica respond again

The class: a conclusion that outlives its evidence.

Change: a member's silence counts only if it failed to respond after the last recovery of a member, and within 0.7 s; else it is asked again. The second for a silent head also holds if other members are silent with it. A new tenure forgets the silences of the former one (found by the review).

--- a/libraries/fleet/src/corianderhaven/fleet/_keeper.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper.py
@@ -17,7 +17,8 @@
 DISCOVERY_MS = 3_000.0  # for the first entries when all VMs start at once
 CONFIRMATION_MS = 1_000.0  # time for which an endpoint's report replaces its missing entry
 HEAD_SILENCE_MS = 1_000.0  # after which a head that responds to no probe counts as lost
-HEAD_PROBE_INTERVAL_MS = 300.0
+SILENCE_EVIDENCE_MS = 700.0  # for which a probe without an answer counts; a probe takes 400
+MEMBER_PROBE_INTERVAL_MS = 300.0
 REAPPEARANCE_MS = 2_500.0  # entries that expired together return within two heartbeats
 
 
@@ -132,6 +133,8 @@
         self.replica_tasks = None
         self.last_members, self.first_seen_ms, self.confirmed_until_ms = {}, {}, {}
         self.sender.unresponsive.clear()
+        self.sender.silences.clear()
+        self.sender.recovered_ms.clear()
         self.directory.forget_reports()
         if self.lease.tenure is None:
             return
@@ -263,27 +266,34 @@
         members = replica.members.values()
         if all(e.id in self.sender.unresponsive for e in members):
             return False  # no member responds: this daemon itself may be cut off
-        if action.reason == "member silent" and self._may_head_return(replica):
+        if action.reason == "member silent" and self._is_silence_doubtful(replica):
             return False
         if action.reason != "member lost":
             return True
         return self.clock.now_ms() - self.first_seen_ms.get(key, 0.0) > REAPPEARANCE_MS
 
-    def _may_head_return(self, replica):
-        """Return whether only the head is silent, and for a short time, so that it may be sound.
+    def _is_silence_doubtful(self, replica):
+        """Return whether silent members may be sound, which probes are to show.
 
-        Its members are not free before a lost head would have stalled in any case.
+        The members of a silent head are not free before a lost head would have stalled in any
+        case, so it is given some time. Silence is no evidence once others have responded after it.
         """
+        now, sender = self.clock.now_ms(), self.sender
+        silent = [e for e in replica.members.values() if e.id in sender.unresponsive]
         head = replica.head
-        silent = {e.id for e in replica.members.values()} & self.sender.unresponsive.keys()
-        if head is None or silent != {head.id}:
-            return False
-        now = self.clock.now_ms()
-        if now - self.sender.silent_since_ms.get(head.id, 0.0) >= HEAD_SILENCE_MS:
+        head_may_return = (
+            head in silent and now - sender.silences[head.id].since_ms < HEAD_SILENCE_MS
+        )
+        recovered_ms = (sender.recovered_ms.get(e.id, 0.0) for e in replica.members.values())
+        since_ms = max(now - SILENCE_EVIDENCE_MS, *recovered_ms)
+        outdated = [e for e in silent if sender.silences[e.id].last_ms <= since_ms]
+        if not head_may_return and not outdated:
             return False
-        if now >= self.next_probe_ms.get(head.id, 0.0):
-            self.next_probe_ms[head.id] = now + HEAD_PROBE_INTERVAL_MS
-            self.replica_tasks.spawn(self.sender.probe([head]))
+        due = [e for e in silent if now >= self.next_probe_ms.get(e.id, 0.0)]
+        for endpoint in due:
+            self.next_probe_ms[endpoint.id] = now + MEMBER_PROBE_INTERVAL_MS
+        if due:
+            self.replica_tasks.spawn(sender.probe(due))
         return True
 
     def _vm_state(self, endpoint):
--- a/libraries/fleet/src/corianderhaven/fleet/_order_sender.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_order_sender.py
@@ -1,6 +1,7 @@
 """Delivery of orders to engines with retries, and probes of engines."""
 
 import asyncio
+from dataclasses import dataclass
 
 from corianderhaven.common import MS_PER_S
 
@@ -16,6 +17,14 @@
 ACCEPTED = (OrderResult.BEGUN, OrderResult.DONE)
 
 
+@dataclass
+class Silence:
+    """Times at which an endpoint first and last failed to respond, with no response between."""
+
+    since_ms: float
+    last_ms: float
+
+
 class OrderSender:
     """Sends orders and probes to engines while this daemon holds the keeper's lease.
 
@@ -35,7 +44,8 @@
         self.clock = clock
         self.decisions = decisions
         self.unresponsive = {}
-        self.silent_since_ms = {}
+        self.silences = {}
+        self.recovered_ms = {}
 
     async def send(self, operation, endpoint, subject, call, change=None):
         """Send an order up to `ORDER_ATTEMPTS` times until there is a response.
@@ -115,7 +125,8 @@
                     endpoint.id, report, asked_ms
                 ):
                     self.unresponsive.pop(endpoint.id, None)
-                    self.silent_since_ms.pop(endpoint.id, None)
+                    if self.silences.pop(endpoint.id, None) is not None:
+                        self.recovered_ms[endpoint.id] = self.clock.now_ms()
                     return report
             self.mark_unresponsive(endpoint.id)
             return None
@@ -125,10 +136,11 @@
 
     def mark_unresponsive(self, endpoint_id):
         """Treat an endpoint as unresponsive for `UNRESPONSIVE_MS`."""
-        self.silent_since_ms.setdefault(endpoint_id, self.clock.now_ms())
+        now = self.clock.now_ms()
+        self.silences.setdefault(endpoint_id, Silence(now, now)).last_ms = now
         if endpoint_id not in self.unresponsive:
             self.decisions.record("endpoint_silent", endpoint=endpoint_id)
-        self.unresponsive[endpoint_id] = self.clock.now_ms() + UNRESPONSIVE_MS
+        self.unresponsive[endpoint_id] = now + UNRESPONSIVE_MS
         self.directory.changed.set()
 
     def due_probes(self, endpoints):
@@ -139,7 +151,8 @@
         for endpoint_id, until in list(self.unresponsive.items()):
             if self.directory.get(endpoint_id) is None:
                 del self.unresponsive[endpoint_id]
-                self.silent_since_ms.pop(endpoint_id, None)
+                self.silences.pop(endpoint_id, None)
+                self.recovered_ms.pop(endpoint_id, None)
             elif now >= until and endpoint_id in by_id:
                 self.unresponsive[endpoint_id] = now + UNRESPONSIVE_MS
                 due.append(by_id[endpoint_id])
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_silent_heads.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_silent_heads.py
@@ -59,3 +59,60 @@
         return fleet.hosted.violations
 
     assert run_in_virtual_time(simulate) == []
+
+
+@pytest.mark.parametrize("silence_s", [0.7, 1.3, 2.0])
+@pytest.mark.parametrize("model", ["large", "small"])
+def test_replica_whose_members_all_stood_still_stays_whole(model, silence_s):
+    """Guards against a dissolution as some responded again before others were asked once more."""
+
+    async def simulate(clock):
+        fleet = MemoryFleet(clock, 1)
+        stage_all(fleet)
+        await asyncio.sleep(8)
+        head = next(
+            e
+            for e in fleet.hosted.engines.values()
+            if fleet.hosted.accepts_requests(e) and e.group.model == model
+        )
+        key = head.group.key
+        members = [fleet.hosted.engines[i] for i in head.group.members]
+        for member in members:
+            member.unreachable = True
+        await asyncio.sleep(SUSPECTED_AFTER_S)
+        fleet.lease_holder().suspect(head.id, "streams silent")
+        await asyncio.sleep(silence_s - SUSPECTED_AFTER_S)
+        for member in members[1:]:  # an order to it has got no answer either
+            fleet.lease_holder().sender.mark_unresponsive(member.id)
+        for member in members:
+            member.unreachable = False
+        await asyncio.sleep(4)
+        assert [m.group and m.group.key for m in members] == [key] * len(members)
+        return fleet.hosted.violations
+
+    assert run_in_virtual_time(simulate) == []
+
+
+def test_silence_of_a_former_tenure_does_not_count():
+    """Guards against a dissolution at once, as an earlier silence had never been forgotten."""
+
+    async def simulate(clock):
+        fleet = MemoryFleet(clock, 1)
+        stage_all(fleet)
+        await asyncio.sleep(8)
+        holder = fleet.lease_holder()
+        (head,) = [e for e in fleet.hosted.engines.values() if fleet.hosted.accepts_requests(e)][:1]
+        holder.sender.mark_unresponsive(head.id)
+        holder.replica_tasks.tenure -= 1
+        await asyncio.sleep(5)
+        key, head.unreachable = head.group.key, True
+        await asyncio.sleep(SUSPECTED_AFTER_S)
+        holder.suspect(head.id, "streams silent")
+        await asyncio.sleep(0.75)
+        head.unreachable = False
+        await asyncio.sleep(3)
+        assert head.group is not None
+        assert head.group.key == key
+        return fleet.hosted.violations
+
+    assert run_in_virtual_time(simulate) == []
