Leave a silent peer only once another one has answered

Found by the review: a peer that fell silent was closed when another was listed and a retry paid; if that one declined, as it does with an older configuration, the stream was cut though its peer was at work. After an overflow no other was tried at all.

Change: another peer is asked, and its first event read, while the silent one stays open. A break after an overflow goes on at the own endpoints. Forwards that were cancelled aren't counted as complete any more. An end before an event is no replacement.

--- a/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
@@ -50,8 +50,8 @@
     leaving: bool = False
 
 
-def _may_not_leave():
-    return False
+async def _find_none():
+    return None
 
 
 @dataclass
@@ -73,8 +73,12 @@
         Whether the end of a streamed body was read before it could be passed on.
     is_ready : bool
         Whether the answer has begun and can be passed on.
-    may_leave : callable
-        Returns whether a silent peer may be given up for another one.
+    find_other : coroutine function
+        Returns a prepared `Forward` to another peer if there is one; called for a silent peer.
+    replacement : Forward or None
+        What was found.
+    leaves_silent : bool
+        Whether a silent peer is left at once, as another attempt stays open.
     """
 
     context: object
@@ -88,7 +92,9 @@
     chunks: list = field(default_factory=list)
     ended: bool = False
     is_ready: bool = False
-    may_leave: object = _may_not_leave
+    find_other: object = _find_none
+    replacement: object = None
+    leaves_silent: bool = False
 
 
 class PeerForwarder:
@@ -276,13 +282,15 @@
         return head if head is not None else await forward.connection.read_head()
 
     async def _read(self, forward, read, timeout_ms):
-        """Return what `read` does; raise `_PeerSilentError` if a silent peer may be left."""
+        """Return what `read` does; raise `_PeerSilentError` if a silent peer is left."""
         while True:
             try:
                 async with asyncio.timeout(timeout_ms / MS_PER_S if timeout_ms else None):
                     return await read()
             except TimeoutError:
-                if forward.may_leave():
+                if not forward.leaves_silent:
+                    forward.replacement = await forward.find_other()
+                if forward.leaves_silent or forward.replacement is not None:
                     raise _PeerSilentError from None
 
     async def _write_request(self, forward):
@@ -328,6 +336,8 @@
         while not splitter.data_event_count:
             chunk = await forward.connection.read_chunk()
             if chunk is None:
+                if splitter.partial or forward.head.ends_with_connection:
+                    raise ConnectionLostError("ended before an event")
                 forward.ended = True
                 return
             forward.chunks.append(chunk)
--- a/libraries/gateway/src/corianderhaven/gateway/_peer_routing.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_peer_routing.py
@@ -1,6 +1,11 @@
 """Way of one request by other daemons, which reach endpoints that this daemon can't."""
 
+import asyncio
+
+from corianderhaven.common import MS_PER_S
+
 from ._request_context import NOT_RUN_RESULTS, AttemptResult
+from ._silence_detector import STALL_MS
 
 MAX_FORWARDS = 4  # per request, including peers that don't take it
 NO_PATH = "no path to the endpoints"
@@ -21,7 +26,6 @@
         self.context = context
         self.streaming = streaming
         self.forwarder = gateway.forwarder
-        self.retry_is_paid = False
 
     async def is_served(self):
         """Return whether the request has ended here, as only a peer can send it to an endpoint."""
@@ -41,7 +45,7 @@
     async def _is_overflow_served(self):
         """Return whether a peer has served a request for which the endpoints in reach are full.
 
-        If none takes it, it waits for these.
+        If none takes it, or the peer's answer breaks off, it waits for these.
         """
         context = self.context
         if not self.gateway.dispatcher.prefers_peer(context):
@@ -52,13 +56,18 @@
             return False
         forward = self.forwarder.begin(context, target)
         result = await self._complete(forward)
+        if forward.replacement is not None:
+            await self.serve(forward.replacement)
+            return True
         if result in NOT_RUN_RESULTS:
             return False
         if result is AttemptResult.COMPLETE:
             context.outcome = "complete"
-        else:
-            reason = f"forward {result.value}"
-            await self.gateway.end_unserved(context, reason, forward.retry_after_ms)
+            return True
+        if result is AttemptResult.BROKEN and self._may_repeat(result):
+            return False
+        reason = f"forward {result.value}"
+        await self.gateway.end_unserved(context, reason, forward.retry_after_ms)
         return True
 
     async def prepare(self):
@@ -68,7 +77,7 @@
         if target is None or not budget.try_spend(context.service.name):
             return None
         forward = self.forwarder.begin(context, target)
-        forward.may_leave = lambda: True  # the silent attempt stays open
+        forward.leaves_silent = True  # the silent attempt stays open
         result = None
         try:
             result = await self.forwarder.prepare(forward, self.streaming, ahead=True)
@@ -95,16 +104,17 @@
             if result is AttemptResult.COMPLETE:
                 context.outcome = "complete"
                 return
-            if not self._may_forward_again(result):
+            if forward.replacement is None and not self._may_forward_again(result):
                 reason = f"forward {result.value}"
                 await self.gateway.end_unserved(context, reason, forward.retry_after_ms)
                 return
-            forward = None
+            forward = forward.replacement
 
     async def _complete(self, forward):
         """Have a peer serve the request, and return the result."""
-        forward.may_leave = lambda: self._may_leave(forward)
-        result = AttemptResult.COMPLETE
+        forward.find_other = lambda: self._find_other(forward)
+        forward.leaves_silent = False
+        result = AttemptResult.COMPLETE if forward.is_ready else None
         try:
             if not forward.is_ready:
                 result = await self.forwarder.prepare(forward, self.streaming)
@@ -120,16 +130,18 @@
         if result is not AttemptResult.COMPLETE:
             self.context.declined_by.add(forward.target.id)
 
-    def _may_leave(self, forward):
-        """Return whether a silent peer may be given up, as another one may get the request."""
+    async def _find_other(self, forward):
+        """Return a prepared `Forward` to a peer other than a silent one, or None."""
         context = self.context
         tried = context.declined_by | {forward.target.id}
         if len(tried) >= MAX_FORWARDS or not context.can_retry(AttemptResult.SILENT):
-            return False
-        if self.forwarder.pick(context.service.name, tried) is None:
-            return False
-        self.retry_is_paid = self.gateway.retry_budget.try_spend(context.service.name)
-        return self.retry_is_paid
+            return None
+        context.declined_by.add(forward.target.id)
+        try:
+            async with asyncio.timeout(STALL_MS / MS_PER_S):
+                return await self.prepare()
+        except TimeoutError:
+            return None
 
     def _may_forward_again(self, result):
         context = self.context
@@ -137,7 +149,10 @@
             return len(context.declined_by) < MAX_FORWARDS
         if result in (AttemptResult.NOT_RUN, AttemptResult.FAILED):
             return False  # the peer's answer is final
-        is_paid, self.retry_is_paid = self.retry_is_paid, False
-        if not context.can_retry(result) or len(context.declined_by) >= MAX_FORWARDS:
+        return len(context.declined_by) < MAX_FORWARDS and self._may_repeat(result)
+
+    def _may_repeat(self, result):
+        """Return whether the request may be sent once more, and count it against the budget."""
+        if not self.context.can_retry(result):
             return False
-        return is_paid or self.gateway.retry_budget.try_spend(context.service.name)
+        return self.gateway.retry_budget.try_spend(self.context.service.name)
