--- a/libraries/gateway/src/corianderhaven/gateway/_request_runner.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_runner.py
@@ -33,7 +33,6 @@
         self.gateway = gateway
         self.attempts = attempts
         self.context = attempts.context
-        self.clock = gateway.clock
         self.decisions = gateway.decisions
         self.peer_routing = PeerRouting(gateway, attempts.context, attempts.streaming)
         self.search = None
