Move the decisions under load into a library of their own

Cause: gateway has 33 modules on six levels; parts to come (fair shares, work, cold endpoints) would crowd it, and a policy could not be read apart from the way of a request. Change: admission, waiting requests, choice, load tracker, latency estimator, retry budget, endpoint limits and send permits, with their tests, are the library scheduling; gateway imports it. Moves and imports only; metric names are unchanged. Ruled out: re-exports from gateway, which would leave two names for each.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Everything runs inside .venv under the checkout; no other step is needed.
 PYTHON ?= python3.11
-LIBRARIES := common config platform membership placement routing fleet gateway daemon cli standins soak
+LIBRARIES := common config platform membership placement routing fleet scheduling gateway daemon cli standins soak
 # Tests spend most of their time waiting, so there are more workers than half the cores.
 TEST_WORKERS ?= 6
 VENV := .venv
--- a/benchmarks/queue_bench.py
+++ b/benchmarks/queue_bench.py
@@ -8,7 +8,7 @@
 from corianderhaven.common import ManualClock
 from corianderhaven.fleet import PeerTable
 from corianderhaven.fleet.tests.memory_fleet import endpoint
-from corianderhaven.gateway import AdmissionQueue, LoadTracker, QueuedRequest, choose_endpoint
+from corianderhaven.scheduling import AdmissionQueue, LoadTracker, QueuedRequest, choose_endpoint
 
 WAITING = (50, 200, 800, 3_200)
 HEADS = (10, 60, 300)
--- a/libraries/gateway/src/corianderhaven/gateway/_attempt_kinds.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_attempt_kinds.py
@@ -2,7 +2,8 @@
 
 from abc import ABC, abstractmethod
 
-from ._admission import Refusal
+from corianderhaven.scheduling import Refusal
+
 from ._dispatcher import DEFAULT_GOAL_MS
 from ._request_context import AttemptResult
 
--- a/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_crash_guard.py
@@ -7,9 +7,9 @@
 import asyncio
 
 from corianderhaven.common import MS_PER_S, ClientConnection, ConnectionLostError
+from corianderhaven.scheduling import Refusal
 
 from . import _metrics
-from ._admission import Refusal
 from ._crash_evidence import REQUEST_PREFIX, RequestDigest, Verdict
 from ._crash_ledger import CrashLedger
 from ._path_prober import CONNECT_TIMEOUT_MS
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -5,10 +5,14 @@
 
 from corianderhaven.common import MS_PER_S
 from corianderhaven.fleet import PERMIT_LIFETIME_MS
-
-from ._admission import AdmissionQueue, QueuedRequest, QueueRates, Refusal
-from ._choice import choose_endpoint
-from ._latency_estimator import LatencyEstimator
+from corianderhaven.scheduling import (
+    AdmissionQueue,
+    LatencyEstimator,
+    QueuedRequest,
+    QueueRates,
+    Refusal,
+    choose_endpoint,
+)
 
 MIN_ANSWER_FRACTION = 0.5  # of the time of an answer; with less left, an attempt is useless
 DEFAULT_GOAL_MS = 500.0
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -4,16 +4,23 @@
 
 from corianderhaven.common import MS_PER_S, CallerDisconnectedError
 from corianderhaven.fleet import Digest, HeadDigest
+from corianderhaven.scheduling import (
+    PATHS_LOST,
+    SHARED_MS,
+    EndpointLimits,
+    LoadTracker,
+    Refusal,
+    RetryBudget,
+    SendPermits,
+    dispatch_periodically,
+)
 
 from . import _metrics
-from ._admission import PATHS_LOST, Refusal, dispatch_periodically
 from ._attempt_kinds import PlainAttempts, StreamAttempts
 from ._crash_guard import CrashGuard, digest_request, reason_for
 from ._dispatcher import DEFAULT_GOAL_MS, Dispatcher
-from ._endpoint_limits import SHARED_MS, EndpointLimits
 from ._event_stream import EventSplitter
 from ._forwarding import DECLINED, unwrap
-from ._load_tracker import LoadTracker
 from ._open_requests import OpenRequests
 from ._path_prober import CONNECT_TIMEOUT_MS, PathProber
 from ._peer_forwarder import PeerForwarder
@@ -21,9 +28,7 @@
 from ._replica_view import ReplicaView
 from ._request_context import AttemptResult, RequestContext
 from ._request_runner import RequestRunner
-from ._retry_budget import RetryBudget
 from ._routes import RouteTable
-from ._send_permits import SendPermits
 from ._sender import Sender
 from ._silence_detector import SilenceDetector
 from ._stream_failover import StreamFailover
--- a/libraries/gateway/src/corianderhaven/gateway/_metrics.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_metrics.py
@@ -24,7 +24,6 @@
 SERVING_REPLICAS = Gauge(PREFIX + "serving_replicas", "Whole open replicas", ["model"])
 STRANDED_VMS = Gauge(PREFIX + "stranded_vms", "Live engine VMs that serve nothing", ["service"])
 LIMITED_ENDPOINTS = Gauge(PREFIX + "limited_endpoints", "Endpoints that name a limit")
-PERMITS = Counter(PREFIX + "permits", "Permits to send to endpoints that name a limit", ["result"])
 PART_REJECTIONS = Counter(
     PREFIX + "part_rejections", "Requests rejected for a part of their prompt", ["verdict"]
 )
--- a/libraries/gateway/src/corianderhaven/gateway/_request_runner.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_runner.py
@@ -8,9 +8,9 @@
 import asyncio
 
 from corianderhaven.common import MS_PER_S
+from corianderhaven.scheduling import PATHS_LOST, Refusal
 
 from . import _metrics
-from ._admission import PATHS_LOST, Refusal
 from ._peer_forwarder import Forward
 from ._peer_routing import PeerRouting
 from ._request_context import AttemptResult
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_parts.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_parts.py
@@ -19,14 +19,8 @@
     RouteRule,
     ServiceSpec,
 )
-from corianderhaven.gateway import (
-    EventSplitter,
-    LatencyEstimator,
-    LoadTracker,
-    RetryBudget,
-    RouteTable,
-    choose_endpoint,
-)
+from corianderhaven.gateway import EventSplitter, RouteTable
+from corianderhaven.scheduling import LatencyEstimator, LoadTracker, RetryBudget, choose_endpoint
 
 
 def make_route(name, prefix, services=(("s", 1.0),)):
--- /dev/null
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_metrics.py
@@ -0,0 +1,8 @@
+"""Prometheus metrics of the decisions under load."""
+
+from prometheus_client import Counter
+
+# These metrics were the gateway's, and operators know them by that name.
+PREFIX = "corianderhaven_gateway_"
+
+PERMITS = Counter(PREFIX + "permits", "Permits to send to endpoints that name a limit", ["result"])
--- a/libraries/gateway/src/corianderhaven/gateway/tests/limit_fleet.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/tests/limit_fleet.py
@@ -16,8 +16,7 @@
     PermitOffer,
     PermitRequest,
 )
-from corianderhaven.gateway import EndpointLimits, SendPermits
-from corianderhaven.gateway._admission import QUEUE_CHECK_INTERVAL_MS
+from corianderhaven.scheduling import QUEUE_CHECK_INTERVAL_MS, EndpointLimits, SendPermits
 
 CALL_MS = (1.0, 6.0)
 CALL_TIMEOUT_MS = 300.0
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_admission.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/tests/test_admission.py
@@ -7,8 +7,13 @@
 import pytest
 
 from corianderhaven.common import ManualClock
-from corianderhaven.gateway import AdmissionQueue, QueuedRequest, Refusal, queue_order
-from corianderhaven.gateway._admission import QueueRates
+from corianderhaven.scheduling import (
+    AdmissionQueue,
+    QueuedRequest,
+    QueueRates,
+    Refusal,
+    queue_order,
+)
 from corianderhaven.standins import run_in_virtual_time
 
 
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_endpoint_limits.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/tests/test_endpoint_limits.py
@@ -6,8 +6,7 @@
 
 from corianderhaven.common import DecisionLog, ManualClock
 from corianderhaven.fleet import MIN_RATE_PER_S, Endpoint, LimitRecord
-from corianderhaven.gateway import EndpointLimits
-from corianderhaven.gateway._endpoint_limits import SHARED_MS
+from corianderhaven.scheduling import SHARED_MS, EndpointLimits
 
 HEAD = Endpoint("e-1", "pool", "10.0.0.1:80", "a", 9, False, started_ms=7)
 NEXT_LIFE = Endpoint("e-1", "pool", "10.0.0.1:80", "a", 9, False, started_ms=8)
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_herding.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/tests/test_herding.py
@@ -8,7 +8,7 @@
 
 from corianderhaven.common import ManualClock
 from corianderhaven.fleet import Endpoint
-from corianderhaven.gateway import LoadTracker, choose_endpoint
+from corianderhaven.scheduling import LoadTracker, choose_endpoint
 
 SLOTS = 10
 ANSWER_MS = 1_000.0
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_waiting_requests.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/tests/test_waiting_requests.py
@@ -8,14 +8,14 @@
 from hypothesis import strategies as st
 
 from corianderhaven.common import ManualClock
-from corianderhaven.gateway import (
+from corianderhaven.scheduling import (
     AdmissionQueue,
     QueuedRequest,
     Refusal,
     WaitingRequests,
+    dispatch_periodically,
     queue_order,
 )
-from corianderhaven.gateway._admission import dispatch_periodically
 
 ACTIONS = st.lists(
     st.tuples(
