Choose heads by the prompt tokens that they have to prefill

Cause: load is counted in requests, so a prompt of 5,880 tokens weighs as one of 300, and short prompts wait behind long ones while other heads are free. Memory held at a head was not counted at all. Change: RequestWork is counted at a head from the choice on and told in digests; PromptPlacement weighs a head's backlog by the slack of the request, and sends none beyond the head's memory. Off by default (--weigh-prompts). request_ended names the prompt's size. Test changed: the released endpoint is now given with its request, so the test's callback takes both; it asserts the same.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -521,9 +521,11 @@
             await caller.send_response(400, [], b"")
 
 
-def serve_node_file(path):
+def serve_node_file(path, weigh_prompts=False):
     """Run a daemon with the settings in a node file; returns the exit code."""
-    daemon = FleetDaemon(read_node_file(path), read_settings=lambda: read_node_file(path))
+    settings = read_node_file(path)
+    settings.weigh_prompts = weigh_prompts
+    daemon = FleetDaemon(settings, read_settings=lambda: read_node_file(path))
     try:
         finished = asyncio.run(daemon.run())
     except OSError as error:
--- a/libraries/daemon/src/corianderhaven/daemon/_main.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_main.py
@@ -36,6 +36,7 @@
     fairness: bool = True,
     seed: int = 0,
     node_file: str = "",
+    weigh_prompts: bool = False,
     log_format: str = "json",
     log_level: str = "INFO",
 ):
@@ -61,14 +62,16 @@
     :param fairness: weighted fair sharing between client accounts
     :param seed: seed of the random generator, 0 for an unseeded one
     :param node_file: settings file of a VM whose platform keeps endpoints in its store;
-        of the other settings, only log_level applies then
+        of the other settings, only weigh_prompts and log_level apply then
+    :param weigh_prompts: with node_file, choose heads also by the prompt tokens that they have to
+        prefill, so that long prompts delay short ones less
     :param log_format: json or text
     :param log_level: minimum level that is logged
     """
     if log_format not in ("json", "text"):
         raise SettingsError(f"log_format must be json or text, not {log_format!r}")
     if node_file:
-        return _serve_node_file(node_file, log_level)
+        return _serve_node_file(node_file, log_level, weigh_prompts)
     configure_logging(log_format, log_level)
     # Imported here, because loading both kinds of daemon takes twice the memory.
     from ._daemon import Daemon
@@ -111,13 +114,13 @@
     return 0 if finished else 1
 
 
-def _serve_node_file(node_file, log_level):
+def _serve_node_file(node_file, log_level, weigh_prompts):
     from ._fleet_daemon import serve_node_file
 
     writer = LogWriter().start()
     configure_queued_logging(writer, log_level)
     try:
-        return serve_node_file(node_file)
+        return serve_node_file(node_file, weigh_prompts)
     finally:
         writer.close()
 
--- a/libraries/fleet/src/corianderhaven/fleet/_digests.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_digests.py
@@ -10,7 +10,7 @@
 DIGEST_PATH = "/peer/digest"
 
 
-class HeadDigest(msgspec.Struct, array_like=True):
+class HeadDigest(msgspec.Struct, array_like=True, omit_defaults=True):
     """Requests in flight at a head, and the age of the last activity seen from it.
 
     Parameters
@@ -19,10 +19,25 @@
         Requests in flight from the reporting daemon, or from all daemons of a summary.
     sign_age_ms : float
         Age of the last activity seen from the head; negative if there was none.
+    prefill_tokens, held_tokens : int
+        Prompt tokens of these requests that the head has yet to prefill, and tokens that the
+        requests hold in its memory; 0 from daemons that don't count work.
     """
 
     own: int
     sign_age_ms: float = -1.0
+    prefill_tokens: int = 0
+    held_tokens: int = 0
+
+    def copy(self):
+        """Return a copy."""
+        return HeadDigest(self.own, self.sign_age_ms, self.prefill_tokens, self.held_tokens)
+
+    def add_work(self, other, sign=1):
+        """Add the requests and the work of another digest of the head, or take them off."""
+        self.own += sign * other.own
+        self.prefill_tokens += sign * other.prefill_tokens
+        self.held_tokens += sign * other.held_tokens
 
 
 class PartRecord(msgspec.Struct, array_like=True):
@@ -181,9 +196,10 @@
         current_age_ms = round(reported.sign_age_ms + age_ms) if reported.sign_age_ms >= 0.0 else -1
         known = total.get(head_id)
         if known is None:
-            total[head_id] = HeadDigest(reported.own, current_age_ms)
+            total[head_id] = reported.copy()
+            total[head_id].sign_age_ms = current_age_ms
             continue
-        known.own += reported.own
+        known.add_work(reported)
         if current_age_ms >= 0.0 and not 0.0 <= known.sign_age_ms <= current_age_ms:
             known.sign_age_ms = current_age_ms
 
@@ -231,7 +247,7 @@
         others = [d for name, d in self.digests.items() if name != daemon]
         summary = msgspec.structs.replace(
             self.summary,
-            heads={i: HeadDigest(h.own, h.sign_age_ms) for i, h in self.summary.heads.items()},
+            heads={i: head.copy() for i, head in self.summary.heads.items()},
             suspects=dict(self.summary.suspects),
             opened=dict(self.summary.opened),
             leaving=dict(self.summary.leaving),
@@ -243,7 +259,7 @@
         summary.daemons -= 1
         summary.store_reachable = any(other.store_reachable for other in others)
         for head_id, reported in digest.heads.items():
-            summary.heads[head_id].own -= reported.own
+            summary.heads[head_id].add_work(reported, -1)
         own_suspects = digest.suspects.keys() - {i for other in others for i in other.suspects}
         for head_id in own_suspects:
             del summary.suspects[head_id]
--- a/libraries/fleet/src/corianderhaven/fleet/_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peers.py
@@ -17,6 +17,7 @@
 from ._digests import (
     Digest,
     DirectSummary,
+    HeadDigest,
     PeerMessage,
     ZoneSummary,
     merge_heads,
@@ -33,6 +34,7 @@
 MAX_CACHE_MS = 50.0
 UNREACHABLE_MS = 1_000.0  # time until an unreachable daemon may be a hub again
 ISSUER_UNREACHABLE_MS = 3_000.0  # or issue permits again, unless it has sent a message
+NO_WORK = HeadDigest(0)
 
 
 @dataclass
@@ -270,6 +272,10 @@
         reported = self._current_totals().get(head_id)
         return reported.own if reported is not None else 0
 
+    def peer_work_at(self, head_id):
+        """Return a `HeadDigest` of the requests and the work of other daemons at a head."""
+        return self._current_totals().get(head_id, NO_WORK)
+
     def last_activity_ms(self, head_id):
         """Return the time at which a peer last saw activity of a head, or None."""
         reported = self._current_totals().get(head_id)
--- a/libraries/fleet/src/corianderhaven/fleet/_types.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_types.py
@@ -255,6 +255,8 @@
         Shortest lease that the store grants.
     load_window_ms : float
         Window over which loads from the weight store are counted to limit their rate.
+    weigh_prompts : bool
+        Whether heads are chosen by the prompt tokens that they have to prefill, too.
     """
 
     name: str
@@ -272,3 +274,4 @@
     retry_slack: float = 10.0
     lease_min_ms: float = 1_000.0
     load_window_ms: float = 5_000.0
+    weigh_prompts: bool = False
--- a/libraries/gateway/src/corianderhaven/gateway/_attempt_kinds.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_attempt_kinds.py
@@ -1,6 +1,7 @@
 """Attempts of a request by the kind of its service."""
 
 from abc import ABC, abstractmethod
+from collections import defaultdict
 
 from corianderhaven.scheduling import Refusal
 
@@ -87,6 +88,8 @@
         dispatcher, service = gateway.dispatcher, context.service.name
         self.estimator = dispatcher.estimator(service, engine, self.model)
         self.queue = dispatcher.queue(service, engine, self.model)
+        # Work counted at each endpoint by the attempts there.
+        self.works = defaultdict(list)
 
     async def acquire(self, excluded=None, only_others=False):
         """Return the head of a replica once one is free, or a `Refusal`."""
@@ -103,6 +106,7 @@
             context.waited_ms += self.clock.now_ms() - queued_ms
         if isinstance(endpoint, Refusal):
             return endpoint
+        self.works[endpoint.id].append(queued.work)
         # What is known may have changed meanwhile.
         refusal = self.gateway.check_drain(context) or self._check_parts()
         if refusal is None:
@@ -127,9 +131,17 @@
         goal_ms = context.route.goal_ms or DEFAULT_GOAL_MS
         late = self.clock.now_ms() > context.started_ms + goal_ms
         opening = self.crash_guard.begin(context.metadata, endpoint)
-        return self.sender.begin_streaming(
+        attempt = self.sender.begin_streaming(
             context, endpoint, opening, self.estimator, late, replaces
         )
+        record_head, work = attempt.on_head, self.works[endpoint.id][-1]
+
+        def note_head():
+            record_head()
+            self.gateway.load_tracker.end_prefill(endpoint.id, work)
+
+        attempt.on_head = note_head
+        return attempt
 
     async def prepare(self, attempt):
         """Read the head of the answer, and the first event in a replacement."""
@@ -141,7 +153,8 @@
 
     def release(self, endpoint):
         """Remove the request from a head's count."""
-        self.gateway.dispatcher.release(endpoint, self.queue)
+        work = self.works[endpoint.id].pop()
+        self.gateway.dispatcher.release(endpoint, self.queue, work)
 
     def is_serving(self, endpoint):
         """Return whether the endpoint heads a replica with all its members."""
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -8,9 +8,11 @@
 from corianderhaven.scheduling import (
     AdmissionQueue,
     LatencyEstimator,
+    PromptPlacement,
     QueuedRequest,
     QueueRates,
     Refusal,
+    RequestWork,
     choose_endpoint,
 )
 
@@ -19,6 +21,7 @@
 LOST_SERVICES_CACHE_MS = 50.0  # half of the shortest exchange interval
 RECENT_ACTIVITY_MS = 500.0  # of a head that others use; some exchanges of digests
 PLAIN_RETRY_AFTER_MS = 200.0
+NO_WORK = RequestWork()  # of a request to a service without an engine
 PLAIN_WAIT_FRACTION = 0.5  # of the goal; an answer of a plain service takes about the rest
 
 
@@ -43,6 +46,8 @@
         Takes an `Endpoint`; returns whether a connection to it is kept that can be used.
     end_ms : float
         Time by which all answers have to be complete; infinite unless the daemon drains.
+    weighs_prompts : bool
+        Whether heads are chosen by the prompt tokens that they have to prefill, too.
     """
 
     def __init__(
@@ -59,6 +64,7 @@
         self.has_idle_connection = lambda endpoint: False
         self.latest_lost_services = (-1e12, {})
         self.end_ms = math.inf
+        self.weighs_prompts = False
         self.queues = {}
         self.plain_queues = {}
         self.plain_rates = {}
@@ -87,6 +93,7 @@
             may_repeat=context.can_fail_over(),
             excluded=context.excluded,
             parts=() if context.sound else metadata.blamed_parts,
+            work=RequestWork(metadata.prompt_tokens, round(tokens)),
         )
 
     def queue(self, service, engine, model):
@@ -104,7 +111,9 @@
             queue.is_limited = lambda: self._are_limited(
                 self.replica_view.expected_heads(service, model.name)
             )
-            queue.release_endpoint = lambda endpoint: self.release(endpoint, queue)
+            queue.release_endpoint = lambda endpoint, queued: self.release(
+                endpoint, queue, queued.work
+            )
             queue.end_ms = self.end_ms
         return queue
 
@@ -255,10 +264,26 @@
         others = [h for h in heads if h.id not in queued.excluded]
         heads = others if others or queued.only_others else heads
         queue = self.queues[service, model]
-        return self._choose(heads, queue.rates, len(queue.waiting), engine.slots, engine.slots + 1)
+        placement = None
+        if self.weighs_prompts:
+            estimator = self.estimator(service, engine, engine.model(model))
+            placement = PromptPlacement(self.load_tracker, estimator)
+        return self._choose(
+            heads,
+            queue.rates,
+            len(queue.waiting),
+            engine.slots,
+            engine.slots + 1,
+            queued,
+            placement,
+        )
 
-    def _choose(self, endpoints, rates, waiting, slots=None, limit=None):
+    def _choose(
+        self, endpoints, rates, waiting, slots=None, limit=None, queued=None, placement=None
+    ):
         """Return the endpoint for a request and count the request there, or None."""
+        work = queued.work if queued is not None else NO_WORK
+        slack_ms = queued.goal_cutoff_ms - self.clock.now_ms() if queued is not None else 0.0
         limited = self.permits.limited(endpoints)
         reserved = []
         if limited:
@@ -273,10 +298,13 @@
             limit,
             **self._daemon_counts(),
             reserved=reserved,
+            placement=placement,
+            work=work,
+            slack_ms=slack_ms,
         )
         if endpoint is None or not self.permits.try_take(endpoint):
             return None
-        self.load_tracker.entry(endpoint.id).own_in_flight += 1
+        self.load_tracker.begin_work(endpoint.id, work)
         if limited:
             self.permits.ask(limited, self._expected(rates), max(0, waiting - 1))
         return endpoint
@@ -377,7 +405,9 @@
                 lambda: self.held_for_ms(self._plain_endpoints(service)),
             )
             queue.is_limited = lambda: True
-            queue.release_endpoint = self.release
+            queue.release_endpoint = lambda endpoint, queued: self.release(
+                endpoint, None, queued.work
+            )
             queue.end_ms = self.end_ms
         return queue
 
@@ -404,8 +434,8 @@
         capacity = sum(self._rate_per_ms(e, e.slots / DEFAULT_GOAL_MS) for e in endpoints)
         return self._own_share(endpoints) * capacity
 
-    def release(self, endpoint, queue=None):
+    def release(self, endpoint, queue=None, work=None):
         """Remove a request that has ended from its endpoint's count."""
-        self.load_tracker.entry(endpoint.id).own_in_flight -= 1
+        self.load_tracker.end_work(endpoint.id, work if work is not None else NO_WORK)
         if queue is not None and queue.waiting:
             queue.assign()
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -84,6 +84,7 @@
             self.permits,
             self.reachability,
         )
+        self.dispatcher.weighs_prompts = settings.weigh_prompts
         self.crash_guard = CrashGuard(directory, peers, clock, decisions, settings.ip)
         self.crash_guard.on_verdict = self._note_verdict
         peers.on_parts = self.crash_guard.merge
@@ -246,6 +247,9 @@
     def refresh_metrics(self):
         """Update the gauges before a scrape."""
         _metrics.IN_FLIGHT.set(self.in_flight)
+        _metrics.PREFILL_TOKENS.set(
+            sum(entry.own_prefill_tokens for entry in self.load_tracker.entries.values())
+        )
         _metrics.LOST_SCOPES.set(len(self.reachability.lost_scopes))
         _metrics.LIMITED_ENDPOINTS.set(self.endpoint_limits.count())
         for (_, model), queue in self.dispatcher.queues.items():
@@ -267,6 +271,7 @@
             head_id: HeadDigest(
                 entry.own_in_flight,
                 round(self.silence_detector.last_activity_age_ms(head_id)),
+                *self._work_at(entry),
             )
             for head_id, entry in self.load_tracker.entries.items()
             if entry.own_in_flight
@@ -283,6 +288,12 @@
             lost_services=list(self.dispatcher.lost_services()),
         )
 
+    def _work_at(self, entry):
+        """Return the work at a head that peers are told, none where heads aren't chosen by it."""
+        if not self.settings.weigh_prompts:
+            return ()
+        return (entry.own_prefill_tokens, entry.own_held_tokens)
+
     def _add_peer_suspicions(self, suspects, daemon):
         for head_id, age_ms in suspects.items():
             head = self.directory.get(head_id)
@@ -497,6 +508,7 @@
             endpoints=context.attempt_results,
             first_ms=round(first_ms) if first_ms is not None else None,
             goal_ms=context.route.goal_ms,
+            prompt_tokens=context.metadata.prompt_tokens,
             waited_ms=round(context.waited_ms),
             pause_ms=round(context.longest_pause_ms),
             gap_goal_ms=context.route.gap_goal_ms,
--- a/libraries/gateway/src/corianderhaven/gateway/_metrics.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_metrics.py
@@ -20,6 +20,10 @@
     buckets=LATENCY_BUCKETS_S,
 )
 WAITING = Gauge(PREFIX + "waiting", "Requests that wait for a replica", ["model"])
+PREFILL_TOKENS = Gauge(
+    PREFIX + "prefill_tokens",
+    "Prompt tokens of this daemon's requests that heads have yet to prefill",
+)
 IN_FLIGHT = Gauge(PREFIX + "in_flight", "Requests being answered")
 SERVING_REPLICAS = Gauge(PREFIX + "serving_replicas", "Whole open replicas", ["model"])
 STRANDED_VMS = Gauge(PREFIX + "stranded_vms", "Live engine VMs that serve nothing", ["service"])
--- a/libraries/scheduling/src/corianderhaven/scheduling/__init__.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/__init__.py
@@ -14,15 +14,21 @@
 from ._endpoint_limits import SHARED_MS, EndpointLimits
 from ._latency_estimator import LatencyEstimator
 from ._load_tracker import LoadTracker
+from ._placement import BasePlacement, PromptPlacement, RequestCountPlacement
 from ._retry_budget import RetryBudget
 from ._send_permits import SendPermits
 from ._waiting_requests import WaitingRequests
+from ._work import RequestWork
 
 __all__ = [
     "PATHS_LOST",
     "QUEUE_CHECK_INTERVAL_MS",
     "SHARED_MS",
     "AdmissionQueue",
+    "BasePlacement",
+    "PromptPlacement",
+    "RequestCountPlacement",
+    "RequestWork",
     "EndpointLimits",
     "LatencyEstimator",
     "LoadTracker",
--- a/libraries/scheduling/src/corianderhaven/scheduling/_admission.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_admission.py
@@ -11,6 +11,7 @@
 from corianderhaven.common import MS_PER_S
 
 from ._waiting_requests import WaitingRequests
+from ._work import RequestWork
 
 MAX_WAIT_WITHOUT_REPLICA_MS = 350.0  # about the time to form a replica of staged VMs
 MAX_RESUMED_WAIT_MS = 1_500.0  # callers abandon a stream after a pause of two seconds
@@ -49,6 +50,8 @@
         Expected time from sending it to the end of its answer.
     only_others : bool
         Whether it may go to none of the `excluded` endpoints, not even for want of others.
+    work : RequestWork
+        What it brings to an engine.
     """
 
     priority: int
@@ -62,6 +65,7 @@
     decision: asyncio.Future | None = None
     answer_ms: float = 0.0
     only_others: bool = False
+    work: RequestWork = field(default_factory=RequestWork)
 
     def limit_to(self, end_ms):
         """Lower the cutoffs so that the answer is expected to be complete at `end_ms`."""
@@ -175,7 +179,7 @@
     Attributes
     ----------
     release_endpoint : callable
-        Takes an endpoint that was picked for a request and won't be used.
+        Takes an endpoint that was picked and won't be used, and the `QueuedRequest`.
     is_limited : callable
         Returns whether limits that endpoints name bound the throughput.
     end_ms : float
@@ -187,7 +191,7 @@
         self.pick_endpoint = pick_endpoint
         self.has_replica = has_replica
         self.held_for_ms = held_for_ms
-        self.release_endpoint = lambda endpoint: None
+        self.release_endpoint = lambda endpoint, queued: None
         self.is_limited = lambda: False
         self.promised_ms = -1e12
         self.end_ms = math.inf
@@ -272,18 +276,19 @@
         try:
             return await queued.decision
         except asyncio.CancelledError:
-            self._give_back(queued.decision)
+            self._give_back(queued)
             raise
         finally:
             if queued in self.waiting:
                 self.waiting.remove(queued)
 
-    def _give_back(self, decision):
+    def _give_back(self, queued):
         """Release the endpoint of a request whose caller left when it was just assigned."""
+        decision = queued.decision
         if decision.done() and not decision.cancelled():
             endpoint = decision.result()
             if not isinstance(endpoint, Refusal):
-                self.release_endpoint(endpoint)
+                self.release_endpoint(endpoint, queued)
 
     def assign(self):
         """Assign free endpoints to waiting requests in order.
--- a/libraries/scheduling/src/corianderhaven/scheduling/_choice.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_choice.py
@@ -2,6 +2,9 @@
 
 import random
 
+from ._placement import RequestCountPlacement
+from ._work import RequestWork
+
 REMOTE_PENALTY = 0.08  # as a fraction of slots: cross-zone traffic costs less than waiting
 FAILURE_PENALTY = 4.0  # added load, in multiples of the slots, at a failure rate of 1
 MIN_CANDIDATES = 2  # the better of two random choices is nearly as good as the best of all
@@ -40,6 +43,9 @@
     daemons=1,
     zone_daemons=1,
     reserved=(),
+    placement=None,
+    work=None,
+    slack_ms=0.0,
 ):
     """Return the least loaded endpoint of a random sample.
 
@@ -60,17 +66,25 @@
         See `sample_candidates`.
     reserved : sequence of Endpoint
         Endpoints that this daemon holds a place at, which are always considered.
+    placement : BasePlacement or None
+        Rates the endpoints by the work of the request; by default requests are all alike.
+    work : RequestWork or None
+    slack_ms : float
+        Time for which the first event may be delayed without missing its goal.
     """
+    placement, work = placement or RequestCountPlacement(), work or RequestWork()
 
     def best_of(candidates):
-        return _least_loaded(candidates, load_tracker, zone, slots, limit)
+        fitting = [e for e in candidates if placement.has_room(e, work)]
+        penalties = {e.id: placement.penalty(e, work, slack_ms) for e in fitting}
+        return _least_loaded(fitting, load_tracker, zone, slots, limit, penalties)
 
     sample = sample_candidates(endpoints, zone, daemons, zone_daemons)
     sample += [e for e in reserved if e not in sample]
     return best_of(sample) or (best_of(endpoints) if len(sample) < len(endpoints) else None)
 
 
-def _least_loaded(endpoints, load_tracker, zone, slots, limit):
+def _least_loaded(endpoints, load_tracker, zone, slots, limit, penalties):
     best, best_score = None, None
     for endpoint in endpoints:
         occupancy = load_tracker.occupancy(endpoint.id)
@@ -79,6 +93,7 @@
         score = occupancy / max(1, slots or endpoint.slots)
         score += REMOTE_PENALTY * (endpoint.zone != zone)
         score += FAILURE_PENALTY * load_tracker.failure_rate(endpoint.id)
+        score += penalties[endpoint.id]
         score += random.random() * TIE_BREAK_NOISE
         if best is None or score < best_score:
             best, best_score = endpoint, score
--- a/libraries/scheduling/src/corianderhaven/scheduling/_load_tracker.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_load_tracker.py
@@ -24,6 +24,9 @@
         Time until which the endpoint wants no requests from this daemon.
     held_incarnation : int
         Start time of the incarnation that said so.
+    own_prefill_tokens, own_held_tokens : int
+        Prompt tokens of this daemon's requests that the endpoint has yet to prefill, and tokens
+        that these requests hold in its memory.
     """
 
     own_in_flight: int = 0
@@ -33,6 +36,8 @@
     last_result_ms: float = 0.0
     held_until_ms: float = 0.0
     held_incarnation: int = 0
+    own_prefill_tokens: int = 0
+    own_held_tokens: int = 0
     streams: set = field(default_factory=set)
 
 
@@ -70,6 +75,39 @@
             others = max(others, entry.others_in_flight * freshness)
         return entry.own_in_flight + others
 
+    def begin_work(self, endpoint_id, work):
+        """Count a request that this daemon assigns to an endpoint, with its `RequestWork`."""
+        entry = self.entry(endpoint_id)
+        entry.own_in_flight += 1
+        entry.own_prefill_tokens += work.prompt_tokens
+        entry.own_held_tokens += work.held_tokens
+        work.in_prefill = True
+
+    def end_prefill(self, endpoint_id, work):
+        """Record that an endpoint has prefilled the prompt of a request."""
+        if work.in_prefill:
+            self.entry(endpoint_id).own_prefill_tokens -= work.prompt_tokens
+            work.in_prefill = False
+
+    def end_work(self, endpoint_id, work):
+        """Remove a request that has ended from its endpoint's counts."""
+        self.end_prefill(endpoint_id, work)
+        entry = self.entry(endpoint_id)
+        entry.own_in_flight -= 1
+        entry.own_held_tokens -= work.held_tokens
+
+    def prefill_tokens(self, endpoint_id):
+        """Return the prompt tokens of all daemons' requests that an endpoint has yet to prefill."""
+        entry = self.entries.get(endpoint_id)
+        own = entry.own_prefill_tokens if entry is not None else 0
+        return own + self.peers.peer_work_at(endpoint_id).prefill_tokens
+
+    def held_tokens(self, endpoint_id):
+        """Return the tokens that all daemons' requests hold in an endpoint's memory."""
+        entry = self.entries.get(endpoint_id)
+        own = entry.own_held_tokens if entry is not None else 0
+        return own + self.peers.peer_work_at(endpoint_id).held_tokens
+
     def record_load(self, endpoint_id, load):
         """Store the load reported in a response: running requests, waiting requests, slots."""
         entry = self.entry(endpoint_id)
--- a/libraries/scheduling/src/corianderhaven/scheduling/tests/test_admission.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/tests/test_admission.py
@@ -263,7 +263,7 @@
             return free.pop() if free else None
 
         queue = AdmissionQueue(ManualClock(), pick, lambda: True, lambda: 1.0)
-        queue.release_endpoint = released.append
+        queue.release_endpoint = lambda endpoint, queued: released.append(endpoint)
         task = asyncio.create_task(queue.acquire(QueuedRequest(0, 0.0, 1e9, 1e9)))
         await asyncio.sleep(0)
         free.append("endpoint")
