Track which zones the operator evacuates

Cause: daemons read nothing that the operator writes but the configuration, so an item op/evacuate/ZONE changed nothing.

Ruled out: keeping the state in the endpoints' entries or in the directory, which expire and are rewritten with every heartbeat; ending an evacuation as soon as a listing lacks its item, as a restored store may have lost it; a copy of the state in the feed, as every response that carries a feed carries the sender's digest, which is applied first.

Change: Evacuations holds the latest state of each zone with its position (era, revision); the higher position wins. StoreWatcher lists op/ in place of the read of the configuration, so a listing costs as many calls as before, and discards a listing during which a peer told of a restore. Digests and PeerState carry all records. Platforms whose format names no operator prefix read the store as before.

--- a/libraries/fleet/src/corianderhaven/fleet/__init__.py
+++ b/libraries/fleet/src/corianderhaven/fleet/__init__.py
@@ -12,6 +12,7 @@
     merge_parts,
 )
 from ._directory import EndpointDirectory
+from ._evacuations import EvacuationRecord, Evacuations
 from ._feed import Feed, FeedReader, FeedRequest, FeedWriter
 from ._formation import Dissolve, Form, FormationPlanner, Stage, Standby, Vm, find_failed
 from ._interfaces import (
@@ -81,6 +82,8 @@
     "EngineOrders",
     "EngineReport",
     "EngineSpec",
+    "EvacuationRecord",
+    "Evacuations",
     "Feed",
     "FeedReader",
     "FeedRequest",
--- a/libraries/fleet/src/corianderhaven/fleet/_digests.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_digests.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ._evacuations import EvacuationRecord
 from ._feed import Feed, FeedRequest
 
 DIGEST_PATH = "/peer/digest"
@@ -89,6 +90,8 @@
         Limits of endpoints that have changed recently, by endpoint id, like `parts`.
     lost_services : list of str
         Services of which this daemon reaches no endpoint.
+    evacuations : dict of str to EvacuationRecord
+        State of zones that are or were evacuated, by zone: all that the daemon knows each time.
     """
 
     daemon: str
@@ -106,6 +109,7 @@
     limits: dict[str, LimitRecord] = {}
     lost_services: list[str] = []
     unreachable: dict[str, float] = {}
+    evacuations: dict[str, EvacuationRecord] = {}
 
 
 class ZoneSummary(msgspec.Struct):
@@ -154,6 +158,7 @@
         config_version=digest.config_version,
         parts=digest.parts,
         limits=digest.limits,
+        evacuations=digest.evacuations,
     )
 
 
--- a/libraries/fleet/src/corianderhaven/fleet/_interfaces.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_interfaces.py
@@ -153,10 +153,22 @@
 
 
 class PlatformFormat(ABC):
-    """Location and encoding of the platform's data in the store."""
+    """Location and encoding of the platform's data in the store.
+
+    Attributes
+    ----------
+    operator_prefix : str
+        Prefix of the operator's items, the configuration among them; empty if the operator
+        writes nothing but the configuration.
+    """
 
     endpoint_prefix = ""
     config_key = ""
+    operator_prefix = ""
+
+    def evacuated_zone(self, key):
+        """Return the zone that an item of the operator evacuates, or None if it is another one."""
+        return
 
     @abstractmethod
     def decode_endpoint(self, endpoint_id, value):
--- a/libraries/fleet/src/corianderhaven/fleet/_peer_state.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peer_state.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ._digests import LimitRecord
+from ._evacuations import EvacuationRecord
 
 STATE_PATH = "/peer/state"
 COMPRESSION_LEVEL = 1  # the text of a configuration shrinks well at any level
@@ -24,12 +25,15 @@
         endpoint said that it leaves.
     limits : dict of str to LimitRecord
         Limits that endpoints have named, by endpoint id.
+    evacuations : dict of str to EvacuationRecord
+        State of zones that are or were evacuated, by zone.
     """
 
     config: bytes = b""
     config_version: int = 0
     departed: dict[str, tuple[int, int, bool]] = {}
     limits: dict[str, LimitRecord] = {}
+    evacuations: dict[str, EvacuationRecord] = {}
 
 
 class _PackedState(msgspec.Struct):
@@ -39,12 +43,19 @@
     config_version: int = 0
     departed: dict[str, tuple[int, int, bool]] = {}
     limits: dict[str, LimitRecord] = {}
+    evacuations: dict[str, EvacuationRecord] = {}
 
 
 def encode_state(state):
     """Return the bytes of a `PeerState`."""
     return msgspec.json.encode(
-        _PackedState(_pack(state.config), state.config_version, state.departed, state.limits)
+        _PackedState(
+            _pack(state.config),
+            state.config_version,
+            state.departed,
+            state.limits,
+            state.evacuations,
+        )
     )
 
 
@@ -55,7 +66,9 @@
         config = _unpack(packed.packed_config)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, zlib.error) as error:
         raise ValueError(str(error)) from None
-    return PeerState(config, packed.config_version, packed.departed, packed.limits)
+    return PeerState(
+        config, packed.config_version, packed.departed, packed.limits, packed.evacuations
+    )
 
 
 @functools.lru_cache(maxsize=1)
--- a/libraries/fleet/src/corianderhaven/fleet/_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peers.py
@@ -82,6 +82,7 @@
         self.on_peer_state = lambda digest: None
         self.on_parts = lambda parts: None
         self.on_limits = lambda limits, daemon: None
+        self.on_evacuations = lambda evacuations, daemon: None
         self.make_feed_request = lambda peer_name: None
         self.answer_feed = lambda request: None
         self.on_feed = lambda feed, peer_name: None
@@ -127,6 +128,7 @@
         self.on_peer_state(digest)
         self.on_parts(digest.parts)
         self.on_limits(digest.limits, peer.name)
+        self.on_evacuations(digest.evacuations, peer.name)
         self._notify(digest, peer.name)
         for summary in message.zones:
             self._store_summary(summary, peer, now)
--- a/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
@@ -5,6 +5,7 @@
 
 from corianderhaven.common import MS_PER_S
 
+from ._evacuations import Evacuations
 from ._interfaces import HistoryGoneError, StoreRestoredError, StoreUnavailableError
 
 WATCH_WAIT_MS = 500  # endpoints write more often; if nothing changes, all keys are listed
@@ -31,6 +32,8 @@
     active_config : ActiveConfig
     clock : Clock
     decisions : DecisionLog
+    evacuations : Evacuations or None
+        Told of the zones that the operator evacuates.
 
     Attributes
     ----------
@@ -52,15 +55,28 @@
         Items under `own_prefix`, where the daemons keep their own records.
     store_position : (int, int)
         Era and revision of the store up to which the directory is known, by reading or by a feed.
+    max_poll_interval_ms : float
+        Longest interval between two calls.
     """
 
-    def __init__(self, store, platform_format, directory, active_config, clock, decisions):
+    def __init__(
+        self,
+        store,
+        platform_format,
+        directory,
+        active_config,
+        clock,
+        decisions,
+        evacuations=None,
+    ):
         self.store = store
         self.platform_format = platform_format
         self.directory = directory
         self.active_config = active_config
         self.clock = clock
         self.decisions = decisions
+        self.evacuations = evacuations or Evacuations(clock, decisions)
+        self.max_poll_interval_ms = MAX_POLL_INTERVAL_MS
         self.daemon_count = lambda: 1
         self.use_min_interval = lambda: False
         self.should_follow = lambda: True
@@ -115,7 +131,7 @@
             return MIN_POLL_INTERVAL_MS
         return min(
             max(MIN_POLL_INTERVAL_MS, POLL_INTERVAL_MS_PER_DAEMON * self.daemon_count()),
-            MAX_POLL_INTERVAL_MS,
+            self.max_poll_interval_ms,
         )
 
     async def _run(self):
@@ -150,6 +166,7 @@
             self.decisions.record("store_following_ended")
             self.following = False
             self.watch_revision = self.last_success_ms = None
+            self.evacuations.forget_reading()
         if not self.needs_peers():
             self.failing_since_ms = None  # unknown from now on, as nothing is read
         if self.needs_peers():
@@ -186,6 +203,7 @@
         for item in items:
             self._apply_or_log(item)
         self._note_position(revision)
+        self.evacuations.note_read((self.store.era.number, revision))
         self.directory.remove_expired()
         if not items and self.directory.records:
             self.watch_revision = None  # no endpoint has written: the watch may be stuck
@@ -193,11 +211,14 @@
     async def _list_all(self):
         # The watch continues from before the first read, so it repeats changes between the reads.
         own, revision = await self.store.list(self.own_prefix)
-        config = await self.store.read(self.platform_format.config_key)
+        era = self.store.era.number
+        operator_items, operator_revision = await self._read_operator_items()
         endpoints, _ = await self.store.list(self.platform_format.endpoint_prefix)
+        if self.store.era.number != era:
+            # A peer told of the restore between two calls, so their answers don't belong together.
+            raise StoreRestoredError(f"listed in era {era}, now {self.store.era.number}")
         self._record_success()
-        if config is not None:
-            self._apply_or_log(config)
+        self._apply_operator_items(operator_items, (era, operator_revision))
         self.set_own_items({item.key: item for item in own})
         listed = {self._endpoint_id(item): item for item in endpoints}
         self.unreadable = {i: why for i, why in self.unreadable.items() if i in listed}
@@ -208,6 +229,24 @@
         self.watch_revision = revision
         self._note_position(revision)
 
+    async def _read_operator_items(self):
+        """Return the operator's items, and the revision as of which they are complete or None."""
+        if self.platform_format.operator_prefix:
+            return await self.store.list(self.platform_format.operator_prefix)
+        config = await self.store.read(self.platform_format.config_key)
+        return [config] if config is not None else [], None
+
+    def _apply_operator_items(self, items, position):
+        revisions = {}
+        for item in items:
+            zone = self.platform_format.evacuated_zone(item.key)
+            if zone is not None:
+                revisions[zone] = item.revision
+            elif item.key == self.platform_format.config_key:
+                self._apply_or_log(item)
+        if position[1] is not None:
+            self.evacuations.apply_listing(revisions, position)
+
     def _note_position(self, revision):
         self.store_position = max(self.store_position, (self.store.era.number, revision))
 
@@ -247,7 +286,11 @@
             )
 
     def _apply(self, item):
-        if item.key == self.platform_format.config_key:
+        zone = self.platform_format.evacuated_zone(item.key)
+        if zone is not None:
+            # Any value means an evacuation: ignoring an unreadable one would break the promise.
+            self.evacuations.observe(zone, item.value is not None, self._position(item))
+        elif item.key == self.platform_format.config_key:
             if item.value is not None:
                 self.active_config.update(item.value, item.revision)
         elif item.key.startswith(self.platform_format.endpoint_prefix):
--- a/libraries/fleet/src/corianderhaven/fleet/_types.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_types.py
@@ -255,6 +255,8 @@
         Shortest lease that the store grants.
     load_window_ms : float
         Window over which loads from the weight store are counted to limit their rate.
+    evacuate_ms : float
+        Time from the store's acknowledgement of an evacuation until no request reaches the zone.
     """
 
     name: str
@@ -272,3 +274,4 @@
     retry_slack: float = 10.0
     lease_min_ms: float = 1_000.0
     load_window_ms: float = 5_000.0
+    evacuate_ms: float = 5_000.0
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -311,6 +311,14 @@
         self.store.put("op/config", msgspec.json.encode(config))
         return self.config_version
 
+    def evacuate(self, zone):
+        """Have the operator evacuate a zone."""
+        self.store.put(f"op/evacuate/{zone}", b"{}")
+
+    def end_evacuation(self, zone):
+        """Have the operator end the evacuation of a zone."""
+        self.store.delete(f"op/evacuate/{zone}")
+
     def run_counts(self):
         """Return the number of runs by request ID."""
         return Counter(run.request_id for run in self.runs)
