Refuse waiting requests at once when no endpoint may get any

Cause: requests wait 350 ms (resumed ones 1.5 s) for a replica that may yet be formed; endpoints that the operator excludes don't come back that way. The throughput of the last 3 s also counted dispatches to excluded endpoints.

Ruled out: reporting excluded endpoints as held (Retry-After), which only refuses requests whose deadline is near.

Change: AdmissionQueue.check_access returns the refusal of all requests, asked on arrival and in dispatch; QueueRates.forget_throughput starts the measured rate anew. Without a check nothing changes.

--- a/libraries/scheduling/src/corianderhaven/scheduling/_admission.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_admission.py
@@ -118,6 +118,11 @@
         """Count a request that was given an endpoint."""
         self._record(self.dispatches)
 
+    def forget_throughput(self):
+        """Work out the throughput anew, as the endpoints that earlier requests got are others."""
+        self.dispatches.clear()
+        self.capacity_from_ms = -1e12
+
     def arrivals_per_ms(self):
         """Return the recent rate of arrivals."""
         return self._count(self.arrivals) / self._window_ms()
@@ -178,6 +183,8 @@
         Takes an endpoint that was picked for a request and won't be used.
     is_limited : callable
         Returns whether limits that endpoints name bound the throughput.
+    check_access : callable
+        Returns the `Refusal` of all requests if there are endpoints but none may get any, or None.
     end_ms : float
         Time by which all answers have to be complete; infinite unless the daemon drains.
     """
@@ -189,6 +196,7 @@
         self.held_for_ms = held_for_ms
         self.release_endpoint = lambda endpoint: None
         self.is_limited = lambda: False
+        self.check_access = lambda: None
         self.promised_ms = -1e12
         self.end_ms = math.inf
         self.waiting = WaitingRequests()
@@ -213,6 +221,9 @@
 
     def check_refusal(self, queued):
         """Return the `Refusal` of a request that can't be served, or None."""
+        denied = self.check_access()
+        if denied is not None:
+            return denied
         held = self._check_held(queued)
         if held is not None:
             return held
@@ -307,6 +318,7 @@
         self._update_no_replica_since(now)
         self.assign()
         any_refused = self.no_replica_since_ms is not None or self.held_for_ms() > 0.0
+        any_refused = any_refused or self.check_access() is not None
         for queued in list(self.waiting.in_order()) if any_refused else self._expirable(now):
             if queued.decision.done():
                 continue
@@ -349,6 +361,9 @@
         if now > queued.deadline_cutoff_ms:
             reason = "waited too long" if self.end_ms == math.inf else "draining"
             return Refusal(reason, MIN_RETRY_AFTER_MS)
+        denied = self.check_access()
+        if denied is not None:
+            return denied
         if self._replica_wait_exceeded(queued, now):
             return Refusal("no replica serves the model", NO_REPLICA_RETRY_AFTER_MS)
         if now > queued.goal_cutoff_ms:
