Send no requests to endpoints of evacuated zones

Cause: nothing kept requests from the zone on any path.

Ruled out: dropping the zone's endpoints from the directory, as replicas there keep running work, the keeper goes on repairing them, and they would look new afterwards; checking only when an endpoint is chosen, as up to a connect timeout passes between the choice and the first byte.

Change: EndpointAccess decides with a reason whether an endpoint may get a request. ReplicaView and Dispatcher leave denied endpoints out of choice, capacity, permits and the judgement which services are out of reach; Sender asks again just before it writes, also on a kept connection. A request held back there is NOT_SENT, suspects nobody and costs no attempt. When an evacuation begins, waiting requests are refused or rerouted at once; when one ends, they are dispatched after all listeners were told. The longest poll interval is a fifth of evacuate_ms.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -22,6 +22,7 @@
     STATE_PATH,
     ActiveConfig,
     EndpointDirectory,
+    Evacuations,
     FeedReader,
     FeedWriter,
     KeeperLease,
@@ -69,6 +70,8 @@
 JOIN_TIMEOUT_MS = 1_500.0  # peers that the store lists may all be gone
 FORWARDING_BYTES = 1_024  # of headers that a daemon adds to a request that it forwards
 OPENED_ANNOUNCE_MS = 3_000.0  # by then every daemon has read the head's own entry
+# Of the time in which an evacuation has to take effect: a poll may fail, and exchanges follow it.
+EVACUATION_POLL_FRACTION = 0.2
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOADABLE_SETTINGS = ("grace_ms", "stall_ms", "retry_ratio", "retry_slack", "retry_window_ms")
 
@@ -307,6 +310,7 @@
         self.directory = EndpointDirectory(self.clock, self.decisions)
         self.active_config = ActiveConfig(platform_format.decode_config, self.decisions)
         self.active_config.listeners.append(self._apply_limits)
+        self.evacuations = Evacuations(self.clock, self.decisions)
         self.watcher = StoreWatcher(
             self.store,
             platform_format,
@@ -314,6 +318,10 @@
             self.active_config,
             self.clock,
             self.decisions,
+            self.evacuations,
+        )
+        self.watcher.max_poll_interval_ms = min(
+            self.watcher.max_poll_interval_ms, EVACUATION_POLL_FRACTION * settings.evacuate_ms
         )
         self.watcher.own_prefix = STORE_PREFIX
         self.lease = KeeperLease(
@@ -338,6 +346,7 @@
         )
         self.peers = PeerTable(settings.name, self.clock, settings.zone)
         self.peers.make_digest = self._make_digest
+        self.peers.on_evacuations = self.evacuations.merge
         self.watcher.daemon_count = self.peers.hub_count
         self.watcher.should_follow = self._should_follow
         self.watcher.needs_peers = self._needs_peers
@@ -359,6 +368,7 @@
             self.peers,
             self.clock,
             self.decisions,
+            self.evacuations,
         )
         self.permit_issuer = PermitIssuer(self.peers, self.clock)
         self.permit_issuer.may_issue = lambda: self.joined
@@ -448,6 +458,7 @@
             self.active_config.version,
             departed,
             self.gateway.endpoint_limits.records(),
+            self.evacuations.records(),
         )
 
     def _apply_state(self, state, peer):
@@ -457,6 +468,7 @@
         )
         self.directory.add_departed(state.departed)
         self.gateway.endpoint_limits.merge(state.limits, peer)
+        self.evacuations.merge(state.evacuations, peer)
         if state.config_version > self.active_config.version:
             self.active_config.update(state.config, None)
 
--- a/libraries/gateway/src/corianderhaven/gateway/_attempt.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_attempt.py
@@ -32,6 +32,10 @@
         Events of this attempt.
     failure : str or None
         Why the connection failed.
+    sent : bool
+        Whether any byte of the request may have reached the endpoint.
+    denied : bool
+        Whether the request was held back as the endpoint may get none any more.
     superseded : bool
         Whether another attempt goes on in its place.
     on_head : callable
@@ -70,6 +74,8 @@
         self.events = 0
         self.ended_with_connection = False
         self.failure = None
+        self.sent = False
+        self.denied = False
         self.superseded = False
         self.on_head = lambda: None
         self.on_silence = lambda: None
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -36,6 +36,7 @@
     clock : Clock
     permits : SendPermits
     reachability : Reachability
+    access : EndpointAccess
 
     Attributes
     ----------
@@ -46,7 +47,16 @@
     """
 
     def __init__(
-        self, directory, replica_view, load_tracker, peers, zone, clock, permits, reachability
+        self,
+        directory,
+        replica_view,
+        load_tracker,
+        peers,
+        zone,
+        clock,
+        permits,
+        reachability,
+        access,
     ):
         self.directory = directory
         self.replica_view = replica_view
@@ -56,6 +66,7 @@
         self.clock = clock
         self.permits = permits
         self.reachability = reachability
+        self.access = access
         self.has_idle_connection = lambda endpoint: False
         self.latest_lost_services = (-1e12, {})
         self.end_ms = math.inf
@@ -105,6 +116,7 @@
                 self.replica_view.expected_heads(service, model.name)
             )
             queue.release_endpoint = lambda endpoint: self.release(endpoint, queue)
+            queue.check_access = lambda: self.replica_view.refusal(service, model.name)
             queue.end_ms = self.end_ms
         return queue
 
@@ -221,7 +233,7 @@
         now = self.clock.now_ms()
         if now - made_ms >= LOST_SERVICES_CACHE_MS:
             by_service = defaultdict(list)
-            for endpoint in self.directory.endpoints():
+            for endpoint in self.access.allowed(self.directory.endpoints()):
                 by_service[endpoint.service].append(endpoint)
             ages = ((s, self.reachability.all_lost_for_ms(e)) for s, e in by_service.items())
             lost = {service: age_ms for service, age_ms in ages if age_ms}
@@ -300,6 +312,15 @@
             if queue.waiting:
                 queue.assign()
 
+    def update_access(self):
+        """Reroute, refuse or dispatch waiting requests, as the endpoints that may get any changed.
+
+        Earlier dispatches tell nothing of the endpoints that are left.
+        """
+        for queue in self.all_queues():
+            queue.rates.forget_throughput()
+            queue.dispatch()
+
     def end_by(self, end_ms):
         """Assign endpoints only to requests whose answers are expected by `end_ms`."""
         self.end_ms = end_ms
@@ -325,19 +346,25 @@
         }
 
     def plain_endpoints(self, context):
-        """Return the endpoints of a service without an engine that accept requests."""
+        """Return the endpoints of a service without an engine that may get requests."""
         return self._plain_endpoints(context.service.name)
 
     def _plain_endpoints(self, service):
+        return self.access.allowed(self._accepting_plain(service))
+
+    def _accepting_plain(self, service):
         return [e for e in self.directory.endpoints(service) if not e.leaving]
 
+    def _check_plain_access(self, service):
+        return self.access.refusal_of_all(self._accepting_plain(service))
+
     def pick_plain_endpoint(self, context, excluded):
         """Return an endpoint of a service without an engine and count the request, or None."""
         return self._pick_plain(context.service.name, excluded, context.can_fail_over())
 
     def refuse_plain(self, context):
         """Return the `Refusal` of a request for which no endpoint accepts requests."""
-        return Refusal(
+        return self._check_plain_access(context.service.name) or Refusal(
             "no endpoint", self.held_for_ms(self.plain_endpoints(context)) or PLAIN_RETRY_AFTER_MS
         )
 
@@ -378,6 +405,7 @@
             )
             queue.is_limited = lambda: True
             queue.release_endpoint = self.release
+            queue.check_access = lambda: self._check_plain_access(service)
             queue.end_ms = self.end_ms
         return queue
 
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -19,6 +19,7 @@
 from ._attempt_kinds import PlainAttempts, StreamAttempts
 from ._crash_guard import CrashGuard, digest_request, reason_for
 from ._dispatcher import DEFAULT_GOAL_MS, Dispatcher
+from ._endpoint_access import EndpointAccess
 from ._event_stream import EventSplitter
 from ._forwarding import DECLINED, unwrap
 from ._open_requests import OpenRequests
@@ -55,9 +56,20 @@
     peers : PeerTable
     clock : Clock
     decisions : DecisionLog
+    evacuations : Evacuations
     """
 
-    def __init__(self, settings, directory, active_config, wire, peers, clock, decisions):
+    def __init__(
+        self,
+        settings,
+        directory,
+        active_config,
+        wire,
+        peers,
+        clock,
+        decisions,
+        evacuations,
+    ):
         self.settings = settings
         self.directory = directory
         self.active_config = active_config
@@ -68,7 +80,11 @@
         peers.on_suspects = self._add_peer_suspicions
         peers.on_unreachable = self._note_unreachable_elsewhere
         self.load_tracker = LoadTracker(clock, peers)
-        self.replica_view = ReplicaView(directory, active_config, clock)
+        self.evacuations = evacuations
+        evacuations.on_begun.append(lambda zone, position: self._update_access())
+        evacuations.on_ended.append(lambda zone, position: self._update_access_soon())
+        self.access = EndpointAccess(evacuations)
+        self.replica_view = ReplicaView(directory, active_config, clock, self.access)
         self.endpoint_limits = EndpointLimits(clock, decisions)
         peers.on_limits = self.endpoint_limits.merge
         self.permits = SendPermits(clock, self.endpoint_limits, settings.zone)
@@ -83,6 +99,7 @@
             clock,
             self.permits,
             self.reachability,
+            self.access,
         )
         self.crash_guard = CrashGuard(directory, peers, clock, decisions, settings.ip)
         self.crash_guard.on_verdict = self._note_verdict
@@ -100,6 +117,7 @@
             self.load_tracker,
             self.silence_detector,
             self.reachability,
+            self.access,
             clock,
             decisions,
             settings.ip,
@@ -247,6 +265,7 @@
         """Update the gauges before a scrape."""
         _metrics.IN_FLIGHT.set(self.in_flight)
         _metrics.LOST_SCOPES.set(len(self.reachability.lost_scopes))
+        _metrics.EVACUATED_ZONES.set(len(self.evacuations.zones))
         _metrics.LIMITED_ENDPOINTS.set(self.endpoint_limits.count())
         for (_, model), queue in self.dispatcher.queues.items():
             _metrics.WAITING.labels(model).set(len(queue.waiting))
@@ -281,6 +300,7 @@
             limits=self.endpoint_limits.records(SHARED_MS),
             unreachable=self.replica_view.local_suspicions(unreachable=True),
             lost_services=list(self.dispatcher.lost_services()),
+            evacuations=self.evacuations.records(),
         )
 
     def _add_peer_suspicions(self, suspects, daemon):
@@ -390,9 +410,27 @@
             self.retry_budget.record_request(context.service.name)
         context.counted = True
 
+    def _update_access(self):
+        """Apply a change of the endpoints that may get requests to those that wait."""
+        if self.active_config.config is None:
+            return
+        self.dispatcher.update_access()
+        if self.reachability.any_lost:
+            self._reroute_without_path()
+
+    def _update_access_soon(self):
+        """Dispatch after all listeners have learned that endpoints may get requests again.
+
+        What bounds the requests to these endpoints has to be in place before.
+        """
+        asyncio.get_running_loop().call_soon(self._update_access)
+
     def _reroute_waiting(self):
         """Have the requests that wait for endpoints out of reach go by other daemons."""
         self.path_prober.wake()
+        self._reroute_without_path()
+
+    def _reroute_without_path(self):
         for queue in self.dispatcher.queues_without_path():
             queue.reject(lambda parts: True, PATHS_LOST)
 
--- a/libraries/gateway/src/corianderhaven/gateway/_metrics.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_metrics.py
@@ -39,6 +39,12 @@
     PREFIX + "forwards", "Requests forwarded to other daemons by result", ["service", "result"]
 )
 LOST_SCOPES = Gauge(PREFIX + "lost_scopes", "Scopes of endpoints that are out of reach")
+EVACUATED_ZONES = Gauge(PREFIX + "evacuated_zones", "Zones that get no requests")
+DENIED_SENDS = Counter(
+    PREFIX + "denied_sends",
+    "Requests held back just before they were sent, as their endpoint may get none any more",
+    ["service", "reason"],
+)
 CONNECTION_FAILURES = Counter(
     PREFIX + "connection_failures",
     "Connections to endpoints that could not be opened, by cause",
--- a/libraries/gateway/src/corianderhaven/gateway/_replica_view.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_replica_view.py
@@ -5,6 +5,8 @@
 
 from corianderhaven.fleet import count_missing_members, group_replicas, is_serving
 
+from ._endpoint_access import EndpointAccess
+
 SUSPICION_MS = 2_500.0  # by then a lost member is detected or the replica has proved healthy
 TOLD_ACTIVITY_MARGIN_MS = 100.0  # an exchange may have taken so long, which makes it look later
 
@@ -40,13 +42,14 @@
 
 
 class ReplicaView:
-    """Heads of serving replicas by service and model, except suspected ones.
+    """Heads of serving replicas by service and model, except suspected and denied ones.
 
     Parameters
     ----------
     directory : EndpointDirectory
     active_config : ActiveConfig
     clock : Clock
+    access : EndpointAccess or None
 
     Attributes
     ----------
@@ -54,13 +57,15 @@
         Returns when a head was last active at another daemon, or None.
     """
 
-    def __init__(self, directory, active_config, clock):
+    def __init__(self, directory, active_config, clock, access=None):
         self.directory = directory
         self.active_config = active_config
         self.clock = clock
+        self.access = access or EndpointAccess()
         self.suspicions = {}
         self.cached_version = None
         self.cached_heads = {}
+        self.cached_allowed = {}
         self.told_activity_ms = lambda head_id: None
 
     def available_heads(self, service, model):
@@ -70,15 +75,34 @@
         return [head for head in heads if self._is_trusted(head, now)]
 
     def all_heads(self, service):
-        """Return the heads of serving replicas by model, including suspected ones."""
+        """Return the heads that may get requests by model, including suspected ones."""
+        self._update_cache()
+        return self.cached_allowed.get(service, {})
+
+    def refusal(self, service, model):
+        """Return the `Refusal` of requests for a model no head of which may get any, or None.
+
+        Without a serving replica, one may be formed of endpoints that are not denied.
+        """
+        if not self.access.denies_any:
+            return None
+        self._update_cache()
+        heads = self.cached_heads.get(service, {}).get(model, ())
+        return self.access.refusal_of_all(heads or self.directory.endpoints(service))
+
+    def _update_cache(self):
         config = self.active_config.config
-        version = (self.directory.version, config.version)
-        if version != self.cached_version:
-            self.cached_version = version
-            self.cached_heads = {
-                name: self._heads_by_model(spec) for name, spec in config.services.items()
-            }
-        return self.cached_heads.get(service, {})
+        version = (self.directory.version, config.version, self.access.version)
+        if version == self.cached_version:
+            return
+        self.cached_version = version
+        self.cached_heads = {
+            name: self._heads_by_model(spec) for name, spec in config.services.items()
+        }
+        self.cached_allowed = {
+            name: {model: self.access.allowed(heads) for model, heads in by_model.items()}
+            for name, by_model in self.cached_heads.items()
+        }
 
     def expected_heads(self, service, model):
         """Return the heads that can receive requests soon.
--- a/libraries/gateway/src/corianderhaven/gateway/_request_runner.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_runner.py
@@ -144,6 +144,8 @@
             whole_part=context.metadata.whole_part,
             budget=round(self.gateway.retry_budget.remaining(context.service.name), 1),
         )
+        if attempt.denied and not attempt.sent:
+            return  # this tells nothing of the endpoint
         context.excluded.add(endpoint.id)
         await self.gateway.note_failure(endpoint, result)
 
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -28,6 +28,10 @@
 MAX_PRIORITY = 9
 
 
+class _EndpointDeniedError(Exception):
+    """The endpoint may get no requests any more."""
+
+
 class Sender:
     """Sends requests to endpoints and forwards their answers.
 
@@ -37,6 +41,7 @@
     load_tracker : LoadTracker
     silence_detector : SilenceDetector
     reachability : Reachability
+    access : EndpointAccess
     clock : Clock
     decisions : DecisionLog
     source_ip : str or None
@@ -62,6 +67,7 @@
         load_tracker,
         silence_detector,
         reachability,
+        access,
         clock,
         decisions,
         source_ip=None,
@@ -75,6 +81,7 @@
         self.load_tracker = load_tracker
         self.silence_detector = silence_detector
         self.reachability = reachability
+        self.access = access
         self.clock = clock
         self.source_ip = source_ip
         self.waiting = set()
@@ -245,6 +252,14 @@
         self.waiting.add(attempt)
         try:
             return await self._send_and_read_head(attempt)
+        except _EndpointDeniedError as error:
+            attempt.failure, attempt.denied = str(error), True
+            _metrics.DENIED_SENDS.labels(attempt.endpoint.service, attempt.failure).inc()
+            if attempt.sent:
+                # The endpoint may have run what a lost kept connection carried.
+                raise ConnectionLostError(attempt.failure) from None
+            attempt.context.attempts -= 1
+            return None
         finally:
             self.waiting.discard(attempt)
 
@@ -259,6 +274,7 @@
         """
         context, endpoint = attempt.context, attempt.endpoint
         context.attempts += 1
+        self._check_access(attempt)
         kept = None
         if self._may_use_kept_connection(attempt):
             kept = self.pool.take(endpoint)
@@ -357,8 +373,16 @@
         base = LATE_PRIORITY if late else ON_TIME_PRIORITY
         return min(MAX_PRIORITY, base + context.priority)
 
+    def _check_access(self, attempt):
+        reason = self.access.refusal(attempt.endpoint)
+        if reason is not None:
+            raise _EndpointDeniedError(reason)
+
     async def _send(self, attempt):
+        """Send the request unless the endpoint is denied, which may have changed meanwhile."""
+        self._check_access(attempt)
         context, endpoint = attempt.context, attempt.endpoint
+        attempt.sent = True
         attempt.sent_ms = self.clock.now_ms()
         remaining_ms = context.deadline_ms - self.clock.now_ms() - DEADLINE_SLACK_MS
         metadata = AttemptMetadata(
