--- a/libraries/gateway/src/corianderhaven/gateway/__init__.py
+++ b/libraries/gateway/src/corianderhaven/gateway/__init__.py
@@ -3,6 +3,7 @@
 from ._connection_pool import ConnectionPool, declared_idle_ms
 from ._crash_evidence import Admission, Assessment, ListedPart, Verdict
 from ._crash_ledger import CrashLedger
+from ._endpoint_access import EndpointAccess
 from ._event_stream import EventSplitter
 from ._forwarding import ForwardingDaemon, choose_peer, forwarded_headers, is_forwarded, unwrap
 from ._gateway import Gateway
@@ -22,6 +23,7 @@
     "Assessment",
     "AttemptMetadata",
     "CrashLedger",
+    "EndpointAccess",
     "EventSplitter",
     "ForwardingDaemon",
     "Gateway",
