Ignore repeated changes of evacuations, and judge the keeper's paths by all endpoints

Cause: a watch continues from before the listing of op/, so it repeats changes that the listing already reflects; a daemon that had not known of an ended evacuation refused its waiting requests for a moment. The keeper's judgement whether it reaches the engines left evacuated endpoints out, although orders are not requests.

Change: changes up to the position of the latest listing are ignored, and the position never falls. can_reach_engines asks for all endpoints again.

--- a/libraries/fleet/src/corianderhaven/fleet/_evacuations.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_evacuations.py
@@ -80,26 +80,24 @@
         """Return the `EvacuationRecord`s of all zones, by zone."""
         return dict(self.known)
 
-    def observe(self, zone, evacuated, position, source="store"):
-        """Apply a write or deletion of a zone's item that was read from the store."""
-        if not _is_valid(zone, position):
-            return
-        if evacuated:
-            self.present.add(zone)
-        else:
-            self.present.discard(zone)
-        self._apply(zone, evacuated, position, source)
+    def observe(self, zone, evacuated, position):
+        """Apply a change of a zone's item that a watch of the store returned.
+
+        A watch repeats changes from before the latest listing, which shows what came of them.
+        """
+        if self.read_position is None or position > self.read_position:
+            self._observe(zone, evacuated, position)
 
     def apply_listing(self, revisions, position):
         """Apply a listing of the operator's items, by zone, as of a position in the store."""
         self.present = set()
         for zone, revision in revisions.items():
-            self.observe(zone, True, (position[0], revision))
+            self._observe(zone, True, (position[0], revision))
         self.note_read(position)
 
     def note_read(self, position):
         """Take note that the changes up to a position were read; end what the store lacks."""
-        self.read_position = position
+        self.read_position = max(position, self.read_position or position)
         for zone in self.zones - self.present:
             self._settle(zone)
 
@@ -122,6 +120,15 @@
             if _is_valid(zone, record.position):
                 self._apply(zone, record.evacuated, record.position, source)
 
+    def _observe(self, zone, evacuated, position):
+        if not _is_valid(zone, position):
+            return
+        if evacuated:
+            self.present.add(zone)
+        else:
+            self.present.discard(zone)
+        self._apply(zone, evacuated, position, "store")
+
     def _settle(self, zone):
         """End an evacuation whose item the store lacks, after a restore only when that lasts."""
         record = self.known[zone]
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_evacuations.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_evacuations.py
@@ -133,6 +133,19 @@
     assert not evacuations.is_evacuated("a")
 
 
+def test_changes_that_a_watch_repeats_after_a_listing_begin_nothing():
+    """Waiting requests were refused for an evacuation that had ended before the listing."""
+    evacuations = make_evacuations()
+    evacuations.apply_listing({"b": 12}, (1, 10))
+    for zone, evacuated, revision in [("a", True, 7), ("a", False, 9), ("b", True, 12)]:
+        evacuations.observe(zone, evacuated, (1, revision))
+    evacuations.note_read((1, 8))
+    assert evacuations.read_position == (1, 10)
+    assert evacuations.log == [("begun", "b")]
+    evacuations.observe("b", False, (1, 13))
+    assert evacuations.log == [("begun", "b"), ("ended", "b")]
+
+
 def test_unusable_records_are_ignored_and_ended_ones_bounded():
     evacuations = make_evacuations()
     evacuations.merge({"": EvacuationRecord(True, 1, 1)}, "peer")
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -226,20 +226,35 @@
         return [e for e in endpoints if e.id not in context.excluded]
 
     def lost_services(self):
-        """Return the services of which no endpoint is in reach, with the times in ms for which."""
+        """Return the services of which no endpoint that may get requests is in reach.
+
+        Returns
+        -------
+        dict of str to float
+            Times in ms for which they have been out of reach, by service.
+        """
         if not self.reachability.any_lost:
             return {}
         made_ms, lost = self.latest_lost_services
         now = self.clock.now_ms()
         if now - made_ms >= LOST_SERVICES_CACHE_MS:
-            by_service = defaultdict(list)
-            for endpoint in self.access.allowed(self.directory.endpoints()):
-                by_service[endpoint.service].append(endpoint)
-            ages = ((s, self.reachability.all_lost_for_ms(e)) for s, e in by_service.items())
-            lost = {service: age_ms for service, age_ms in ages if age_ms}
+            lost = self._lost_services(self.access.allowed(self.directory.endpoints()))
             self.latest_lost_services = (now, lost)
         return lost
 
+    def services_without_path(self):
+        """Return the same of all endpoints, also of those that may get orders only."""
+        if not self.reachability.any_lost:
+            return {}
+        return self._lost_services(self.directory.endpoints())
+
+    def _lost_services(self, endpoints):
+        by_service = defaultdict(list)
+        for endpoint in endpoints:
+            by_service[endpoint.service].append(endpoint)
+        ages = ((s, self.reachability.all_lost_for_ms(e)) for s, e in by_service.items())
+        return {service: age_ms for service, age_ms in ages if age_ms}
+
     def _are_full(self, endpoints, slots):
         return all(self.load_tracker.occupancy(e.id) >= slots for e in endpoints)
 
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -253,7 +253,7 @@
         A path that was lost only just now may be back at once.
         """
         config = self.active_config.config
-        lost_for_ms = self.dispatcher.lost_services()
+        lost_for_ms = self.dispatcher.services_without_path()
         return config is None or not any(
             service.engine is not None
             and lost_for_ms.get(service.name, 0.0) > LASTING_LOSS_MS
