--- a/libraries/fleet/src/corianderhaven/fleet/_types.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_types.py
@@ -257,6 +257,8 @@
         Window over which loads from the weight store are counted to limit their rate.
     weigh_prompts : bool
         Whether heads are chosen by the prompt tokens that they have to prefill, too.
+    evacuate_ms : float
+        Time from the store's acknowledgement of an evacuation until no request reaches the zone.
     """
 
     name: str
@@ -275,3 +277,4 @@
     lease_min_ms: float = 1_000.0
     load_window_ms: float = 5_000.0
     weigh_prompts: bool = False
+    evacuate_ms: float = 5_000.0
