Tests of daemons under clients that exhaust memory, time or descriptors

Change: a test file that runs one adversarial load at a time against a daemon process with the limits of the smallest VM (112 MB, peak under 100 MB; 256 descriptors). The stand-in site takes other limits, and the daemon's settings file a section [limits], which the daemon ignores so far.

--- /dev/null
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_untrusted_clients.py
@@ -0,0 +1,526 @@
+"""Daemon processes under clients, endpoints and peers that exhaust memory, time or descriptors.
+
+Each case runs one adversarial load against a daemon process with the limits of the smallest VM.
+"""
+
+import asyncio
+import itertools
+import socket
+import time
+from collections import Counter
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from corianderhaven.common import ClientConnection, ConnectionLostError
+from corianderhaven.daemon.tests.hosted_site import wait_until
+from corianderhaven.standins import HostedDaemonProcess, HostingSite, small_models
+
+VM_MEMORY_MB = 112
+MAX_MEMORY_MB = 100.0  # peak resident memory, the rest is left to the system
+MAX_FDS = 256
+BODY_LIMIT_BYTES = 4 << 20
+HEADER_TIMEOUT_MS = 1_000
+IDLE_TIMEOUT_MS = 3_000
+STARTUP_TIMEOUT_S = 20.0
+CROWD_TIMEOUT_S = 25.0  # for the crowd to send what it has; not asserted
+CLIENT_TIMEOUT_S = 6.0
+ORDINARY_ATTEMPTS = 3
+NEVER_RUN = (503, 429, 408, 421)  # statuses that guarantee that a request has not run
+LARGE_ANSWER_BYTES = 3_000_000
+LONG_EVENT = b"data: " + b"e" * 32_000 + b"\n\n"
+request_numbers = itertools.count(1)
+
+
+class LongAnswersSite(HostingSite):
+    """Site whose workers send large answers and endless streams at the targets that ask for them.
+
+    A worker writes as fast as its caller reads, so a stream holds it until the caller has gone.
+    """
+
+    async def _answer_plain(self, worker, request, caller):
+        if b"large" not in request.target:
+            await super()._answer_plain(worker, request, caller)
+            return
+        body = b"a" * LARGE_ANSWER_BYTES
+        await caller.send_response(200, self._response_headers(worker, request), body)
+
+    async def _stream_events(self, worker, request, caller):
+        if b"long" not in request.target:
+            await super()._stream_events(worker, request, caller)
+            return
+        first = int(request.header("last-event-id") or 0) + 1
+        kind = (b"content-type", b"text/event-stream")
+        await caller.send_head(200, [*self._response_headers(worker, request), kind])
+        for number in itertools.count(first):
+            await caller.send_chunk(b"id: %d\n" % number + LONG_EVENT)
+            await asyncio.sleep(0)
+
+
+class Usage:
+    """Peak use of memory and descriptors of a daemon process."""
+
+    def __init__(self, process):
+        self.folder = Path(f"/proc/{process.pid}")
+        self.peak_fds = 0
+
+    async def watch_fds(self):
+        while True:
+            self.peak_fds = max(self.peak_fds, len(list((self.folder / "fd").iterdir())))
+            await asyncio.sleep(0.02)
+
+    def peak_mb(self):
+        lines = (self.folder / "status").read_text().splitlines()
+        return next(int(line.split()[1]) for line in lines if line.startswith("VmHWM")) / 1024
+
+
+class Crowd:
+    """Raw connections that send given bytes and stay open.
+
+    Parameters
+    ----------
+    address : str
+    reads : bool
+        Whether answers are read.
+    """
+
+    def __init__(self, address, reads=True):
+        self.host, _, port = address.rpartition(":")
+        self.port = int(port)
+        self.reads = reads
+        self.statuses = {}
+        self.writers = []
+        self.tasks = []
+
+    async def _connect(self):
+        sock = socket.socket()
+        sock.setblocking(False)
+        if not self.reads:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        await asyncio.get_running_loop().sock_connect(sock, (self.host, self.port))
+        return await asyncio.open_connection(sock=sock, limit=4_096)
+
+    async def send(self, pieces, request_id="", pause_s=0.0):
+        """Open a connection and send `pieces`; it stays open until the daemon closes it."""
+        try:
+            reader, writer = await self._connect()
+        except OSError:
+            return
+        self.writers.append(writer)
+        if self.reads:
+            reading = self._read(reader, request_id)
+            self.tasks.append(asyncio.get_running_loop().create_task(reading))
+        try:
+            for piece in pieces:
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(pause_s)
+        except OSError:
+            pass  # closed by the daemon
+
+    async def _read(self, reader, request_id):
+        try:
+            line = await reader.readline()
+            if line:
+                self.statuses[request_id] = int(line.split()[1])
+            while await reader.read(65_536):
+                pass
+        except (OSError, ValueError):
+            pass
+
+    async def send_all(self, streams, pause_s=0.0):
+        """Send each of `streams`, pairs of an ID and pieces, on a connection of its own."""
+        sending = [
+            asyncio.get_running_loop().create_task(self.send(pieces, request_id, pause_s))
+            for request_id, pieces in streams
+        ]
+        self.tasks += sending
+        await asyncio.wait(sending, timeout=CROWD_TIMEOUT_S)
+
+    def close(self):
+        for task in self.tasks:
+            task.cancel()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+class Trial:
+    """A site, a daemon process on the smallest VM, and what it used."""
+
+    def __init__(self, site, daemon):
+        self.site = site
+        self.daemon = daemon
+        self.usage = Usage(daemon.process)
+        self.crowds = []
+
+    def crowd(self, address=None, reads=True):
+        self.crowds.append(Crowd(address or self.daemon.front, reads))
+        return self.crowds[-1]
+
+    async def call(self, method, target, body=b"", headers=()):
+        """Return the status and body of one request on a connection of its own."""
+        connection = await ClientConnection.open(self.daemon.front, 2_000)
+        try:
+            head = head_of(f"ordinary-{next(request_numbers)}", len(body), headers)
+            await connection.send(method, target, head, body)
+            answer = await connection.read_head()
+            return answer.status, await connection.read_body()
+        finally:
+            connection.close()
+
+    async def ordinary_is_answered(self):
+        """Return whether an ordinary stream is answered in one of a few attempts."""
+        draft = [
+            ("corianderhaven-model", "small"),
+            ("corianderhaven-token-count", "100,40"),
+            ("corianderhaven-prompt-prefix", "5c1e07a2:40,91bd3f06:60"),
+        ]
+        for _ in range(ORDINARY_ATTEMPTS):
+            try:
+                async with asyncio.timeout(CLIENT_TIMEOUT_S):
+                    status, body = await self.call("POST", "/draft/x", b"{}", draft)
+                if status == 200 and b"id: 8\n" in body:
+                    return True
+            except (ConnectionLostError, TimeoutError):
+                pass
+            await asyncio.sleep(0.2)
+        return False
+
+    async def check(self):
+        """Check what has to hold after every adversarial load."""
+        answered = await self.ordinary_is_answered()
+        peak_mb = self.usage.peak_mb() if self.daemon.process.poll() is None else None
+        print(f"peak {peak_mb} MB, {self.usage.peak_fds} descriptors, answered: {answered}")
+        for crowd in self.crowds:
+            print(f"answers {Counter(crowd.statuses.values())}")
+        assert self.daemon.process.poll() is None
+        assert peak_mb < MAX_MEMORY_MB
+        assert self.usage.peak_fds <= MAX_FDS
+        assert answered
+        assert await self.daemon.is_ready()
+        runs = self.site.run_counts()
+        refused = [
+            i for c in self.crowds for i, status in c.statuses.items() if status in NEVER_RUN
+        ]
+        assert not [request_id for request_id in refused if runs[request_id]]
+
+
+def head_of(request_id, length=None, headers=()):
+    """Return the headers of a request with a valid key."""
+    return [
+        ("host", "site.example"),
+        ("corianderhaven-attempt-id", request_id),
+        ("corianderhaven-deadline-ms", "4000"),
+        ("authorization", "Bearer key-a"),
+        *([("content-length", str(length))] if length is not None else []),
+        *headers,
+    ]
+
+
+def head_bytes(request_id, target="/issue/x", headers=(("transfer-encoding", "chunked"),)):
+    lines = [f"POST {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in head_of(request_id, None, headers)]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def chunked(size, chunk_bytes, extension=b""):
+    """Return the chunks of a body of `size` bytes, all but the last byte of its end."""
+    chunk = b"%x%b\r\n" % (chunk_bytes, extension) + b"c" * chunk_bytes + b"\r\n"
+    return chunk * (size // chunk_bytes) + b"0\r\n\r"
+
+
+def pieces_of(data, size=65_536):
+    return [data[first : first + size] for first in range(0, len(data), size)]
+
+
+def request_id():
+    return f"crowd-{next(request_numbers)}"
+
+
+@asynccontextmanager
+async def trial(folder, **limits):
+    site = LongAnswersSite(["a"], 4, small_models(), 2)
+    site.limits = {
+        "max_header_bytes": 16_384,
+        "max_body_bytes": BODY_LIMIT_BYTES,
+        "header_timeout_ms": HEADER_TIMEOUT_MS,
+        "idle_timeout_ms": IDLE_TIMEOUT_MS,
+        **limits,
+    }
+    await site.start()
+    vm = {"memory_mb": VM_MEMORY_MB, "max_fds": MAX_FDS}
+    daemon = HostedDaemonProcess("d", "a", site.store_server.address, str(folder), limits=vm)
+    current = Trial(site, daemon)
+    watching = None
+    try:
+        async with asyncio.timeout(STARTUP_TIMEOUT_S):
+            while not await daemon.is_ready() or not await current.ordinary_is_answered():
+                await asyncio.sleep(0.1)
+        watching = asyncio.get_running_loop().create_task(current.usage.watch_fds())
+        yield current
+    finally:
+        if watching is not None:
+            watching.cancel()
+        for crowd in current.crowds:
+            crowd.close()
+        daemon.kill()
+        site.close()
+
+
+def run_bodies(folder, bodies, address=None):
+    """Send chunked bodies at once, all left open before their end, and check the daemon."""
+
+    async def scenario():
+        async with trial(folder, idle_timeout_ms=15_000) as current:
+            crowd = current.crowd(address and getattr(current.daemon, address))
+            ids = [request_id() for _ in bodies]
+            streams = [
+                (i, [head_bytes(i), *pieces_of(body)]) for i, body in zip(ids, bodies, strict=True)
+            ]
+            await crowd.send_all(streams)
+            await current.check()
+            runs = current.site.run_counts()
+            assert not [i for i in ids if runs[i]]
+
+    asyncio.run(scenario())
+
+
+def test_body_at_the_limit_is_served_in_calm(tmp_path):
+    """Guards against limits under load that a single request within the configuration meets."""
+
+    async def scenario():
+        async with trial(tmp_path) as current:
+            body = b"b" * BODY_LIMIT_BYTES
+            status, _ = await current.call("POST", "/issue/x", body)
+            assert status == 200
+            in_chunks = [("transfer-encoding", "chunked")]
+            crowd = current.crowd()
+            for chunk_bytes, size in ((65_536, BODY_LIMIT_BYTES), (1, 50_000)):
+                sent = request_id()
+                data = head_bytes(sent, headers=in_chunks) + chunked(size, chunk_bytes) + b"\n"
+                await crowd.send(pieces_of(data), sent)
+                await wait_until(lambda sent=sent: sent in crowd.statuses, CROWD_TIMEOUT_S)
+                assert crowd.statuses[sent] == 200
+            assert len(current.site.runs[-1].body) == 50_000
+            await current.check()
+
+    asyncio.run(scenario())
+
+
+def test_large_answer_is_delivered_in_calm(tmp_path):
+    """Guards against a bound on answers that one of the protocol's size meets."""
+
+    async def scenario():
+        async with trial(tmp_path) as current:
+            status, body = await current.call("GET", "/status/large")
+            assert (status, len(body)) == (200, LARGE_ANSWER_BYTES)
+            await current.check()
+
+    asyncio.run(scenario())
+
+
+def test_many_bodies_in_large_chunks(tmp_path):
+    """Guards against bodies that are buffered without a bound over all connections."""
+    run_bodies(tmp_path, [chunked(983_040, 65_536)] * 120)
+
+
+def test_many_bodies_at_the_limit(tmp_path):
+    """Guards against bodies that are buffered without a bound over all connections."""
+    run_bodies(tmp_path, [chunked(BODY_LIMIT_BYTES, 65_536)] * 40)
+
+
+def test_many_bodies_in_chunks_of_one_byte(tmp_path):
+    """Guards against a parser pass and an object for each chunk."""
+    run_bodies(tmp_path, [chunked(300_000, 1)] * 40)
+
+
+@pytest.mark.parametrize("kind", ["extensions", "trailers"])
+def test_chunk_extensions_and_trailers_without_end(tmp_path, kind):
+    """Guards against parts of the framing that count towards no limit."""
+    if kind == "extensions":
+        body = chunked(200, 1, b";x=" + b"e" * 10_000)
+    else:
+        body = b"1\r\nc\r\n0\r\n" + b"x: trailer\r\n" * 160_000
+    run_bodies(tmp_path, [body] * 40)
+
+
+def test_bodies_far_over_the_limit_without_a_length(tmp_path):
+    """Guards against a body that is read on after its limit."""
+    run_bodies(tmp_path, [chunked(6 * BODY_LIMIT_BYTES, 65_536)] * 30)
+
+
+def test_declared_lengths_far_over_the_limit(tmp_path):
+    """Guards against a body that is read although its declared length is over the limit."""
+
+    async def scenario():
+        async with trial(tmp_path) as current:
+            declared = [("content-length", "400000000")]
+            body = [b"d" * 65_536] * 96
+            ids = [request_id() for _ in range(40)]
+            streams = [(i, [head_bytes(i, headers=declared), *body]) for i in ids]
+            await current.crowd().send_all(streams)
+            await current.check()
+            runs = current.site.run_counts()
+            assert not [i for i in ids if runs[i]]
+
+    asyncio.run(scenario())
+
+
+def test_many_slowly_sent_headers(tmp_path):
+    """Guards against descriptors held by requests whose headers never end."""
+
+    async def scenario():
+        async with trial(tmp_path, header_timeout_ms=10_000) as current:
+            crowd = current.crowd()
+            head = head_bytes("never")[:-2]
+            streams = [(f"slow-{n}", [head, *[b"x: y\r\n"] * 10]) for n in range(400)]
+            await crowd.send_all(streams, pause_s=0.3)
+            await current.check()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("listener", ["front", "ready", "peers"])
+def test_many_idle_connections(tmp_path, listener):
+    """Guards against descriptors held by connections that carry nothing."""
+
+    async def scenario():
+        async with trial(tmp_path, idle_timeout_ms=15_000) as current:
+            crowd = current.crowd(getattr(current.daemon, listener))
+            await crowd.send_all([(f"idle-{n}", []) for n in range(600)])
+            await asyncio.sleep(0.5)
+            await current.check()
+
+    asyncio.run(scenario())
+
+
+def test_bodies_pipelined_behind_unanswered_requests(tmp_path):
+    """Guards against a further request that is buffered while the first is handled."""
+
+    async def scenario():
+        async with trial(tmp_path, idle_timeout_ms=15_000) as current:
+            for worker in current.site.workers.values():
+                worker.faults.slow_ms = 3_000.0
+            following = head_bytes("pipelined") + chunked(3_900_000, 65_536)
+            ids = [request_id() for _ in range(40)]
+            first = [("content-length", "0")]
+            streams = [(i, [head_bytes(i, headers=first), *pieces_of(following)]) for i in ids]
+            await current.crowd().send_all(streams)
+            for worker in current.site.workers.values():
+                worker.faults.slow_ms = 0.0
+            await current.check()
+            assert not current.site.run_counts()["pipelined"]
+
+    asyncio.run(scenario())
+
+
+def test_large_answers_that_are_not_read(tmp_path):
+    """Guards against complete answers that are buffered for as long as callers don't read."""
+
+    async def scenario():
+        async with trial(tmp_path, idle_timeout_ms=15_000) as current:
+            crowd = current.crowd(reads=False)
+            ids = [request_id() for _ in range(40)]
+            length = [("content-length", "0")]
+            streams = [(i, [head_bytes(i, "/status/large", length)]) for i in ids]
+            await crowd.send_all(streams)
+            deadline = time.monotonic() + CROWD_TIMEOUT_S
+            while len(current.site.runs) < 30 and time.monotonic() < deadline:
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(1.0)
+            await current.check()
+
+    asyncio.run(scenario())
+
+
+def test_thirty_long_streams_that_are_not_read(tmp_path):
+    """Guards against streams that are buffered, or held open, for callers that never read."""
+
+    async def scenario():
+        async with trial(tmp_path) as current:
+            draft = [
+                ("content-length", "0"),
+                ("corianderhaven-model", "small"),
+                ("corianderhaven-token-count", "100,40"),
+                ("corianderhaven-prompt-prefix", "5c1e07a2:40,91bd3f06:60"),
+            ]
+            ids = [request_id() for _ in range(30)]
+            streams = [(i, [head_bytes(i, "/draft/long", draft)]) for i in ids]
+            crowd = current.crowd(reads=False)
+            await crowd.send_all(streams)
+            await asyncio.sleep(1.0)
+            busy = [w for w in current.site.workers.values() if w.active]
+            assert busy
+            await current.check()
+            async with asyncio.timeout(CROWD_TIMEOUT_S):
+                while any(w.active for w in current.site.workers.values()):
+                    await asyncio.sleep(0.05)
+
+    asyncio.run(scenario())
+
+
+def test_answers_of_excessive_size(tmp_path):
+    """Guards against answers of endpoints that are buffered without a bound over all requests."""
+
+    async def endless(self, worker, request, caller):
+        headers = [*self._response_headers(worker, request), (b"content-length", b"400000000")]
+        await caller.send_head(200, headers)
+        while not caller.lost:
+            await caller.send_chunk(b"e" * 65_536)
+            await asyncio.sleep(0)
+
+    async def scenario():
+        async with trial(tmp_path) as current:
+            current.site._answer_plain = endless.__get__(current.site)
+            length = [("content-length", "0")]
+            streams = [(i, [head_bytes(i, "/status/x", length)]) for i in map(str, range(30))]
+            crowd = current.crowd()
+            await crowd.send_all(streams)
+            deadline = time.monotonic() + CROWD_TIMEOUT_S
+            while len(crowd.statuses) < 30 and time.monotonic() < deadline:
+                await asyncio.sleep(0.05)
+            await current.check()
+            assert 200 not in crowd.statuses.values()
+
+    asyncio.run(scenario())
+
+
+def test_messages_to_the_address_for_peers(tmp_path):
+    """Guards against messages of peers that are buffered without a bound over all connections."""
+    run_bodies(tmp_path, [chunked(BODY_LIMIT_BYTES, 65_536)] * 40, "peers")
+
+
+def test_answers_of_peers_of_excessive_size(tmp_path):
+    """Guards against answers of peers that are buffered without a bound over all peers."""
+
+    async def scenario():
+        answered = Counter()
+
+        async def answer(reader, writer):
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+                answered["heads"] += 1
+                writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+                while True:
+                    writer.write(b"10000\r\n" + b"p" * 65_536 + b"\r\n")
+                    await writer.drain()
+            except (OSError, asyncio.IncompleteReadError):
+                pass
+            finally:
+                writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        try:
+            async with trial(tmp_path) as current:
+                for number in range(20):
+                    record = msgspec.json.encode({"address": address, "zone": "a"})
+                    current.site.store.put(f"corianderhaven/daemons/peer-{number}", record)
+                await wait_until(lambda: answered["heads"] >= 40, CROWD_TIMEOUT_S)
+                await current.check()
+        finally:
+            server.close()
+
+    asyncio.run(scenario())
--- a/libraries/standins/src/corianderhaven/standins/_hosting_daemon.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_daemon.py
@@ -27,6 +27,8 @@
 retry_slack = 107
 [platform]
 address = "{store}"
+[limits]
+{limits}
 """
 
 
@@ -47,6 +49,8 @@
     packages : str
         Folder with the installed packages of another build to run; by default those of this
         process.
+    limits : dict
+        Entries of the section ``[limits]`` of the node file.
     """
 
     def __init__(
@@ -61,6 +65,7 @@
         log_name=None,
         ip="127.0.0.1",
         packages="",
+        limits=None,
     ):
         self.front = previous.front if previous else free_address(ip)
         self.ready = previous.ready if previous else free_address(ip)
@@ -78,6 +83,7 @@
                 ready=self.ready,
                 grace_s=grace_s,
                 store=store,
+                limits="\n".join(f"{key} = {value}" for key, value in (limits or {}).items()),
             )
         )
         self.log = (Path(folder) / f"{log_name or name}.log").open("wb")
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -223,6 +223,12 @@
         self.wrap_address = _keep_address
         self.keys = {"team-a": ["key-a"], "team-b": ["key-b"]}
         self.routes = default_routes()
+        self.limits = {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1 << 20,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        }
         self.crashing_parts = set()
         self.crashing_targets = set()
         self.crash_restart_ms = 3_000.0
@@ -298,12 +304,7 @@
             "version": self.config_version,
             "routes": self.routes,
             "services": [self._engine_service(), {"name": PLAIN_SERVICE, "protocol": "h1"}],
-            "limits": {
-                "max_header_bytes": 16384,
-                "max_body_bytes": 1 << 20,
-                "header_timeout_ms": 3000,
-                "idle_timeout_ms": 15000,
-            },
+            "limits": self.limits,
             "tenants": [
                 {"name": name, "api_keys": keys, "priority": 1} for name, keys in self.keys.items()
             ],
