Derive the bounds of connections from the VM's memory and descriptors

Ruled out: fixed numbers, which fit one kind of VM only. Change: [limits] memory_mb and max_fds in the settings file, 1,024 MB and the system's limit without them; metric connection_refusals by cause, and one log line for each cause in ten seconds.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -49,6 +49,7 @@
 )
 
 from ._parts_api import PARTS_PATH, answer_parts
+from ._resource_bounds import ResourceBounds
 
 STORE_PREFIX = "corianderhaven/"
 KEEPER_KEY = STORE_PREFIX + "keeper"
@@ -89,6 +90,7 @@
         self.clock = clock or Clock()
         self.read_settings = read_settings
         self.decisions = DecisionLog(self.clock)
+        self.resource_bounds = ResourceBounds(settings, self.clock, self.decisions)
         self.draining = False
         self.stop_event = None
         self.failed = False
@@ -164,6 +166,7 @@
         self.readiness_server = AsyncHttpServer(
             settings.readiness, self._handle_readiness, self.clock
         )
+        self.resource_bounds.start(self.callers_server, self.peers_server, self.readiness_server)
         await self.callers_server.start()
         await self.readiness_server.start()
         self.started_ms = self.clock.now_ms()
@@ -187,6 +190,7 @@
         for server in (self.callers_server, self.readiness_server, self.peers_server):
             server.close()
         self.store.close()
+        self.resource_bounds.close()
         self.decisions.record("daemon_stopped", in_flight=self.gateway.in_flight)
 
     def request_drain(self):
--- a/libraries/fleet/src/corianderhaven/fleet/_types.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_types.py
@@ -255,6 +255,10 @@
         Shortest lease that the store grants.
     load_window_ms : float
         Window over which loads from the weight store are counted to limit their rate.
+    memory_mb : float or None
+        Memory of the VM; by default that of an ordinary one is assumed.
+    max_fds : int or None
+        File descriptors that the process may use; by default what the system allows.
     """
 
     name: str
@@ -272,3 +276,5 @@
     retry_slack: float = 10.0
     lease_min_ms: float = 1_000.0
     load_window_ms: float = 5_000.0
+    memory_mb: float | None = None
+    max_fds: int | None = None
--- a/libraries/gateway/src/corianderhaven/gateway/__init__.py
+++ b/libraries/gateway/src/corianderhaven/gateway/__init__.py
@@ -8,6 +8,7 @@
 from ._gateway import Gateway
 from ._peer_forwarder import PeerForwarder
 from ._reachability import Reachability
+from ._refusal_log import RefusalLog
 from ._replica_view import ReplicaView
 from ._routes import RouteTable
 from ._silence_detector import ActiveStream, SilenceDetector
@@ -28,6 +29,7 @@
     "ListedPart",
     "PeerForwarder",
     "Reachability",
+    "RefusalLog",
     "ReplicaView",
     "RequestMetadata",
     "ResponseMetadata",
--- a/libraries/gateway/src/corianderhaven/gateway/_metrics.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_metrics.py
@@ -44,3 +44,8 @@
     "Connections to endpoints that could not be opened, by cause",
     ["service", "cause"],
 )
+REFUSALS = Counter(
+    PREFIX + "connection_refusals",
+    "Requests, answers and connections given up to bound what the process holds, by cause",
+    ["cause"],
+)
