Read bodies of the threaded server in parts and bound their sum

Cause: the library reads a chunk, a chunk's extensions or a trailer whole into memory, whatever size the client gives it, and each thread may hold a body at the limit. Ruled out: the library's max_request_body_size, which doesn't bound a line and answers in another form. Change: a reader of chunked bodies of its own; bodies are read 64 KiB at a time, and what they hold beyond the first 64 KiB is bounded over all requests (64 MiB). A request without room gets no_memory (503, not run). Open: a body that is dripped holds its thread, as the library's read waits for a whole part.

--- a/libraries/common/src/corianderhaven/common/_http_server.py
+++ b/libraries/common/src/corianderhaven/common/_http_server.py
@@ -19,6 +19,12 @@
 MAX_DISCARDED_BYTES = 64 * 1024 * 1024
 DISCARD_CHUNK_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 64 * 1024
+READ_BYTES = 64 * 1024  # of a body at a time; up to this size it counts towards no limit
+MAX_BUFFERED_BYTES = 64 * 1024 * 1024  # of the bodies of all requests that are read or handled
+MAX_CHUNK_LINE_BYTES = 8 * 1024  # a chunk's size with its extensions, or a trailer
+MAX_TRAILERS = 100
+CHUNK_SIZE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;.*)?\r?\n")
+NO_MEMORY_RETRY_AFTER_MS = 1_000
 LISTEN_BACKLOG = 512
 WRITE_TIMEOUT_S = 10
 REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,80}")
@@ -31,6 +37,58 @@
     sock.setsockopt(socket.SOL_SOCKET, option, struct.pack("ll", seconds, microseconds))
 
 
+class _ChunkedBody:
+    """Chunked body of a request, read in parts.
+
+    Cheroot's own takes a whole chunk or line into memory, whatever size the client gives it.
+
+    Parameters
+    ----------
+    file : file object
+        The connection, after the request's headers.
+    """
+
+    def __init__(self, file):
+        self.file = file
+        self.chunk_left = 0
+        self.ended = False
+
+    def read(self, size):
+        """Return up to `size` bytes of the body, fewer only at its end."""
+        data = bytearray()
+        while len(data) < size and (self.chunk_left or self._begin_chunk()):
+            part = self.file.read(min(self.chunk_left, size - len(data)))
+            if not part:
+                raise ValueError("connection ended within a chunk")
+            data += part
+            self.chunk_left -= len(part)
+            if not self.chunk_left and self.file.read(2) != b"\r\n":
+                raise ValueError("chunk without an end")
+        return bytes(data)
+
+    def _begin_chunk(self):
+        """Read the head of the next chunk; return False at the end of the body."""
+        if self.ended:
+            return False
+        match = CHUNK_SIZE_PATTERN.fullmatch(self.file.readline(MAX_CHUNK_LINE_BYTES))
+        if match is None:
+            raise ValueError("bad size of a chunk")
+        self.chunk_left = int(match[1], 16)
+        if not self.chunk_left:
+            self.ended = True
+            self._skip_trailers()
+        return not self.ended
+
+    def _skip_trailers(self):
+        for _ in range(MAX_TRAILERS):
+            line = self.file.readline(MAX_CHUNK_LINE_BYTES)
+            if line in (b"\r\n", b"\n"):
+                return
+            if not line.endswith(b"\n"):
+                break
+        raise ValueError("bad trailers")
+
+
 class _StreamingGateway(wsgi.Gateway_10):
     """WSGI gateway that passes the caller's connection to the application."""
 
@@ -41,6 +99,8 @@
         environ = super().get_environ()
         environ["wsgi.version"] = (1, 0)
         environ["corianderhaven.connection"] = self.req.conn
+        if self.req.chunked_read:
+            environ["wsgi.input"] = _ChunkedBody(self.req.conn.rfile)
         return environ
 
     def respond(self):
@@ -152,10 +212,18 @@
     ----------
     max_body_bytes : int
         Maximum body size; larger bodies are rejected with status 413.
+
+    Attributes
+    ----------
+    max_buffered_bytes : int
+        Bound on the bodies of all requests together, beyond `READ_BYTES` of each.
     """
 
     def __init__(self, max_body_bytes=MAX_BODY_BYTES):
         self.max_body_bytes = max_body_bytes
+        self.max_buffered_bytes = MAX_BUFFERED_BYTES
+        self.buffered_bytes = 0
+        self.buffer_lock = threading.Lock()
         self.routes = []
 
     def add(self, method, pattern, handler):
@@ -190,8 +258,12 @@
 
     def application(self, environ, start_response):
         """Handle a request as a WSGI application."""
-        request, error = self._read_request(environ)
-        response = error_response(error) if error else self.dispatch(request)
+        buffered = _BufferedBytes(self)
+        try:
+            request, error = self._read_request(environ, buffered)
+            response = error_response(error) if error else self.dispatch(request)
+        finally:
+            buffered.release()
         headers = {"X-Request-Id": request.request_id, **response.headers}
         if isinstance(response.body, bytes):
             headers["Content-Length"] = str(len(response.body))
@@ -199,7 +271,7 @@
         start_response(f"{response.status} {reason}", list(headers.items()))
         return [response.body] if isinstance(response.body, bytes) else response.body
 
-    def _read_request(self, environ):
+    def _read_request(self, environ, buffered):
         headers = {
             key[5:].replace("_", "-").lower(): value
             for key, value in environ.items()
@@ -218,12 +290,12 @@
             environ.get("corianderhaven.connection"),
         )
         try:
-            request.body = self._read_body(environ)
+            request.body = self._read_body(environ, buffered)
         except CorianderhavenError as error:
             return request, error
         return request, None
 
-    def _read_body(self, environ):
+    def _read_body(self, environ, buffered):
         length = environ.get("CONTENT_LENGTH") or "0"
         if not length.isdigit():
             raise CorianderhavenError(ErrorCode.INVALID_REQUEST, "bad Content-Length")
@@ -231,13 +303,52 @@
         read_bytes = self.max_body_bytes + 1
         if not environ.get("wsgi.input_terminated"):
             read_bytes = min(read_bytes, int(length))
-        body = stream.read(read_bytes) if read_bytes else b""
+        body = bytearray()
+        while part := stream.read(min(READ_BYTES, read_bytes - len(body))):
+            if body and not buffered.take(len(part)):
+                body.clear()
+                buffered.release()
+                _discard_body(stream)
+                raise CorianderhavenError(
+                    ErrorCode.NO_MEMORY,
+                    "bodies of other requests take the memory",
+                    retry_after_ms=NO_MEMORY_RETRY_AFTER_MS,
+                )
+            body += part
+            if len(body) >= read_bytes:
+                break
         if len(body) > self.max_body_bytes:
+            body.clear()
+            buffered.release()
             _discard_body(stream)
             raise CorianderhavenError(
                 ErrorCode.BODY_TOO_LARGE, f"body above {self.max_body_bytes} bytes"
             )
-        return body
+        return bytes(body)
+
+
+class _BufferedBytes:
+    """What one request has taken of its router's `max_buffered_bytes`."""
+
+    def __init__(self, router):
+        self.router = router
+        self.taken_bytes = 0
+
+    def take(self, size):
+        """Count `size` more bytes; return False if there is no room for them."""
+        router = self.router
+        with router.buffer_lock:
+            if router.buffered_bytes + size > router.max_buffered_bytes:
+                return False
+            router.buffered_bytes += size
+        self.taken_bytes += size
+        return True
+
+    def release(self):
+        """Return what was taken."""
+        with self.router.buffer_lock:
+            self.router.buffered_bytes -= self.taken_bytes
+        self.taken_bytes = 0
 
 
 def _discard_body(stream):
--- a/libraries/common/src/corianderhaven/common/exceptions.py
+++ b/libraries/common/src/corianderhaven/common/exceptions.py
@@ -38,6 +38,7 @@
     NO_REPLICA = ("no_replica", 503)
     NO_ENDPOINT = ("no_endpoint", 503)
     NOT_READY = ("not_ready", 503)
+    NO_MEMORY = ("no_memory", 503)
     DRAINING = ("draining", 503)
     CLAIMS_UNAVAILABLE = ("claims_unavailable", 503)
     PLATFORM_UNAVAILABLE = ("platform_unavailable", 503)
