--- a/libraries/common/src/corianderhaven/common/_http_server.py
+++ b/libraries/common/src/corianderhaven/common/_http_server.py
@@ -12,6 +12,7 @@
 from cheroot import wsgi
 from loguru import logger
 
+from ._chunked_body import ChunkedBody
 from ._ids import new_id
 from .exceptions import CorianderhavenError, ErrorCode, FieldError, Outcome
 
@@ -19,6 +20,9 @@
 MAX_DISCARDED_BYTES = 64 * 1024 * 1024
 DISCARD_CHUNK_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 64 * 1024
+READ_BYTES = 64 * 1024  # of a body at a time; up to this size it counts towards no limit
+MAX_BUFFERED_BYTES = 64 * 1024 * 1024  # of the bodies of all requests that are read or handled
+NO_MEMORY_RETRY_AFTER_MS = 1_000
 LISTEN_BACKLOG = 512
 WRITE_TIMEOUT_S = 10
 REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,80}")
@@ -41,6 +45,8 @@
         environ = super().get_environ()
         environ["wsgi.version"] = (1, 0)
         environ["corianderhaven.connection"] = self.req.conn
+        if self.req.chunked_read:
+            environ["wsgi.input"] = ChunkedBody(self.req.conn.rfile)
         return environ
 
     def respond(self):
@@ -152,10 +158,18 @@
     ----------
     max_body_bytes : int
         Maximum body size; larger bodies are rejected with status 413.
+
+    Attributes
+    ----------
+    max_buffered_bytes : int
+        Bound on the bodies of all requests together, beyond `READ_BYTES` of each.
     """
 
     def __init__(self, max_body_bytes=MAX_BODY_BYTES):
         self.max_body_bytes = max_body_bytes
+        self.max_buffered_bytes = MAX_BUFFERED_BYTES
+        self.buffered_bytes = 0
+        self.buffer_lock = threading.Lock()
         self.routes = []
 
     def add(self, method, pattern, handler):
@@ -190,8 +204,12 @@
 
     def application(self, environ, start_response):
         """Handle a request as a WSGI application."""
-        request, error = self._read_request(environ)
-        response = error_response(error) if error else self.dispatch(request)
+        buffered = _BufferedBytes(self)
+        try:
+            request, error = self._read_request(environ, buffered)
+            response = error_response(error) if error else self.dispatch(request)
+        finally:
+            buffered.release()
         headers = {"X-Request-Id": request.request_id, **response.headers}
         if isinstance(response.body, bytes):
             headers["Content-Length"] = str(len(response.body))
@@ -199,7 +217,7 @@
         start_response(f"{response.status} {reason}", list(headers.items()))
         return [response.body] if isinstance(response.body, bytes) else response.body
 
-    def _read_request(self, environ):
+    def _read_request(self, environ, buffered):
         headers = {
             key[5:].replace("_", "-").lower(): value
             for key, value in environ.items()
@@ -218,12 +236,12 @@
             environ.get("corianderhaven.connection"),
         )
         try:
-            request.body = self._read_body(environ)
+            request.body = self._read_body(environ, buffered)
         except CorianderhavenError as error:
             return request, error
         return request, None
 
-    def _read_body(self, environ):
+    def _read_body(self, environ, buffered):
         length = environ.get("CONTENT_LENGTH") or "0"
         if not length.isdigit():
             raise CorianderhavenError(ErrorCode.INVALID_REQUEST, "bad Content-Length")
@@ -231,13 +249,52 @@
         read_bytes = self.max_body_bytes + 1
         if not environ.get("wsgi.input_terminated"):
             read_bytes = min(read_bytes, int(length))
-        body = stream.read(read_bytes) if read_bytes else b""
+        body = bytearray()
+        while part := stream.read(min(READ_BYTES, read_bytes - len(body))):
+            if body and not buffered.take(len(part)):
+                body.clear()
+                buffered.release()
+                _discard_body(stream)
+                raise CorianderhavenError(
+                    ErrorCode.NO_MEMORY,
+                    "bodies of other requests take the memory",
+                    retry_after_ms=NO_MEMORY_RETRY_AFTER_MS,
+                )
+            body += part
+            if len(body) >= read_bytes:
+                break
         if len(body) > self.max_body_bytes:
+            body.clear()
+            buffered.release()
             _discard_body(stream)
             raise CorianderhavenError(
                 ErrorCode.BODY_TOO_LARGE, f"body above {self.max_body_bytes} bytes"
             )
-        return body
+        return bytes(body)
+
+
+class _BufferedBytes:
+    """What one request has taken of its router's `max_buffered_bytes`."""
+
+    def __init__(self, router):
+        self.router = router
+        self.taken_bytes = 0
+
+    def take(self, size):
+        """Count `size` more bytes; return False if there is no room for them."""
+        router = self.router
+        with router.buffer_lock:
+            if router.buffered_bytes + size > router.max_buffered_bytes:
+                return False
+            router.buffered_bytes += size
+        self.taken_bytes += size
+        return True
+
+    def release(self):
+        """Return what was taken."""
+        with self.router.buffer_lock:
+            self.router.buffered_bytes -= self.taken_bytes
+        self.taken_bytes = 0
 
 
 def _discard_body(stream):
--- a/libraries/fleet/src/corianderhaven/fleet/_types.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_types.py
@@ -259,6 +259,10 @@
         Whether heads are chosen by the prompt tokens that they have to prefill, too.
     evacuate_ms : float
         Time from the store's acknowledgement of an evacuation until no request reaches the zone.
+    memory_mb : float or None
+        Memory of the VM; by default that of an ordinary one is assumed.
+    max_fds : int or None
+        File descriptors that the process may use; by default what the system allows.
     """
 
     name: str
@@ -278,3 +282,5 @@
     load_window_ms: float = 5_000.0
     weigh_prompts: bool = False
     evacuate_ms: float = 5_000.0
+    memory_mb: float | None = None
+    max_fds: int | None = None
