Count calls to the store by purpose and role

Ruled out: counting by path of the HTTP call, as a read of the configuration and one of a daemon's record have the same. Change: each component calls the store through a PurposeStore, and PlatformStore counts each HTTP call (each page of a listing) by purpose and role on the metrics address.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-import random
 import signal
 
 import msgspec
@@ -33,7 +32,9 @@
     PermitRequest,
     ProvenParts,
     ReplicaKeeper,
+    Role,
     StoreEra,
+    StoreReaders,
     StoreWatcher,
     decode_permits,
     encode_state,
@@ -49,6 +50,7 @@
 )
 
 from ._parts_api import PARTS_PATH, answer_parts
+from ._store_metrics import count_store_call
 
 STORE_PREFIX = "corianderhaven/"
 KEEPER_KEY = STORE_PREFIX + "keeper"
@@ -62,10 +64,6 @@
 IDLE_TIMEOUT_FACTOR = 1.2  # callers may reuse a connection for most of the idle timeout
 DRAIN_POLL_MS = 20.0
 LEAVING_ANNOUNCE_MS = 3_000.0  # several exchanges between any two daemons
-SETTLED_MS = 700.0  # all daemons that start together have registered by then
-HUB_FOLLOW_AFTER_MS = 500.0  # several exchanges with the hubs that are missing
-FOLLOW_AFTER_MS = 1_400.0  # the oldest contents of hubs that still read the store
-FOLLOW_SPREAD = 1.2  # so that the daemons of a zone don't all begin at once
 JOIN_TIMEOUT_MS = 1_500.0  # peers that the store lists may all be gone
 FORWARDING_BYTES = 1_024  # of headers that a daemon adds to a request that it forwards
 OPENED_ANNOUNCE_MS = 3_000.0  # by then every daemon has read the head's own entry
@@ -166,7 +164,7 @@
         )
         await self.callers_server.start()
         await self.readiness_server.start()
-        self.started_ms = self.clock.now_ms()
+        self.started_ms = self.readers.started_ms = self.clock.now_ms()
         self.watcher.start()
         self.lease.start()
         self.keeper.start()
@@ -282,28 +280,13 @@
             return True
         return self.clock.now_ms() - self.started_ms > JOIN_TIMEOUT_MS
 
-    def _should_follow(self):
-        """Return whether this daemon reads the store itself: as keeper, hub, or left alone."""
-        if self.lease.tenure is not None:
-            return True
-        if self.exchange.lists_peers() and not self.peers.peers:
-            return False  # the listed daemons are about to be known
-        if self.peers.is_first_hub():
-            # While all daemons start at once, each finds itself the first of its zone.
-            settled = self.clock.now_ms() - self.started_ms >= SETTLED_MS
-            return settled or (bool(self.watcher.own_items) and not self.settings.first_start)
-        limit_ms = HUB_FOLLOW_AFTER_MS if self.peers.is_hub() else self.follow_after_ms
-        return self.feed_reader.stale_for_ms() > limit_ms
-
-    def _needs_peers(self):
-        """Return whether the store is asked for the daemons, as no follower tells of them."""
-        return self.feed_reader.follower is None or not self.directory.synced
-
     def _create_components(self):
         settings = self.settings
         platform_format = HostingFormat()
         self.era = StoreEra(self.clock, self.decisions)
         self.store = PlatformStore(settings.store, self.era, settings.ip, settings.lease_min_ms)
+        self.store.calls.role = self._store_role
+        self.store.calls.on_call = count_store_call
         self.directory = EndpointDirectory(self.clock, self.decisions)
         self.active_config = ActiveConfig(platform_format.decode_config, self.decisions)
         self.active_config.listeners.append(self._apply_limits)
@@ -338,10 +321,6 @@
         )
         self.peers = PeerTable(settings.name, self.clock, settings.zone)
         self.peers.make_digest = self._make_digest
-        self.watcher.daemon_count = self.peers.hub_count
-        self.watcher.should_follow = self._should_follow
-        self.watcher.needs_peers = self._needs_peers
-        self.watcher.may_retry_soon = self.peers.is_hub
         self.feed_writer = FeedWriter(self.directory, self.watcher, self.clock)
         self.feed_reader = FeedReader(
             self.directory, self.watcher, settings.name, self.clock, self.decisions
@@ -349,8 +328,6 @@
         self.peers.make_feed_request = self.feed_reader.request
         self.peers.answer_feed = self.feed_writer.answer
         self.peers.on_feed = self.feed_reader.apply
-        self.follow_after_ms = FOLLOW_AFTER_MS * random.uniform(1.0, FOLLOW_SPREAD)
-        self.watcher.use_min_interval = lambda: self.lease.tenure is not None
         self.gateway = Gateway(
             settings,
             self.directory,
@@ -385,6 +362,16 @@
             self.decisions,
             settings.ip,
         )
+        self.readers = StoreReaders(
+            self.peers,
+            self.watcher,
+            self.feed_reader,
+            self.lease,
+            self.exchange,
+            self.clock,
+            settings,
+        )
+        self.readers.wire()
         self.exchange.config_version = lambda: self.active_config.version
         self.exchange.apply_state = self._apply_state
         self.gateway.on_leaving = self._note_leaving
@@ -402,6 +389,14 @@
         self.peers.on_opened = self._apply_opened
         self.gateway.on_request = self._record_traffic
 
+    def _store_role(self):
+        """Return the `Role` under which calls to the store are counted."""
+        if self.lease.tenure is not None:
+            return Role.KEEPER
+        if not self.joined:
+            return Role.STARTING
+        return Role.HUB if self.peers.is_hub() else Role.READER
+
     def _make_digest(self):
         digest = self.gateway.make_digest()
         digest.store_reachable = self.watcher.store_reachable
--- a/libraries/fleet/src/corianderhaven/fleet/__init__.py
+++ b/libraries/fleet/src/corianderhaven/fleet/__init__.py
@@ -51,7 +51,9 @@
     model_of,
     replica_name,
 )
+from ._store_calls import Purpose, PurposeStore, Role, StoreCalls
 from ._store_era import StoreEra
+from ._store_readers import StoreReaders
 from ._store_watcher import StoreWatcher
 from ._types import (
     Account,
@@ -139,4 +141,9 @@
     "model_of",
     "replica_name",
     "is_serving",
+    "Purpose",
+    "PurposeStore",
+    "Role",
+    "StoreCalls",
+    "StoreReaders",
 ]
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
@@ -6,6 +6,7 @@
 from corianderhaven.common import MS_PER_S, new_id
 
 from ._interfaces import LeaseEndedError, StoreRestoredError, StoreUnavailableError
+from ._store_calls import Purpose, PurposeStore
 
 LEASE_MS = 2_500.0  # three lost renewals; bounds the time without a keeper after a crash
 RENEWAL_INTERVAL_MS = 700.0
@@ -47,7 +48,7 @@
     """
 
     def __init__(self, store, watcher, key, description, clock, decisions):
-        self.store = store
+        self.store = PurposeStore(store, Purpose.CAMPAIGN, renew_lease=Purpose.KEEPER_LEASE)
         self.watcher = watcher
         self.key = key
         self.instance = new_id("keeper")
--- a/libraries/fleet/src/corianderhaven/fleet/_peer_exchange.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peer_exchange.py
@@ -10,6 +10,7 @@
 from ._digests import DIGEST_PATH
 from ._interfaces import LeaseEndedError, StoreUnavailableError
 from ._peer_state import STATE_PATH, decode_state
+from ._store_calls import Purpose, PurposeStore
 
 MIN_EXCHANGE_INTERVAL_MS = 100.0  # a tenth of a typical response time, so load data is current
 MAX_EXCHANGE_INTERVAL_MS = 200.0  # a third of the time for which digests are valid
@@ -56,7 +57,7 @@
 
     def __init__(self, table, store, watcher, key_prefix, address, decisions, source_ip):
         self.table = table
-        self.store = store
+        self.store = PurposeStore(store, Purpose.REGISTRATION, renew_lease=Purpose.RENEWAL)
         self.watcher = watcher
         self.key_prefix = key_prefix
         self.address = address
--- a/libraries/fleet/src/corianderhaven/fleet/_proven_parts.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_proven_parts.py
@@ -9,6 +9,7 @@
 from corianderhaven.common import MS_PER_S
 
 from ._interfaces import StoreUnavailableError
+from ._store_calls import Purpose, PurposeStore
 
 POLL_INTERVAL_MS = 200.0
 # The daemon that may try the part writes at once, the others if it didn't.
@@ -56,7 +57,7 @@
     """
 
     def __init__(self, store, watcher, key_prefix, clock, decisions):
-        self.store = store
+        self.store = PurposeStore(store, Purpose.PARTS)
         self.watcher = watcher
         self.key_prefix = key_prefix
         self.clock = clock
--- a/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
@@ -6,6 +6,7 @@
 from corianderhaven.common import MS_PER_S
 
 from ._interfaces import HistoryGoneError, StoreRestoredError, StoreUnavailableError
+from ._store_calls import Purpose, PurposeStore
 
 WATCH_WAIT_MS = 500  # endpoints write more often; if nothing changes, all keys are listed
 MIN_POLL_INTERVAL_MS = 250.0  # bounds the delay of entries, which engines write every 1.2 s
@@ -55,7 +56,8 @@
     """
 
     def __init__(self, store, platform_format, directory, active_config, clock, decisions):
-        self.store = store
+        self.store = PurposeStore(store, Purpose.LISTING)
+        self.discovery_store = PurposeStore(store, Purpose.DISCOVERY)
         self.platform_format = platform_format
         self.directory = directory
         self.active_config = active_config
@@ -153,7 +155,7 @@
         if not self.needs_peers():
             self.failing_since_ms = None  # unknown from now on, as nothing is read
         if self.needs_peers():
-            own, _ = await self.store.list(self.own_prefix)
+            own, _ = await self.discovery_store.list(self.own_prefix)
             self.set_own_items({item.key: item for item in own})
             found = bool(self.own_items)
             interval_ms = DISCOVERY_INTERVAL_MS if not found else FOUND_INTERVAL_MS
