Read the store as often as the bounds need in large fleets

Registrations and listings at the start and after a restore are spread. A daemon that was elected after it stood by counts its takeover delay from when it began to read the store: before, it could have ordered while its digests still confirmed an outage to its predecessor. All fleets: a record is written without reading it first.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -403,6 +403,7 @@
         digest.era = self.era.number
         digest.tenure = self.lease.latest_tenure
         digest.config_version = self.active_config.version
+        digest.holds_lease = self.lease.renewed_in_time()
         if self.draining and self.active_config.config is not None:
             # Peers forward no requests to a daemon that reaches no endpoint; this one takes none.
             digest.lost_services = list(self.active_config.config.services)
--- a/libraries/fleet/src/corianderhaven/fleet/_digests.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_digests.py
@@ -89,6 +89,8 @@
         Limits of endpoints that have changed recently, by endpoint id, like `parts`.
     lost_services : list of str
         Services of which this daemon reaches no endpoint.
+    holds_lease : bool
+        Whether this daemon is the keeper and has renewed its lease in time.
     """
 
     daemon: str
@@ -106,6 +108,7 @@
     limits: dict[str, LimitRecord] = {}
     lost_services: list[str] = []
     unreachable: dict[str, float] = {}
+    holds_lease: bool = False
 
 
 class ZoneSummary(msgspec.Struct):
@@ -154,6 +157,7 @@
         config_version=digest.config_version,
         parts=digest.parts,
         limits=digest.limits,
+        holds_lease=digest.holds_lease,
     )
 
 
--- a/libraries/fleet/src/corianderhaven/fleet/_feed.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_feed.py
@@ -174,6 +174,14 @@
     own_name : str
     clock : Clock
     decisions : DecisionLog
+
+    Attributes
+    ----------
+    stand_down_age_ms : callable
+        Returns how recently a daemon before this one must have read the store for this one to
+        cease reading it.
+    steady_ms : callable
+        Returns for how long that daemon must have read it in time before.
     """
 
     def __init__(self, directory, watcher, own_name, clock, decisions):
@@ -188,6 +196,9 @@
         self.received_ms = clock.now_ms()
         self.fresh_ms = clock.now_ms()
         self.read_ms = {}
+        self.late_ms = {}  # times at which followers had last not read the store in time
+        self.stand_down_age_ms = lambda: MAX_FEED_AGE_MS
+        self.steady_ms = lambda: 0.0
 
     def request(self, peer_name):
         """Return the `FeedRequest` for a follower, or None if another one is asked.
@@ -238,13 +249,20 @@
         """Return the age of the contents of the store that this daemon has from a follower."""
         return self.clock.now_ms() - self.fresh_ms
 
+    def follower_has_failed(self):
+        """Return whether the follower has said that it doesn't reach the store."""
+        return self.read_ms.get(self.follower, 0.0) < 0.0
+
     def apply(self, feed, peer_name):
         """Apply a feed; one that doesn't continue from this reader's position is ignored."""
         now = self.clock.now_ms()
         self.read_ms[peer_name] = now - feed.age_ms if feed.age_ms >= 0.0 else -1e12
         is_fresh = 0.0 <= feed.age_ms <= MAX_FEED_AGE_MS
+        if not 0.0 <= feed.age_ms <= self.stand_down_age_ms():
+            self.late_ms[peer_name] = now
         if self.watcher.following:
-            self.fresh_ms = now if is_fresh else self.fresh_ms
+            if self._reads_steadily(peer_name):
+                self.fresh_ms = now
             return
         if peer_name != self.follower:
             return
@@ -260,6 +278,11 @@
         self._apply_endpoints(feed)
         self._apply_items(feed)
 
+    def _reads_steadily(self, peer_name):
+        """Return whether a daemon reads the store in time, and has for `steady_ms`."""
+        late_ms = self.late_ms.get(peer_name, -1e12)
+        return self.clock.now_ms() - late_ms > self.steady_ms()
+
     def _is_older(self, feed, now):
         """Return whether a feed's contents are older than those that are known.
 
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper_lease.py
@@ -16,6 +16,7 @@
 ORDER_MARGIN_MS = 400.0  # orders in flight must arrive before a successor's first order
 # Revisions that the store may lose when it is restored from a copy some seconds old.
 REVISIONS_PER_ERA = 10_000_000
+RENEWED_MS = 1_300.0  # a renewal interval, a lost call and its retry
 CAMPAIGN_JITTER_MS = 120.0  # lets one daemon's record become visible before the others try
 
 
@@ -109,6 +110,11 @@
             return False
         return self.outage_confirmed()
 
+    def renewed_in_time(self):
+        """Return whether this daemon is the keeper and no renewal of its lease is overdue."""
+        renewed_ms = self.valid_until_ms - LEASE_MS
+        return self.tenure is not None and self.clock.boot_ms() - renewed_ms < RENEWED_MS
+
     def step_down(self, generation):
         """Give up the tenure because an engine has seen the generation of a newer holder."""
         if self.tenure is not None:
@@ -196,12 +202,17 @@
             await self.store.revoke_lease(lease)
             await asyncio.sleep(RENEWAL_INTERVAL_MS / MS_PER_S / 3)
             return
+        had_predecessor = self.latest_tenure > 0
         self.lease, self.record_revision = lease, revision
         self.tenure = self.store.era.number * REVISIONS_PER_ERA + revision
         self.latest_tenure = max(self.latest_tenure, self.tenure)
         self.valid_until_ms = sent_ms + LEASE_MS
         # This daemon's digests have reported the store as reachable for that long already.
-        reachable_for_ms = self.clock.now_ms() - self.watcher.reachable_since_ms
+        reachable_since_ms = self.watcher.reachable_since_ms
+        if had_predecessor:
+            # While it stood by, its digests reported the store as out of reach.
+            reachable_since_ms = max(reachable_since_ms, self.watcher.following_since_ms)
+        reachable_for_ms = self.clock.now_ms() - reachable_since_ms
         # A holder whose record another writer replaced counts on its lease until it sees that.
         foreign_wait_ms = LEASE_MS if foreign_revision else 0.0
         wait_ms = max(TAKEOVER_DELAY_MS - reachable_for_ms, self._era_wait_ms(), foreign_wait_ms)
--- a/libraries/fleet/src/corianderhaven/fleet/_peer_exchange.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peer_exchange.py
@@ -51,6 +51,13 @@
         Whether the state of a peer was taken over since the start.
     config_version : callable
         Returns the version of the configuration in force here.
+    record_lease_ms : callable
+        Returns the lifetime of a new lease of this daemon's record.
+    renewal_interval_ms : callable
+        Returns the time until the record's lease is renewed.
+    listing_wait_ms, start_delay_ms, restore_delay_ms : callable
+        Return the time to wait at the start until the daemons may have been listed, from then on
+        until registering, and before registering again after the store was restored.
     apply_state : callable
         Takes a `PeerState` and the name of the peer that sent it.
     """
@@ -68,9 +75,15 @@
         self.fetch = None
         self.tasks = []
         self.record_lease = None
-        self.record_written = False
+        self.lease_ms = 0.0
+        self.record_revision = None  # None while the record was not written under the lease
         self.record_lost = asyncio.Event()
         self.state_received = False
+        self.record_lease_ms = lambda: RECORD_LEASE_MS
+        self.renewal_interval_ms = lambda: RECORD_RENEWAL_MS
+        self.listing_wait_ms = lambda: 0.0
+        self.start_delay_ms = lambda: 0.0
+        self.restore_delay_ms = lambda: 0.0
         self.config_version = lambda: 0
         self.apply_state = lambda state, peer: None
         store.era.listeners.append(self._forget_record)
@@ -95,9 +108,13 @@
         self.record_lost.set()
 
     async def _register(self):
+        await asyncio.sleep(self.listing_wait_ms() / MS_PER_S)
+        await asyncio.sleep(self.start_delay_ms() / MS_PER_S)
         while True:
+            wait_ms = RECORD_RENEWAL_MS
             try:
                 await self._register_once()
+                wait_ms = self.renewal_interval_ms()
             except LeaseEndedError:
                 self.record_lease = None
                 continue
@@ -105,27 +122,41 @@
                 self.decisions.record("registration_failed", reason=str(error))
             self.record_lost.clear()
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(RECORD_RENEWAL_MS / MS_PER_S):
+                async with asyncio.timeout(wait_ms / MS_PER_S):
                     await self.record_lost.wait()
+                    await asyncio.sleep(self.restore_delay_ms() / MS_PER_S)
 
     async def _register_once(self):
         """Renew the record's lease, or write the record under a new one."""
+        if self.record_lease is not None and self.record_lease_ms() > self.lease_ms:
+            # The fleet has grown: the record moves to a longer lease, and the other one expires.
+            self.record_lease = None
         if self.record_lease is None:
-            self.record_written = False
-            self.record_lease = await self.store.grant_lease(RECORD_LEASE_MS)
-        elif self.record_written:
+            lease_ms = self.record_lease_ms()
+            lease = await self.store.grant_lease(lease_ms)
+            self.record_lease, self.lease_ms, self.record_revision = lease, lease_ms, None
+        elif self.record_revision is not None:
             await self.store.renew_lease(self.record_lease)
             return
-        await self._write_record(self.key_prefix + self.table.own_name, self.record_lease)
-        self.record_written = True
+        key = self.key_prefix + self.table.own_name
+        self.record_revision = await self._write_record(key, self.record_lease)
 
     async def _write_record(self, key, lease):
-        """Write the record, replacing that of an earlier incarnation."""
-        item = await self.store.read(key)
-        revision = item.revision if item is not None else 0
+        """Write the record, replacing that of an earlier incarnation; return its revision.
+
+        It is read only after a conflict, as there usually is none or the watcher knows it.
+        """
         record = msgspec.json.encode(DaemonRecord(self.address, self.table.zone))
-        if await self.store.put_if(key, record, revision, lease) is None:
+        known = self.watcher.own_items.get(key)
+        revision = known.revision if known is not None else 0
+        written = await self.store.put_if(key, record, revision, lease)
+        if written is None:
+            item = await self.store.read(key)
+            revision = item.revision if item is not None else 0
+            written = await self.store.put_if(key, record, revision, lease)
+        if written is None:
             self.decisions.record("registration_raced", key=key, revision=revision)
+        return written
 
     def lists_peers(self):
         """Return whether the store lists another daemon, or one is known from messages."""
@@ -133,6 +164,10 @@
         listed = (k for k in self.watcher.own_items if k.startswith(self.key_prefix))
         return bool(self.table.peers) or any(key != own_key for key in listed)
 
+    def listed_count(self):
+        """Return the number of daemons that the store lists."""
+        return sum(key.startswith(self.key_prefix) for key in self.watcher.own_items)
+
     def _listed_daemons(self):
         """Return the daemons listed in the store, as (name, address, zone)."""
         listed, unreadable = [], {}
--- a/libraries/fleet/src/corianderhaven/fleet/_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peers.py
@@ -216,6 +216,18 @@
         names = [p.name for p in self.peers.values() if p.zone == self.zone]
         return sum(name < self.own_name for name in names) < HUBS_PER_ZONE
 
+    def is_first_by_name(self):
+        """Return whether this daemon is the first of its zone even when all are reachable."""
+        return not any(p.zone == self.zone and p.name < self.own_name for p in self.peers.values())
+
+    def is_first_reachable(self):
+        """Return whether all daemons of this zone that come before this one are unreachable."""
+        return self.hubs(self.zone)[0] is None
+
+    def knows_keeper(self):
+        """Return whether a daemon has just reported that it is the keeper and holds its lease."""
+        return any(p.digest.holds_lease for p in self.fresh_peers())
+
     def mark_unreachable(self, peer):
         """Record that a peer is unreachable, so that another daemon replaces it as hub."""
         peer.unreachable_since_ms = self.clock.now_ms()
--- a/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
@@ -37,6 +37,10 @@
     ----------
     daemon_count : callable
         Returns the number of daemons that share the store.
+    min_interval_ms : callable
+        Returns the shortest interval between two calls of a daemon that isn't the keeper.
+    found_interval_ms : callable
+        Returns the interval between two listings of the daemons after some were found.
     use_min_interval : callable
         Returns whether to poll at the shortest interval, as the keeper does.
     should_follow : callable
@@ -49,6 +53,10 @@
         Called with the key of one of the daemons' items that changed.
     following : bool
         Whether the directory is kept up from the store itself.
+    call_ms : float
+        Time that the latest watch call took.
+    following_since_ms : float
+        Time at which this daemon last began to read the store itself.
     own_items : dict of str to StoreItem
         Items under `own_prefix`, where the daemons keep their own records.
     store_position : (int, int)
@@ -65,11 +73,14 @@
         self.decisions = decisions
         self.daemon_count = lambda: 1
         self.use_min_interval = lambda: False
+        self.min_interval_ms = lambda: 0.0
+        self.found_interval_ms = lambda: FOUND_INTERVAL_MS
         self.should_follow = lambda: True
         self.needs_peers = lambda: False
         self.may_retry_soon = lambda: True
         self.on_own_change = lambda key: None
         self.following = False
+        self.following_since_ms = 0.0
         self.own_items = {}
         self.own_prefix = ""
         # Why entries name no endpoint, by id; logged once, however often they are read or written.
@@ -77,6 +88,7 @@
         self.own_changed = asyncio.Event()
         self.failing_since_ms = None
         self.last_success_ms = None
+        self.call_ms = 0.0
         self.reachable_since_ms = 0.0
         self.watch_revision = None
         self.store_position = (0, 0)
@@ -115,8 +127,9 @@
         """
         if self.use_min_interval():
             return MIN_POLL_INTERVAL_MS
+        proportional_ms = POLL_INTERVAL_MS_PER_DAEMON * self.daemon_count()
         return min(
-            max(MIN_POLL_INTERVAL_MS, POLL_INTERVAL_MS_PER_DAEMON * self.daemon_count()),
+            max(MIN_POLL_INTERVAL_MS, proportional_ms, self.min_interval_ms()),
             MAX_POLL_INTERVAL_MS,
         )
 
@@ -129,6 +142,7 @@
                 await self._poll_once()
                 if not self.following:
                     self.following = True
+                    self.following_since_ms = self.clock.now_ms()
                     self.decisions.record("store_following_begun")
                 await asyncio.sleep(self.poll_interval_ms() / MS_PER_S)
             except HistoryGoneError:
@@ -158,8 +172,13 @@
             own, _ = await self.discovery_store.list(self.own_prefix)
             self.set_own_items({item.key: item for item in own})
             found = bool(self.own_items)
-            interval_ms = DISCOVERY_INTERVAL_MS if not found else FOUND_INTERVAL_MS
-            await asyncio.sleep(interval_ms / MS_PER_S)
+            interval_ms = DISCOVERY_INTERVAL_MS if not found else self.found_interval_ms()
+            until_ms = self.clock.now_ms() + interval_ms
+            if interval_ms > DISCOVERY_INTERVAL_MS:
+                while self.clock.now_ms() < until_ms and not self.should_follow():
+                    await asyncio.sleep(STAND_BY_CHECK_MS / MS_PER_S)
+            else:
+                await asyncio.sleep(interval_ms / MS_PER_S)
         else:
             await asyncio.sleep(STAND_BY_CHECK_MS / MS_PER_S)
 
@@ -182,7 +201,9 @@
         if self.watch_revision is None:
             await self._list_all()
             return
+        sent_ms = self.clock.now_ms()
         items, revision = await self.store.watch("", self.watch_revision, WATCH_WAIT_MS)
+        self.call_ms = self.clock.now_ms() - sent_ms
         self._record_success()
         self.watch_revision = revision
         for item in items:
--- a/libraries/fleet/src/corianderhaven/fleet/_types.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_types.py
@@ -255,6 +255,10 @@
         Shortest lease that the store grants.
     load_window_ms : float
         Window over which loads from the weight store are counted to limit their rate.
+    drain_ms, config_ms : float
+        Time within which an endpoint's leaving, and a new configuration, are in force at all
+        daemons; 0 if not specified. Daemons of a large fleet read the store no more often than
+        these bounds need.
     """
 
     name: str
@@ -272,3 +276,5 @@
     retry_slack: float = 10.0
     lease_min_ms: float = 1_000.0
     load_window_ms: float = 5_000.0
+    drain_ms: float = 0.0
+    config_ms: float = 0.0
--- a/libraries/fleet/src/corianderhaven/fleet/tests/memory_fleet.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/memory_fleet.py
@@ -200,6 +200,7 @@
         self.following = True
         self.own_changed = asyncio.Event()
         self.reachable_since_ms = 0.0
+        self.following_since_ms = 0.0
 
     @property
     def store_reachable(self):
--- a/libraries/fleet/src/corianderhaven/fleet/tests/reading_fleet.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/reading_fleet.py
@@ -236,6 +236,7 @@
         digest.store_reachable = self.watcher.store_reachable
         digest.era, digest.tenure = self.watcher.store.era.number, self.lease.latest_tenure
         digest.config_version = self.config.version
+        digest.holds_lease = self.lease.renewed_in_time()
         return digest
 
     def observe_peer(self, digest):
