--- a/libraries/fleet/src/corianderhaven/fleet/_digests.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_digests.py
@@ -107,6 +107,8 @@
         Services of which this daemon reaches no endpoint.
     evacuations : dict of str to EvacuationRecord
         State of zones that are or were evacuated, by zone: all that the daemon knows each time.
+    holds_lease : bool
+        Whether this daemon is the keeper and has renewed its lease in time.
     """
 
     daemon: str
@@ -125,6 +127,7 @@
     lost_services: list[str] = []
     unreachable: dict[str, float] = {}
     evacuations: dict[str, EvacuationRecord] = {}
+    holds_lease: bool = False
 
 
 class ZoneSummary(msgspec.Struct):
@@ -174,6 +177,7 @@
         parts=digest.parts,
         limits=digest.limits,
         evacuations=digest.evacuations,
+        holds_lease=digest.holds_lease,
     )
 
 
--- a/libraries/fleet/src/corianderhaven/fleet/_types.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_types.py
@@ -263,6 +263,10 @@
         Memory of the VM; by default that of an ordinary one is assumed.
     max_fds : int or None
         File descriptors that the process may use; by default what the system allows.
+    drain_ms, config_ms : float
+        Time within which an endpoint's leaving, and a new configuration, are in force at all
+        daemons; 0 if not specified. Daemons of a large fleet read the store no more often than
+        these bounds need.
     """
 
     name: str
@@ -284,3 +288,5 @@
     evacuate_ms: float = 5_000.0
     memory_mb: float | None = None
     max_fds: int | None = None
+    drain_ms: float = 0.0
+    config_ms: float = 0.0
