--- a/libraries/scheduling/src/corianderhaven/scheduling/tests/limit_fleet.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/tests/limit_fleet.py
@@ -43,6 +43,8 @@
         Begin and end of a cut, and the number of zones on the smaller side.
     cut_reaches_all : bool
         Whether daemons of both sides of the cut reach all endpoints.
+    lost_share : float
+        Share of the answers to wishes that are lost.
     """
 
     daemons: int = 12
@@ -54,6 +56,7 @@
     cut: tuple | None = None
     cut_reaches_all: bool = False
     duration_ms: float = 20_000.0
+    lost_share: float = 0.0
 
 
 @dataclass
@@ -141,6 +144,10 @@
         def arrive():
             reply = other.issuer.answer(PermitRequest(self.name, [wish]))
             offer = reply.offers[wish.endpoint]
+            lost_share = self.fleet.shape.lost_share
+            if lost_share and random.random() < lost_share:
+                self.fleet.after(CALL_TIMEOUT_MS, lambda: self._fail(peer, wish))
+                return
             self.fleet.after(
                 random.uniform(*CALL_MS), lambda: self.permits.apply_offer(wish, offer)
             )
@@ -165,6 +172,8 @@
 class Fleet:
     """Simulates a `Shape`; draws are seeded."""
 
+    daemon_type = Daemon
+
     def __init__(self, shape, seed):
         random.seed(seed)
         self.shape = shape
@@ -179,7 +188,7 @@
             for i in range(len(shape.limits_per_s))
         ]
         self.rates = list(shape.limits_per_s)
-        self.daemons = [Daemon(self, i) for i in range(shape.daemons)]
+        self.daemons = [self.daemon_type(self, i) for i in range(shape.daemons)]
         self.by_name = {d.name: d for d in self.daemons}
         self.smaller_side = set()
         if shape.cut is not None:
@@ -243,7 +252,7 @@
 
     def _restart(self, number):
         self.down.discard(number)
-        daemon = self.daemons[number] = Daemon(self, number)
+        daemon = self.daemons[number] = self.daemon_type(self, number)
         self.by_name[daemon.name] = daemon
         daemon.table.set_listed_daemons([(d.name, "", d.zone) for d in self.daemons])
         for endpoint, rate in zip(self.endpoints, self.rates, strict=True):
