--- a/libraries/fleet/src/corianderhaven/fleet/_types.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_types.py
@@ -159,10 +159,20 @@
 
 @dataclass(frozen=True)
 class ServiceSpec:
-    """Service; `engine` is None for services without model engines."""
+    """Service; `engine` is None for services without model engines.
+
+    Parameters
+    ----------
+    cold_per_s : float
+        Requests per second that an endpoint takes while it is cold; 0 means no bound.
+    cold_ms : float
+        Time for which an endpoint is cold.
+    """
 
     name: str
     engine: EngineSpec | None = None
+    cold_per_s: float = 0.0
+    cold_ms: float = 3_000.0
 
 
 @dataclass(frozen=True)
@@ -255,6 +265,9 @@
         Shortest lease that the store grants.
     load_window_ms : float
         Window over which loads from the weight store are counted to limit their rate.
+    cold_overrun, cold_slack : float
+        Requests that a cold endpoint gets in any one second are at most `cold_overrun` times its
+        rate, plus `cold_slack`.
     """
 
     name: str
@@ -272,3 +285,5 @@
     retry_slack: float = 10.0
     lease_min_ms: float = 1_000.0
     load_window_ms: float = 5_000.0
+    cold_overrun: float = 1.5
+    cold_slack: float = 5.0
--- a/libraries/gateway/src/corianderhaven/gateway/_wire.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_wire.py
@@ -83,6 +83,8 @@
     limit_per_s : float or None
         Requests per second that the endpoint takes from all daemons together; NaN if it names a
         limit that can't be read, None if it names none.
+    cold_ms : float
+        Time for which the endpoint says that it is still cold.
     """
 
     request_id: str | None
@@ -94,6 +96,7 @@
     retry_after_ms: float | None = None
     endpoint_id: str | None = None
     limit_per_s: float | None = None
+    cold_ms: float = 0.0
 
 
 class WireFormat(ABC):
