Issue permits that keep a bound over one second

Cause: permits were made for a bound over 4 s: used within a second of their time, two sides of a cut at 1.3 times the rate come to 44 a second at 15.

Ruled out: a lower rate alone, as it would use less than 0.9 of what is allowed.

Change: a wish says that its endpoint is cold, or warm and guarded, and what is in flight there. The first permit waits for what was just sent without any. The share of a side is taken of the largest fleet of the last minutes, so that the side with the store doesn't take all once the other is off the list. The fields have defaults; other limits are issued as before.

--- a/libraries/fleet/src/corianderhaven/fleet/__init__.py
+++ b/libraries/fleet/src/corianderhaven/fleet/__init__.py
@@ -32,6 +32,7 @@
 from ._peers import PeerTable
 from ._permit_client import PermitClient
 from ._permit_issuer import (
+    COLD_PERMIT_LIFETIME_MS,
     MAX_ADVANCE_MS,
     MIN_RATE_PER_S,
     PERMIT_LIFETIME_MS,
@@ -40,6 +41,8 @@
     PermitOffer,
     PermitRequest,
     PermitWish,
+    bounded_permit_rate_per_s,
+    cold_permit_rate_per_s,
     decode_permits,
 )
 from ._proven_parts import ProvenParts
@@ -73,6 +76,7 @@
     "Account",
     "CallerLimits",
     "ActiveConfig",
+    "COLD_PERMIT_LIFETIME_MS",
     "DIGEST_PATH",
     "Digest",
     "Dissolve",
@@ -109,6 +113,8 @@
     "PermitRequest",
     "PermitWish",
     "ProvenParts",
+    "bounded_permit_rate_per_s",
+    "cold_permit_rate_per_s",
     "decode_permits",
     "encode_state",
     "PeerExchange",
--- a/libraries/fleet/src/corianderhaven/fleet/_peers.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peers.py
@@ -74,6 +74,7 @@
         self.zone = zone
         self.peers = {}
         self.summaries = {}
+        self.last_lost_ms = -1e12
         self.make_digest = lambda: Digest(own_name, "", zone=zone)
         self.on_suspects = lambda suspects, daemon: None
         self.on_unreachable = lambda unreachable, daemon: None
@@ -218,7 +219,7 @@
 
     def mark_unreachable(self, peer):
         """Record that a peer is unreachable, so that another daemon replaces it as hub."""
-        peer.unreachable_since_ms = self.clock.now_ms()
+        peer.unreachable_since_ms = self.last_lost_ms = self.clock.now_ms()
 
     def fresh_peers(self):
         """Return the peers whose latest digest is still valid."""
