Limit the rate of requests to cold endpoints

Cause: entries tell of a cold endpoint up to 3.2 s late, longer than it is cold.

Ruled out: going by entries alone (heads that return cold get up to 197 in a second), and permits for every send at all times (a call for each request).

Change: ColdEndpoints decides what is cold: by entries, answers, starts and returns under traffic, ends of evacuations and outages, and for heads by disuse. Heads of crowded models are guarded: each send takes a permit at the highest safe rate. EndpointLimits returns the lower of both limits. The choice prefers warm endpoints of similar load.

--- a/libraries/scheduling/src/corianderhaven/scheduling/__init__.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/__init__.py
@@ -11,6 +11,7 @@
     queue_order,
 )
 from ._choice import choose_endpoint
+from ._cold_endpoints import OBSERVE_INTERVAL_MS, ColdEndpoints
 from ._endpoint_limits import SHARED_MS, EndpointLimits
 from ._latency_estimator import LatencyEstimator
 from ._load_tracker import LoadTracker
@@ -19,10 +20,12 @@
 from ._waiting_requests import WaitingRequests
 
 __all__ = [
+    "OBSERVE_INTERVAL_MS",
     "PATHS_LOST",
     "QUEUE_CHECK_INTERVAL_MS",
     "SHARED_MS",
     "AdmissionQueue",
+    "ColdEndpoints",
     "EndpointLimits",
     "LatencyEstimator",
     "LoadTracker",
--- a/libraries/scheduling/src/corianderhaven/scheduling/_choice.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_choice.py
@@ -4,6 +4,7 @@
 
 REMOTE_PENALTY = 0.08  # as a fraction of slots: cross-zone traffic costs less than waiting
 FAILURE_PENALTY = 4.0  # added load, in multiples of the slots, at a failure rate of 1
+COLD_PENALTY = 0.15  # as a fraction of slots: a cold endpoint answers more slowly
 MIN_CANDIDATES = 2  # the better of two random choices is nearly as good as the best of all
 TIE_BREAK_NOISE = 0.02  # keeps daemons with the same view from choosing the same endpoint
 
@@ -40,6 +41,7 @@
     daemons=1,
     zone_daemons=1,
     reserved=(),
+    is_cold=lambda endpoint: False,
 ):
     """Return the least loaded endpoint of a random sample.
 
@@ -60,17 +62,19 @@
         See `sample_candidates`.
     reserved : sequence of Endpoint
         Endpoints that this daemon holds a place at, which are always considered.
+    is_cold : callable
+        Returns whether an endpoint is cold; warm ones of similar load are preferred.
     """
 
     def best_of(candidates):
-        return _least_loaded(candidates, load_tracker, zone, slots, limit)
+        return _least_loaded(candidates, load_tracker, zone, slots, limit, is_cold)
 
     sample = sample_candidates(endpoints, zone, daemons, zone_daemons)
     sample += [e for e in reserved if e not in sample]
     return best_of(sample) or (best_of(endpoints) if len(sample) < len(endpoints) else None)
 
 
-def _least_loaded(endpoints, load_tracker, zone, slots, limit):
+def _least_loaded(endpoints, load_tracker, zone, slots, limit, is_cold):
     best, best_score = None, None
     for endpoint in endpoints:
         occupancy = load_tracker.occupancy(endpoint.id)
@@ -78,6 +82,7 @@
             continue
         score = occupancy / max(1, slots or endpoint.slots)
         score += REMOTE_PENALTY * (endpoint.zone != zone)
+        score += COLD_PENALTY * is_cold(endpoint)
         score += FAILURE_PENALTY * load_tracker.failure_rate(endpoint.id)
         score += random.random() * TIE_BREAK_NOISE
         if best is None or score < best_score:
--- a/libraries/scheduling/src/corianderhaven/scheduling/_endpoint_limits.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_endpoint_limits.py
@@ -1,7 +1,7 @@
 """Limits on requests per second that endpoints name in their answers. Performs no I/O.
 
 A limit is one for all daemons together. It belongs to an incarnation of an endpoint, and holds
-until an answer to a later request names none.
+until an answer to a later request names none. Cold endpoints have another one, of their service.
 """
 
 import math
@@ -9,6 +9,8 @@
 
 from corianderhaven.fleet import MIN_RATE_PER_S, LimitRecord
 
+from ._cold_endpoints import ColdEndpoints
+
 SHARED_MS = 1_500.0  # several exchanges between daemons
 # Records lose their time in transit from their age, so an older one may look newer than this.
 MERGE_TOLERANCE_MS = 250.0
@@ -43,17 +45,28 @@
     ----------
     clock : Clock
     decisions : DecisionLog
+    cold : ColdEndpoints or None
+        Source of the limits of cold endpoints; None means that no service has one.
     """
 
-    def __init__(self, clock, decisions):
+    def __init__(self, clock, decisions, cold=None):
         self.clock = clock
         self.decisions = decisions
+        self.cold = cold or ColdEndpoints(clock, decisions)
         self.limits = {}
 
     def rate_per_s(self, endpoint):
-        """Return the requests per second that an endpoint takes, or None if it names no limit."""
+        """Return the requests per second that an endpoint takes, or None if it has no limit."""
         known = self._known(endpoint.id, endpoint.started_ms)
-        return known.rate_per_s if known is not None else None
+        named_per_s = known.rate_per_s if known is not None else None
+        cold_per_s = self.cold.rate_per_s(endpoint)
+        if named_per_s is None or cold_per_s is None:
+            return cold_per_s if named_per_s is None else named_per_s
+        return min(named_per_s, cold_per_s)
+
+    def any_known(self):
+        """Return whether any endpoint may have a limit."""
+        return bool(self.limits or self.cold.rates)
 
     def record_answer(self, endpoint, named_per_s, sent_ms):
         """Record the limit that an answer names.
--- a/libraries/scheduling/src/corianderhaven/scheduling/_send_permits.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_send_permits.py
@@ -1,4 +1,4 @@
-"""Permits of this daemon to send requests to endpoints that name a limit. Performs no I/O.
+"""Permits of this daemon to send requests to endpoints that limit their rate. Performs no I/O.
 
 Permits are asked for ahead, as many as requests are expected while one is valid, so that a request
 seldom waits for one and few expire unused.
@@ -8,7 +8,12 @@
 import random
 from dataclasses import dataclass
 
-from corianderhaven.fleet import MAX_ADVANCE_MS, PERMIT_LIFETIME_MS, PermitWish
+from corianderhaven.fleet import (
+    COLD_PERMIT_LIFETIME_MS,
+    MAX_ADVANCE_MS,
+    PERMIT_LIFETIME_MS,
+    PermitWish,
+)
 
 from . import _metrics
 
@@ -29,6 +34,9 @@
         When the wish was sent that has no answer yet.
     ask_again_ms : float
         When the issuer may have a permit, after it had none.
+    cold : bool
+        Whether the permit was asked for an endpoint that is cold or may turn cold. It then holds
+        for a short time from the wish on, so that a late answer doesn't delay its use.
     """
 
     started_ms: int
@@ -36,6 +44,7 @@
     until_ms: float = -math.inf
     asked_ms: float | None = None
     ask_again_ms: float = -math.inf
+    cold: bool = False
 
     def is_usable(self, now):
         """Return whether the permit may be used now."""
@@ -85,9 +94,21 @@
         """Return whether an endpoint takes requests under permits only."""
         return self.limits.rate_per_s(endpoint) is not None
 
+    def is_bounded(self, endpoint):
+        """Return whether an endpoint is limited as it is cold, or may turn cold."""
+        return self.limits.cold.rate_per_s(endpoint) is not None
+
+    def is_guarded(self, endpoint):
+        """Return whether an endpoint that isn't cold is limited as it may turn cold."""
+        return self.limits.cold.is_guarded(endpoint) and not self.is_cold(endpoint)
+
+    def is_cold(self, endpoint):
+        """Return whether an endpoint is limited as it is cold, or may be."""
+        return self.limits.cold.is_cold(endpoint)
+
     def limited(self, endpoints):
         """Return the endpoints that take requests under permits only."""
-        return [e for e in endpoints if self.is_limited(e)] if self.limits.limits else []
+        return [e for e in endpoints if self.is_limited(e)] if self.limits.any_known() else []
 
     def accepts(self, endpoint):
         """Return whether a request may be sent to an endpoint now."""
@@ -102,15 +123,17 @@
     def try_take(self, endpoint):
         """Use up the permit of an endpoint; returns whether a request may be sent to it now."""
         if not self.is_limited(endpoint):
+            self.limits.cold.record_send(endpoint)
             return True
         now = self.clock.now_ms()
         if not self._state(endpoint).is_usable(now):
             return False
         self.states[endpoint.id] = PermitState(endpoint.started_ms)
+        self.limits.cold.record_send(endpoint)
         _metrics.PERMITS.labels("used").inc()
         return True
 
-    def ask(self, endpoints, demand, waiting):
+    def ask(self, endpoints, demand, waiting, load=None):
         """Ask for permits of limited endpoints that a request may go to.
 
         Parameters
@@ -120,6 +143,8 @@
             Requests expected while a permit is valid.
         waiting : int
             Requests that wait now, and for which no other endpoint has a place.
+        load : callable or None
+            Returns the load of an endpoint, of which those with little are asked for first.
         """
         now = self.clock.now_ms()
         limited = self.limited(endpoints)
@@ -135,6 +160,9 @@
         others = [e for e in free if e.zone != self.zone]
         random.shuffle(own)
         random.shuffle(others)
+        if load is not None:
+            own.sort(key=load)
+            others.sort(key=load)
         most_others = len(others) if waiting or not own else REMOTE_WISHES
         for endpoint in (own + others[:most_others])[: max(0, wanted)]:
             self._ask_for(endpoint, now)
@@ -145,12 +173,14 @@
         if state is None or state.started_ms != wish.started_ms or state.asked_ms is None:
             return
         now = self.clock.now_ms()
-        state.asked_ms = None
+        asked_ms, state.asked_ms = state.asked_ms, None
         _metrics.PERMITS.labels("granted" if offer.granted else "denied").inc()
         wait_ms = max(0.0, offer.wait_ms)
         if offer.granted:
             state.from_ms = now + wait_ms
             state.until_ms = state.from_ms + PERMIT_LIFETIME_MS
+            if state.cold:
+                state.until_ms = asked_ms + wait_ms + COLD_PERMIT_LIFETIME_MS
             self.on_permit(wait_ms)
         else:
             state.ask_again_ms = now + wait_ms
@@ -160,9 +190,16 @@
         self.states = {i: state for i, state in self.states.items() if i in known_ids}
 
     def _ask_for(self, endpoint, now):
-        rate = self.limits.rate_per_s(endpoint)
-        self.states[endpoint.id] = PermitState(endpoint.started_ms, asked_ms=now)
-        self.request(PermitWish(endpoint.id, endpoint.started_ms, endpoint.zone, rate))
+        rate, cold = self.limits.rate_per_s(endpoint), self.limits.cold.is_cold(endpoint)
+        warm = not cold and self.limits.cold.is_guarded(endpoint)
+        in_flight = self.limits.cold.in_flight(endpoint.id) if cold else 0
+        short = cold or warm
+        self.states[endpoint.id] = PermitState(endpoint.started_ms, asked_ms=now, cold=short)
+        self.request(
+            PermitWish(
+                endpoint.id, endpoint.started_ms, endpoint.zone, rate, short, in_flight, warm
+            )
+        )
 
     def _state(self, endpoint):
         """Return the state of an endpoint's permit, a new one for a new incarnation."""
