Pass turns between cold and warm on through the feed

Cause: routing doesn't compare the remaining time, so it stayed at the hubs.

Change: the directory asks its listener whether an entry has to reach all daemons; the feed then records it, without a new version of the directory. The time in a row is that of the entry less its age.

--- a/libraries/fleet/src/corianderhaven/fleet/_directory.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_directory.py
@@ -122,6 +122,9 @@
         Rises when anything changes that routing or the keeper uses.
     on_change : callable
         Called with the id of an endpoint that changed, came or went.
+    on_entry : callable
+        Called with an endpoint as its entry describes it, and what was known of it before, or
+        None. Returns whether this has to reach all daemons though routing doesn't use it.
     """
 
     def __init__(self, clock, decisions: DecisionLog):
@@ -136,6 +139,7 @@
         # Endpoints whose present incarnation is known from a report, but from no entry.
         self.reported_restarts = set()
         self.on_change = lambda endpoint_id: None
+        self.on_entry = lambda endpoint, previous: False
 
     def endpoints(self, service=None):
         """Return the endpoints that have not expired, of one service or of all."""
@@ -209,6 +213,7 @@
     def _apply_entry(self, key, endpoint, revision):
         """Apply an entry; a report that may be newer keeps its membership until that is certain."""
         known, entered = self.records.get(key), endpoint.membership
+        previous = known.endpoint if known is not None else None
         if known is not None and known.report is not None:
             number, last_number = endpoint.entry_number, known.endpoint.entry_number
             same = endpoint.started_ms == known.endpoint.started_ms
@@ -220,6 +225,9 @@
         record = self.records.get(key)
         if record is not None and _is_of_entry(record.endpoint, endpoint):
             record.entered = entered
+            # What this daemon reads first says nothing about what was missing or has started.
+            if self.on_entry(endpoint, previous if self.synced else endpoint):
+                self.on_change(key)
 
     def _weigh_entry(self, known, endpoint):
         """Return the entry `endpoint` with the newer membership of its own and the known one."""
--- a/libraries/fleet/src/corianderhaven/fleet/_feed.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_feed.py
@@ -143,7 +143,7 @@
         oldest = self.changes[0][0] if self.changes else self.position + 1
         if request.source != self.source or not oldest - 1 <= request.position <= self.position:
             feed.full = True
-            feed.endpoints = [_row(record) for record in self.directory.records.values()]
+            feed.endpoints = [self._row(record) for record in self.directory.records.values()]
             feed.items = {k: (i.revision, i.value) for k, i in self.watcher.own_items.items()}
             return feed
         recent = itertools.takewhile(lambda c: c[0] > request.position, reversed(self.changes))
@@ -156,10 +156,14 @@
             item = self.watcher.own_items.get(name)
             feed.items[name] = (item.revision, item.value) if item is not None else (0, b"")
         elif name in self.directory.records:
-            feed.endpoints.append(_row(self.directory.records[name]))
+            feed.endpoints.append(self._row(self.directory.records[name]))
         else:
             feed.removed.append(name)
 
+    def _row(self, record):
+        age_ms = self.clock.now_ms() - record.updated_ms
+        return _row(record, max(0.0, record.endpoint.warmup_remaining_ms - age_ms))
+
 
 class FeedReader:
     """Takes the feed of the follower of the zone with the most recent contents.
@@ -300,7 +304,7 @@
             self.watcher.set_own_items(items)
 
 
-def _row(record):
+def _row(record, warmup_remaining_ms):
     endpoint, member = record.endpoint, record.endpoint.membership
     era, revision = record.revision
     return EndpointRow(
@@ -318,7 +322,7 @@
         endpoint.models,
         endpoint.staged,
         (member.replica, member.generation, member.rank, str(member.state)) if member else None,
-        endpoint.warmup_remaining_ms,
+        warmup_remaining_ms,
     )
 
 
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_feed.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_feed.py
@@ -315,3 +315,27 @@
     exchange(writer, reader)
     assert reader.directory.get("e1").staged == ("m",)
     assert reader.directory.get("e1").leaving
+
+
+def test_turn_between_cold_and_warm_reaches_readers():
+    """Routing doesn't compare the time, so it would otherwise stay at the daemon that reads it."""
+    clock = ManualClock()
+    writer, reader = make_side(clock, True, "a"), make_side(clock, False, "r")
+    writer.directory.on_entry = lambda entry, previous: (
+        previous is not None
+        and (entry.warmup_remaining_ms > 0.0) != (previous.warmup_remaining_ms > 0.0)
+    )
+    heard = []
+    warm = replace(endpoint(1), entry_number=1)
+    writer.directory.update("e1", warm, (1, 1))
+    exchange(writer, reader)
+    reader.directory.on_entry = lambda entry, previous: heard.append(entry.warmup_remaining_ms)
+    version = writer.directory.version
+    entries = [(2, 2_000.0), (3, 1_990.0), (4, 0.0)]
+    for number, remaining_ms in entries:
+        entry = replace(warm, entry_number=number, warmup_remaining_ms=remaining_ms)
+        writer.directory.update("e1", entry, (1, number))
+        clock.advance_ms(100.0)
+        exchange(writer, reader)
+    assert heard == [1_900.0, 0.0]
+    assert writer.directory.version == version
