Use the limits of cold endpoints in the gateway

Permits of cold endpoints aren't asked for ahead while a warm one is little used. The queue reports limits only where endpoints are cold or name one, not where they are guarded.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -391,6 +391,7 @@
         self.orders.on_limit = lambda endpoint, limit_per_s: (
             self.gateway.endpoint_limits.record_answer(endpoint, limit_per_s, self.clock.now_ms())
         )
+        self.orders.on_cold = self.gateway.cold_endpoints.note_statement
         self.gateway.joined = lambda: self.joined
         self.gateway.accepts_forwarded = lambda: self.ready
         self.peers.on_leaving = self._apply_leaving
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 
 from corianderhaven.common import MS_PER_S
-from corianderhaven.fleet import PERMIT_LIFETIME_MS
+from corianderhaven.fleet import COLD_PERMIT_LIFETIME_MS, PERMIT_LIFETIME_MS
 from corianderhaven.scheduling import (
     AdmissionQueue,
     LatencyEstimator,
@@ -19,6 +19,11 @@
 LOST_SERVICES_CACHE_MS = 50.0  # half of the shortest exchange interval
 RECENT_ACTIVITY_MS = 500.0  # of a head that others use; some exchanges of digests
 PLAIN_RETRY_AFTER_MS = 200.0
+# Mean load of the heads as a fraction of their slots. Below it, daemons that don't see each other's
+# requests yet hardly send one head more than a cold one may get (26 of 27.5 with 31 daemons).
+CROWDED = 0.5
+# As a fraction of the slots: below it, warm endpoints take what comes, and cold ones may wait.
+LITTLE_USED = 0.25
 PLAIN_WAIT_FRACTION = 0.5  # of the goal; an answer of a plain service takes about the rest
 
 
@@ -130,7 +135,7 @@
         return (own + 1) / (own + others + daemons)
 
     def _are_limited(self, endpoints):
-        return bool(self.permits.limited(endpoints))
+        return any(not self.permits.is_guarded(e) for e in self.permits.limited(endpoints))
 
     def estimator(self, service, engine, model):
         """Return the latency estimator of a model, a new one when its engine spec changed."""
@@ -262,7 +267,7 @@
         limited = self.permits.limited(endpoints)
         reserved = []
         if limited:
-            self.permits.ask(limited, self._expected(rates), self._needed(endpoints, waiting))
+            self._ask(endpoints, limited, rates, self._needed(endpoints, waiting), slots, limit)
             endpoints = [e for e in endpoints if self.permits.accepts(e)]
             reserved = [e for e in limited if self.permits.accepts(e)]
         endpoint = choose_endpoint(
@@ -273,21 +278,70 @@
             limit,
             **self._daemon_counts(),
             reserved=reserved,
+            is_cold=self.permits.is_cold,
         )
         if endpoint is None or not self.permits.try_take(endpoint):
             return None
         self.load_tracker.entry(endpoint.id).own_in_flight += 1
         if limited:
-            self.permits.ask(limited, self._expected(rates), max(0, waiting - 1))
+            self._ask(endpoints, limited, rates, max(0, waiting - 1), slots, limit)
         return endpoint
 
-    @staticmethod
-    def _expected(rates):
-        """Return how many requests to expect while a permit is valid.
+    def _ask(self, endpoints, limited, rates, needed, slots, limit):
+        """Ask for permits as many requests as may be expected while one is valid.
 
-        At a low rate it is none, as permits asked for ahead would mostly expire unused.
+        At a low rate it is none, as permits asked for ahead would mostly expire unused. Permits of
+        cold endpoints aren't asked for ahead either while a warm one is little used.
+        """
+        bounded = [e for e in limited if self.permits.is_bounded(e)]
+        if bounded:
+            expected = math.floor(rates.arrivals_per_ms() * COLD_PERMIT_LIFETIME_MS)
+            if self._is_any_little_used(endpoints, slots):
+                expected = 0
+            free = [e for e in bounded if limit is None or self._occupancy(e) < limit]
+            self.permits.ask(free, expected, needed, self._occupancy)
+        others = [e for e in limited if e not in bounded] if bounded else limited
+        if others:
+            expected = math.floor(rates.arrivals_per_ms() * PERMIT_LIFETIME_MS)
+            self.permits.ask(others, expected, needed)
+
+    def _occupancy(self, endpoint):
+        return self.load_tracker.occupancy(endpoint.id)
+
+    def crowded_heads(self):
+        """Return the ids of the heads of models that are much used, or for which requests wait.
+
+        Heads that answer faster than they may be guarded aren't: that would cost their capacity.
         """
-        return math.floor(rates.arrivals_per_ms() * PERMIT_LIFETIME_MS)
+        crowded = set()
+        for (service, model_name), queue in self.queues.items():
+            spec = self._service_spec(service)
+            rate = self.permits.limits.cold.rates.get(service)
+            if rate is None or spec is None or spec.engine is None:
+                continue
+            engine, model = spec.engine, spec.engine.model(model_name)
+            heads = self.replica_view.all_heads(service).get(model_name, ())
+            if model is None or not heads:
+                continue
+            duration_ms = self.estimator(service, engine, model).duration_ms()
+            if engine.slots / duration_ms * MS_PER_S > rate.guarded_per_s:
+                continue
+            load = sum(map(self._occupancy, heads)) / (engine.slots * len(heads))
+            if queue.waiting or load > CROWDED:
+                crowded.update(head.id for head in heads)
+        return crowded
+
+    def _service_spec(self, service):
+        config = self.replica_view.active_config.config
+        return config.services.get(service) if config is not None else None
+
+    def _is_any_little_used(self, endpoints, slots):
+        """Return whether an endpoint that takes requests without permits has much room."""
+        return any(
+            self.load_tracker.occupancy(e.id) < LITTLE_USED * (slots or e.slots)
+            for e in endpoints
+            if not self.permits.is_limited(e)
+        )
 
     def _needed(self, endpoints, waiting):
         """Return how many permits are needed now, with one for the request in hand."""
@@ -313,7 +367,11 @@
     def held_for_ms(self, endpoints):
         """Return how long none of the endpoints takes requests; 0.0 if one does or none exist."""
         waits_ms = (
-            max(self.load_tracker.held_for_ms(e), self.permits.wait_ms(e)) for e in endpoints
+            max(
+                self.load_tracker.held_for_ms(e),
+                0.0 if self.permits.is_guarded(e) else self.permits.wait_ms(e),
+            )
+            for e in endpoints
         )
         return min(waits_ms, default=0.0)
 
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -5,8 +5,10 @@
 from corianderhaven.common import MS_PER_S, CallerDisconnectedError
 from corianderhaven.fleet import Digest, HeadDigest
 from corianderhaven.scheduling import (
+    OBSERVE_INTERVAL_MS,
     PATHS_LOST,
     SHARED_MS,
+    ColdEndpoints,
     EndpointLimits,
     LoadTracker,
     Refusal,
@@ -39,6 +41,7 @@
 NOT_RUN_RETRY_AFTER_MS = 400.0
 RECENT_ACTIVITY_MS = 250.0  # longer than an event interval with prefill, or a digest's delivery
 PART_RETRY_AFTER_MS = 3_600_000.0  # until a part that ended endpoints is tried again
+MIN_OUTAGE_MS = 1_000.0  # after which the endpoints of a zone may have become cold
 LASTING_LOSS_MS = 500.0  # of a path, with several probes
 PRUNE_INTERVAL_MS = 5_000.0  # few endpoints come and go in it; an entry takes about 100 bytes
 
@@ -69,7 +72,14 @@
         peers.on_unreachable = self._note_unreachable_elsewhere
         self.load_tracker = LoadTracker(clock, peers)
         self.replica_view = ReplicaView(directory, active_config, clock)
-        self.endpoint_limits = EndpointLimits(clock, decisions)
+        self.cold_endpoints = ColdEndpoints(
+            clock, decisions, settings.cold_overrun, settings.cold_slack
+        )
+        self.cold_endpoints.endpoints = directory.endpoints
+        self.cold_endpoints.in_flight = self._requests_at
+        directory.on_entry = self.cold_endpoints.note_entry
+        active_config.listeners.append(self.cold_endpoints.configure)
+        self.endpoint_limits = EndpointLimits(clock, decisions, self.cold_endpoints)
         peers.on_limits = self.endpoint_limits.merge
         self.permits = SendPermits(clock, self.endpoint_limits, settings.zone)
         self.permits.on_permit = self._assign_later
@@ -94,6 +104,7 @@
         self.replica_view.told_activity_ms = peers.last_activity_ms
         self.path_prober = PathProber(self.reachability, directory, clock, settings.ip)
         self.reachability.on_lost = self._reroute_waiting
+        self.reachability.on_regained = self._note_regained
         self.crash_guard.is_path_sound = self.path_prober.is_path_sound
         self.sender = Sender(
             wire,
@@ -108,6 +119,7 @@
         self.sender.spend_retry = lambda service: self.retry_budget.try_spend(service)
         self.sender.may_send_now = self.permits.try_take
         self.sender.on_limit = self.endpoint_limits.record_answer
+        self.sender.on_cold = self.cold_endpoints.note_statement
         self.stream_failover = StreamFailover(
             self.silence_detector,
             self.sender,
@@ -143,6 +155,7 @@
             loop.create_task(dispatch_periodically(self.dispatcher.plain_queues, self.clock)),
             loop.create_task(self.stream_failover.run()),
             loop.create_task(self._prune_endpoints()),
+            loop.create_task(self._observe_endpoints()),
             loop.create_task(self.path_prober.run()),
         ]
 
@@ -248,6 +261,7 @@
         _metrics.IN_FLIGHT.set(self.in_flight)
         _metrics.LOST_SCOPES.set(len(self.reachability.lost_scopes))
         _metrics.LIMITED_ENDPOINTS.set(self.endpoint_limits.count())
+        _metrics.COLD_ENDPOINTS.set(self.cold_endpoints.count())
         for (_, model), queue in self.dispatcher.queues.items():
             _metrics.WAITING.labels(model).set(len(queue.waiting))
         services = self.active_config.config.services.values() if self.active_config.config else ()
@@ -396,6 +410,12 @@
         for queue in self.dispatcher.queues_without_path():
             queue.reject(lambda parts: True, PATHS_LOST)
 
+    def _note_regained(self, scope, lost_ms):
+        """Take the unused endpoints of a zone for cold if it was out of reach for seconds."""
+        _, zone = scope
+        if zone is not None and lost_ms > MIN_OUTAGE_MS:
+            self.cold_endpoints.assume_cold(zone, "outage", only_unused=True)
+
     def _note_verdict(self, part, proven):
         """Reject what waits with a part that is proven to end endpoints."""
         if proven:
@@ -505,6 +525,20 @@
             forwarded_by=context.origin.daemon if context.origin is not None else None,
         )
 
+    def _requests_at(self, endpoint_id):
+        """Return the requests of all daemons at an endpoint, as far as they are known."""
+        entry = self.load_tracker.entries.get(endpoint_id)
+        own = entry.own_in_flight if entry is not None else 0
+        return own + self.peers.peer_requests_at(endpoint_id)
+
+    async def _observe_endpoints(self):
+        """Take note of which endpoints are in use, for those that are cold when idle."""
+        while True:
+            await asyncio.sleep(OBSERVE_INTERVAL_MS / MS_PER_S)
+            if self.cold_endpoints.rates:
+                self.cold_endpoints.observe()
+                self.cold_endpoints.guarded = self.dispatcher.crowded_heads()
+
     async def _prune_endpoints(self):
         """Drop the state of endpoints that no longer exist."""
         while True:
@@ -514,6 +548,7 @@
             self.replica_view.prune(known_ids)
             self.endpoint_limits.prune(known_ids)
             self.permits.prune(known_ids)
+            self.cold_endpoints.prune(known_ids)
             self.reachability.prune(self.directory.endpoints())
             self.sender.pool.prune()
             self.forwarder.prune()
--- a/libraries/gateway/src/corianderhaven/gateway/_metrics.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_metrics.py
@@ -24,6 +24,7 @@
 SERVING_REPLICAS = Gauge(PREFIX + "serving_replicas", "Whole open replicas", ["model"])
 STRANDED_VMS = Gauge(PREFIX + "stranded_vms", "Live engine VMs that serve nothing", ["service"])
 LIMITED_ENDPOINTS = Gauge(PREFIX + "limited_endpoints", "Endpoints that name a limit")
+COLD_ENDPOINTS = Gauge(PREFIX + "cold_endpoints", "Endpoints that are taken for cold")
 PART_REJECTIONS = Counter(
     PREFIX + "part_rejections", "Requests rejected for a part of their prompt", ["verdict"]
 )
--- a/libraries/gateway/src/corianderhaven/gateway/_reachability.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_reachability.py
@@ -65,6 +65,8 @@
     ----------
     on_lost : callable
         Called when the paths to the endpoints of a scope are believed lost.
+    on_regained : callable
+        Called with a scope, (service, zone), and how long its paths were believed lost, in ms.
     """
 
     def __init__(self, clock, decisions):
@@ -75,6 +77,7 @@
         self.lost_scopes = set()
         self.data_ms = {}
         self.on_lost = lambda: None
+        self.on_regained = lambda scope, lost_ms: None
 
     @property
     def any_lost(self):
@@ -94,10 +97,12 @@
 
     def _regain(self, scope, evidence, endpoint):
         self._log("paths_regained", scope, evidence, endpoint)
+        lost_ms = self.clock.now_ms() - evidence.lost_since_ms
         evidence.lost_since_ms = None
         self.lost_scopes.discard(scope)
         for endpoint_id in evidence.failed_ms:
             self.failures.pop(endpoint_id, None)
+        self.on_regained(scope, lost_ms)
 
     def record_failed(self, endpoint):
         """Record that a connection to an endpoint could not be opened."""
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -54,6 +54,8 @@
     on_limit : callable
         Called for each answer with the `Endpoint`, the limit that it names, and the time in ms at
         which the request was sent.
+    on_cold : callable
+        Called with an `Endpoint` that says in an answer that it is cold, and for how many ms.
     """
 
     def __init__(
@@ -80,6 +82,7 @@
         self.waiting = set()
         self.on_leaving = lambda endpoint: None
         self.on_limit = lambda endpoint, limit_per_s, sent_ms: None
+        self.on_cold = lambda endpoint, remaining_ms: None
 
     def replace_waiting_on_lost_paths(self):
         """Look for replacements of the attempts that wait for an answer by a lost path."""
@@ -394,6 +397,8 @@
         """Record what an endpoint says of itself in an answer."""
         endpoint = attempt.endpoint
         self.on_limit(endpoint, response.limit_per_s, attempt.sent_ms)
+        if response.cold_ms:
+            self.on_cold(endpoint, response.cold_ms)
         if response.load is not None:
             self.load_tracker.record_load(endpoint.id, response.load)
         if response.leaving:
