--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -166,6 +166,7 @@
     misdirected_count: int = 0
     used_connections: set = field(default_factory=set)
     arrivals_ms: list = field(default_factory=list)
+    cold_until_ms: float = 0.0
     expiry: object = None
     running: asyncio.Event = field(default_factory=_set_event)
 
@@ -201,6 +202,8 @@
     ended_workers : list of WorkerEnd
     arrivals_with_part : list of ArrivalWithPart
         Requests with a crashing part or target that reached a worker, whatever it answered.
+    cold_bound : dict
+        Fields of all services in the configuration that bound the rate of cold workers.
     """
 
     def __init__(
@@ -229,6 +232,7 @@
         self.new_id_after_crash = False
         self.ended_workers = []
         self.arrivals_with_part = []
+        self.cold_bound = {}
 
     async def start(self):
         """Start the store, the workers and their heartbeats."""
@@ -297,7 +301,10 @@
         config = {
             "version": self.config_version,
             "routes": self.routes,
-            "services": [self._engine_service(), {"name": PLAIN_SERVICE, "protocol": "h1"}],
+            "services": [
+                {**self._engine_service(), **self.cold_bound},
+                {"name": PLAIN_SERVICE, "protocol": "h1", **self.cold_bound},
+            ],
             "limits": {
                 "max_header_bytes": 16384,
                 "max_body_bytes": 1 << 20,
@@ -451,9 +458,11 @@
         return (worker.leaving, group and group.key, self.engines.state(engine), staged)
 
     def _entry(self, worker):
+        cold_ms = max(0.0, worker.cold_until_ms - self.clock.now_ms())
         if worker.engine is not None:
             worker.engine.leaving = worker.leaving
-            return self.engines.entry(worker.engine, ENGINE_SERVICE)
+            entry = self.engines.entry(worker.engine, ENGINE_SERVICE)
+            return {**entry, "cold_remaining_ms": cold_ms}
         worker.entry_count += 1
         return {
             "service": worker.service,
@@ -462,7 +471,7 @@
             "version": "v1",
             "slots": 6,
             "state": "draining" if worker.leaving else "ready",
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": cold_ms,
             "sequence": worker.entry_count,
             "born": worker.started_ms,
         }
