--- a/libraries/fleet/src/corianderhaven/fleet/_types.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_types.py
@@ -159,10 +159,20 @@
 
 @dataclass(frozen=True)
 class ServiceSpec:
-    """Service; `engine` is None for services without model engines."""
+    """Service; `engine` is None for services without model engines.
+
+    Parameters
+    ----------
+    cold_per_s : float
+        Requests per second that an endpoint takes while it is cold; 0 means no bound.
+    cold_ms : float
+        Time for which an endpoint is cold.
+    """
 
     name: str
     engine: EngineSpec | None = None
+    cold_per_s: float = 0.0
+    cold_ms: float = 3_000.0
 
 
 @dataclass(frozen=True)
@@ -267,6 +277,9 @@
         Time within which an endpoint's leaving, and a new configuration, are in force at all
         daemons; 0 if not specified. Daemons of a large fleet read the store no more often than
         these bounds need.
+    cold_overrun, cold_slack : float
+        Requests that a cold endpoint gets in any one second are at most `cold_overrun` times its
+        rate, plus `cold_slack`.
     """
 
     name: str
@@ -290,3 +303,5 @@
     max_fds: int | None = None
     drain_ms: float = 0.0
     config_ms: float = 0.0
+    cold_overrun: float = 1.5
+    cold_slack: float = 5.0
--- a/libraries/scheduling/src/corianderhaven/scheduling/__init__.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/__init__.py
@@ -11,6 +11,7 @@
     queue_order,
 )
 from ._choice import choose_endpoint
+from ._cold_endpoints import OBSERVE_INTERVAL_MS, ColdEndpoints
 from ._endpoint_limits import SHARED_MS, EndpointLimits
 from ._latency_estimator import LatencyEstimator
 from ._load_tracker import LoadTracker
@@ -21,6 +22,7 @@
 from ._work import RequestWork
 
 __all__ = [
+    "OBSERVE_INTERVAL_MS",
     "PATHS_LOST",
     "QUEUE_CHECK_INTERVAL_MS",
     "SHARED_MS",
@@ -29,6 +31,7 @@
     "PromptPlacement",
     "RequestCountPlacement",
     "RequestWork",
+    "ColdEndpoints",
     "EndpointLimits",
     "LatencyEstimator",
     "LoadTracker",
--- a/libraries/scheduling/src/corianderhaven/scheduling/_choice.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_choice.py
@@ -7,6 +7,7 @@
 
 REMOTE_PENALTY = 0.08  # as a fraction of slots: cross-zone traffic costs less than waiting
 FAILURE_PENALTY = 4.0  # added load, in multiples of the slots, at a failure rate of 1
+COLD_PENALTY = 0.15  # as a fraction of slots: a cold endpoint answers more slowly
 MIN_CANDIDATES = 2  # the better of two random choices is nearly as good as the best of all
 TIE_BREAK_NOISE = 0.02  # keeps daemons with the same view from choosing the same endpoint
 
@@ -46,6 +47,7 @@
     placement=None,
     work=None,
     slack_ms=0.0,
+    is_cold=lambda endpoint: False,
 ):
     """Return the least loaded endpoint of a random sample.
 
@@ -71,12 +73,16 @@
     work : RequestWork or None
     slack_ms : float
         Time for which the first event may be delayed without missing its goal.
+    is_cold : callable
+        Returns whether an endpoint is cold; warm ones of similar load are preferred.
     """
     placement, work = placement or RequestCountPlacement(), work or RequestWork()
 
     def best_of(candidates):
         fitting = [e for e in candidates if placement.has_room(e, work)]
         penalties = {e.id: placement.penalty(e, work, slack_ms) for e in fitting}
+        for endpoint in fitting:
+            penalties[endpoint.id] += COLD_PENALTY * is_cold(endpoint)
         return _least_loaded(fitting, load_tracker, zone, slots, limit, penalties)
 
     sample = sample_candidates(endpoints, zone, daemons, zone_daemons)
