Free buffered data at once where a connection or request ends early

Cause: what a connection, a request or an answer buffers stays alive in the tracebacks of its cancellation until the next garbage collection. Change: the parser's buffer, the body and the partial answer are dropped where they are given up. Two cases are added: large requests and large answers whose callers leave at once.

--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -175,6 +175,7 @@
                     raise ConnectionLostError("no memory for the body")
             return bytes(body)
         finally:
+            body.clear()  # the traceback of an error may keep it until the next collection
             budget.record(self, 0)
 
     def discard(self, budget):
@@ -182,6 +183,7 @@
         connection_budgets.note_refusal("answer memory")
         self.discarded = True
         self.close()
+        self.drop_received()
 
     def prepare_for_reuse(self):
         """Reset the parser for the next request; return whether the connection is reusable.
--- a/libraries/common/src/corianderhaven/common/_async_connection.py
+++ b/libraries/common/src/corianderhaven/common/_async_connection.py
@@ -114,6 +114,13 @@
         """
         return len(self.parser._receive_buffer)
 
+    def drop_received(self):
+        """Free what the parser has not taken.
+
+        A connection that is lost may be kept by reference cycles until the next collection.
+        """
+        self.parser._receive_buffer = type(self.parser._receive_buffer)()
+
     def begin_cycle(self):
         """Make the parser ready for the next request; only bytes of this one count as unread."""
         self.parser.start_next_cycle()
--- a/libraries/common/src/corianderhaven/common/_server_connection.py
+++ b/libraries/common/src/corianderhaven/common/_server_connection.py
@@ -133,6 +133,7 @@
         elif self.handling:
             connection_budgets.note_refusal("pipelined data")
             self.transport.abort()
+            self.drop_received()
         else:
             self.refuse("request memory")
 
@@ -152,6 +153,7 @@
             response = h11.Response(status_code=SERVICE_UNAVAILABLE, headers=headers)
             self.transport.write(self.parser.send(response))
         self.transport.close()
+        self.drop_received()
 
     def eof_received(self):
         """Cancel the handler when the caller closes its side."""
@@ -164,6 +166,8 @@
         super().connection_lost(error)
         self.server.forget(self)
         self.body = bytearray()
+        if self.handling:
+            self.drop_received()
         self._record_received()
         connection_budgets.answers.record(self, 0)
         if self.handling and self.task is not None:
@@ -204,6 +208,9 @@
         self.read_on()
         try:
             await self.server.handler(request, self)
+        except BaseException:
+            request.body = b""  # the traceback keeps the request until the next collection
+            raise
         finally:
             self.handling = False
             budget.end_handling(self)
--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_untrusted_clients.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_untrusted_clients.py
@@ -416,6 +416,43 @@
     asyncio.run(scenario())
 
 
+def test_large_requests_whose_callers_leave(tmp_path):
+    """Guards against bodies that ended requests keep until the next garbage collection."""
+
+    async def scenario():
+        async with trial(tmp_path, idle_timeout_ms=15_000) as current:
+            for worker in current.site.workers.values():
+                worker.faults.slow_ms = 1_500.0
+            length = [("content-length", str(BODY_LIMIT_BYTES))]
+            body = [b"b" * 65_536] * (BODY_LIMIT_BYTES // 65_536)
+            for _ in range(60):
+                crowd, sent = current.crowd(), request_id()
+                await crowd.send([head_bytes(sent, headers=length), *body], sent)
+                await asyncio.sleep(0.03)
+                crowd.close()
+            for worker in current.site.workers.values():
+                worker.faults.slow_ms = 0.0
+            await current.check()
+
+    asyncio.run(scenario())
+
+
+def test_large_answers_whose_callers_leave(tmp_path):
+    """Guards against answers that ended requests keep until the next garbage collection."""
+
+    async def scenario():
+        async with trial(tmp_path) as current:
+            length = [("content-length", "0")]
+            for _ in range(60):
+                crowd, sent = current.crowd(reads=False), request_id()
+                await crowd.send([head_bytes(sent, "/status/large", length)], sent)
+                await asyncio.sleep(0.06)
+                crowd.close()
+            await current.check()
+
+    asyncio.run(scenario())
+
+
 def test_large_answers_that_are_not_read(tmp_path):
     """Guards against complete answers that are buffered for as long as callers don't read."""
 
