Check a configuration before it is sent

Cause: errors show only when daemons reject a configuration, and entries without effect or limits that contradict each other only in service. Change: corianderhaven config check, for the product's document and the platform's form, by the models that the daemons use; findings with place, severity and code, differences from what is in force, exit codes. Ruled out: a parser of its own; printing API keys in differences.

--- a/libraries/cli/src/corianderhaven/cli/_config_commands.py
+++ b/libraries/cli/src/corianderhaven/cli/_config_commands.py
@@ -29,7 +29,7 @@
     return parse_document(payload)
 
 
-def _config_in_force(client):
+def config_in_force(client):
     """Return the `ConfigRecord` in force, or None if there is none."""
     try:
         response = client.request("GET", "/operators/config")
@@ -81,7 +81,7 @@
     new_document = _read_document(document)
     client = OperatorClient(list(operators), key).check()
     if base_revision < 0:
-        record = _config_in_force(client)
+        record = config_in_force(client)
         base_revision = record.revision if record else 0
     body = {
         "base_revision": base_revision,
@@ -135,7 +135,7 @@
     :param key: operator key
     :param json: print the whole record as JSON
     """
-    record = _config_in_force(OperatorClient(list(operators), key).check())
+    record = config_in_force(OperatorClient(list(operators), key).check())
     if record is None:
         raise SettingsError("no configuration is in force")
     if json:
@@ -155,7 +155,7 @@
     :param json: print JSON
     """
     new_document = _read_document(document)
-    record = _config_in_force(OperatorClient(list(operators), key).check())
+    record = config_in_force(OperatorClient(list(operators), key).check())
     changes = diff_documents(record.document if record else None, new_document)
     if json:
         print_json([{"path": c.path, "in_force": c.before, "proposed": c.after} for c in changes])
--- a/libraries/cli/src/corianderhaven/cli/_main.py
+++ b/libraries/cli/src/corianderhaven/cli/_main.py
@@ -14,6 +14,7 @@
 
 from . import _config_commands as config_commands
 from . import _site_commands as site_commands
+from ._check_command import check
 from ._load_command import load
 from ._loss_report import losses
 from ._output import (
@@ -29,6 +30,7 @@
 COMMANDS = {
     "config": {
         "validate": config_commands.validate,
+        "check": check,
         "apply": config_commands.apply,
         "show": config_commands.show,
         "diff": config_commands.diff,
--- a/libraries/common/src/corianderhaven/common/__init__.py
+++ b/libraries/common/src/corianderhaven/common/__init__.py
@@ -11,6 +11,7 @@
 )
 from ._background import PeriodicThread
 from ._clock import MS_PER_S, Clock, ManualClock
+from ._findings import Finding, Severity
 from ._http_client import (
     NETWORK_ERRORS,
     TIMEOUT_ERRORS,
@@ -48,6 +49,8 @@
     "ErrorCode",
     "ClientResponse",
     "FieldError",
+    "Finding",
+    "Severity",
     "HttpServer",
     "JsonClient",
     "LogWriter",
--- a/libraries/config/src/corianderhaven/config/__init__.py
+++ b/libraries/config/src/corianderhaven/config/__init__.py
@@ -1,7 +1,8 @@
 """The configuration document: data models, validation, bearer keys and changes."""
 
 from ._checks import check_document, parse_document
-from ._diff import Change, diff_documents
+from ._contradictions import find_contradictions
+from ._diff import Change, compare_values, diff_documents
 from ._keys import KeyRing, make_key, verify_secret
 from ._models import (
     Account,
@@ -38,6 +39,8 @@
     "Service",
     "VmSelector",
     "check_document",
+    "compare_values",
+    "find_contradictions",
     "diff_documents",
     "document_schema",
     "encode_document",
--- a/libraries/config/src/corianderhaven/config/_diff.py
+++ b/libraries/config/src/corianderhaven/config/_diff.py
@@ -34,7 +34,17 @@
     list of Change
         One entry per changed value; list items that have a name are matched by it.
     """
-    return list(_compare("$", _to_builtins(before), _to_builtins(after)))
+    return compare_values(_to_builtins(before), _to_builtins(after))
+
+
+def compare_values(before, after):
+    """List the changes between two JSON values, like `diff_documents`.
+
+    Parameters
+    ----------
+    before, after : dict
+    """
+    return list(_compare("$", before, after))
 
 
 def _to_builtins(document):
@@ -57,7 +67,7 @@
     if isinstance(value, dict):
         return {f".{key}": item for key, item in value.items()}
     named = (
-        isinstance(value, list)
+        isinstance(value, list | tuple)
         and value
         and all(isinstance(item, dict) and "name" in item for item in value)
     )
--- a/libraries/fleet/src/corianderhaven/fleet/__init__.py
+++ b/libraries/fleet/src/corianderhaven/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Endpoint discovery, exchange of state between daemons, and replica management."""
 
 from ._active_config import ActiveConfig
+from ._config_checks import check_config
 from ._digests import (
     DIGEST_PATH,
     Digest,
@@ -73,6 +74,7 @@
     "Account",
     "CallerLimits",
     "ActiveConfig",
+    "check_config",
     "DIGEST_PATH",
     "Digest",
     "Dissolve",
