--- a/libraries/common/src/corianderhaven/common/__init__.py
+++ b/libraries/common/src/corianderhaven/common/__init__.py
@@ -6,6 +6,7 @@
 from ._background import PeriodicThread
 from ._clock import MS_PER_S, Clock, ManualClock
 from ._connection_budgets import connection_budgets
+from ._findings import Finding, Severity
 from ._http_client import (
     NETWORK_ERRORS,
     TIMEOUT_ERRORS,
@@ -49,6 +50,8 @@
     "ErrorCode",
     "ClientResponse",
     "FieldError",
+    "Finding",
+    "Severity",
     "HttpServer",
     "JsonClient",
     "LogWriter",
--- a/libraries/fleet/src/corianderhaven/fleet/__init__.py
+++ b/libraries/fleet/src/corianderhaven/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Endpoint discovery, exchange of state between daemons, and replica management."""
 
 from ._active_config import ActiveConfig
+from ._config_checks import check_config
 from ._digests import (
     DIGEST_PATH,
     Digest,
@@ -80,6 +81,7 @@
     "CallerLimits",
     "ActiveConfig",
     "COLD_PERMIT_LIFETIME_MS",
+    "check_config",
     "DIGEST_PATH",
     "Digest",
     "Dissolve",
