Order full queues by client account, with places for refused callers

Cause: the admission queue did not know accounts. An account that retried refused requests every 20 ms, or sent 30 a second, took the slots of the others; callers that returned as told found no place. Change: where is_shared() holds, requests of a priority that can be on time are served by the account with the least service (start-time fair queueing); those within a tenth of their time to the goal count as late; a late request is refused for overload only if its account is over its share; refused callers get places by account and class, and precede others on return. Otherwise the order and the refusals are unchanged.

--- a/libraries/scheduling/src/corianderhaven/scheduling/__init__.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/__init__.py
@@ -12,8 +12,10 @@
 )
 from ._choice import choose_endpoint
 from ._endpoint_limits import SHARED_MS, EndpointLimits
+from ._fair_shares import AccountLines, AccountRates
 from ._latency_estimator import LatencyEstimator
 from ._load_tracker import LoadTracker
+from ._promised_places import PromisedPlaces
 from ._retry_budget import RetryBudget
 from ._send_permits import SendPermits
 from ._waiting_requests import WaitingRequests
@@ -22,10 +24,13 @@
     "PATHS_LOST",
     "QUEUE_CHECK_INTERVAL_MS",
     "SHARED_MS",
+    "AccountLines",
+    "AccountRates",
     "AdmissionQueue",
     "EndpointLimits",
     "LatencyEstimator",
     "LoadTracker",
+    "PromisedPlaces",
     "QueueRates",
     "QueuedRequest",
     "Refusal",
--- a/libraries/scheduling/src/corianderhaven/scheduling/_admission.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_admission.py
@@ -10,6 +10,7 @@
 
 from corianderhaven.common import MS_PER_S
 
+from ._fair_admission import FairAdmission
 from ._waiting_requests import WaitingRequests
 
 MAX_WAIT_WITHOUT_REPLICA_MS = 350.0  # about the time to form a replica of staged VMs
@@ -49,6 +50,14 @@
         Expected time from sending it to the end of its answer.
     only_others : bool
         Whether it may go to none of the `excluded` endpoints, not even for want of others.
+    account : str
+        Client account; empty for an anonymous caller.
+    request_class : str
+        Requests with about the same goal and work, such as those of a route.
+    goal_margin_ms : float
+        Time before `goal_cutoff_ms` from which it counts as late.
+    promised : bool
+        Whether its caller returned at the time it was told, and a place was kept for it.
     """
 
     priority: int
@@ -62,6 +71,15 @@
     decision: asyncio.Future | None = None
     answer_ms: float = 0.0
     only_others: bool = False
+    account: str = ""
+    request_class: str = ""
+    goal_margin_ms: float = 0.0
+    promised: bool = False
+
+    @property
+    def on_time_until_ms(self):
+        """Time from which it counts as late."""
+        return self.goal_cutoff_ms - self.goal_margin_ms
 
     def limit_to(self, end_ms):
         """Lower the cutoffs so that the answer is expected to be complete at `end_ms`."""
@@ -178,6 +196,8 @@
         Takes an endpoint that was picked for a request and won't be used.
     is_limited : callable
         Returns whether limits that endpoints name bound the throughput.
+    is_shared : callable
+        Returns whether several client accounts share the queue.
     end_ms : float
         Time by which all answers have to be complete; infinite unless the daemon drains.
     """
@@ -189,10 +209,12 @@
         self.held_for_ms = held_for_ms
         self.release_endpoint = lambda endpoint: None
         self.is_limited = lambda: False
+        self.is_shared = lambda: False
         self.promised_ms = -1e12
         self.end_ms = math.inf
         self.waiting = WaitingRequests()
         self.rates = QueueRates(clock, capacity_per_ms)
+        self.fair = FairAdmission(clock, self.waiting, self.rates)
         self.no_replica_since_ms = None
 
     def expected_wait_ms(self, queued):
@@ -202,6 +224,8 @@
         gets only the throughput that those leave.
         """
         now = self.clock.now_ms()
+        if self.waiting.lines is not None:
+            return self.fair.expected_wait_ms(queued)
         self.waiting.advance(now)
         wait_ms = self.waiting.ahead_of(queued, now) / self.rates.throughput_per_ms()
         if now + wait_ms <= queued.goal_cutoff_ms:
@@ -224,13 +248,20 @@
             return Refusal("no replica serves the model", NO_REPLICA_RETRY_AFTER_MS)
         wait_ms = self.expected_wait_ms(queued)
         if wait_ms is None and self.is_limited():
-            return Refusal("endpoints at their limits", self._promise_place(now))
+            return Refusal("endpoints at their limits", self._retry_after_ms(queued, None))
         if wait_ms is None:
-            return Refusal("overloaded", OVERLOAD_RETRY_AFTER_MS)
+            return Refusal("overloaded", self._retry_after_ms(queued, OVERLOAD_RETRY_AFTER_MS))
         if now + wait_ms > queued.deadline_cutoff_ms:
-            return Refusal("can't be served in time", max(MIN_RETRY_AFTER_MS, wait_ms / 2))
+            retry_after_ms = max(MIN_RETRY_AFTER_MS, wait_ms / 2)
+            return Refusal("can't be served in time", self._retry_after_ms(queued, retry_after_ms))
         return None
 
+    def _retry_after_ms(self, queued, default_ms):
+        """Return the time told to a refused caller; None by default stands for a place."""
+        if self.waiting.lines is not None:
+            return self.fair.promise(queued)
+        return self._promise_place(self.clock.now_ms()) if default_ms is None else default_ms
+
     def _promise_place(self, now):
         """Return the time until a place is free behind the waiting requests and earlier promises.
 
@@ -258,10 +289,14 @@
         """Return an endpoint for the request, or a `Refusal`."""
         queued.limit_to(self.end_ms)
         self.rates.record_arrival()
+        self.waiting.share(self.is_shared())
+        if self.waiting.lines is not None:
+            self.fair.record_arrival(queued)
+            self.fair.take_place(queued)
         self._update_no_replica_since(self.clock.now_ms())
         endpoint = None if self.waiting else self.pick_endpoint(queued)
         if endpoint is not None:
-            self.rates.record_dispatch()
+            self._record_dispatch(queued)
             return endpoint
         refusal = self.check_refusal(queued)
         if refusal is not None:
@@ -296,11 +331,16 @@
                 continue
             endpoint = self.pick_endpoint(queued)
             if endpoint is not None:
-                self.rates.record_dispatch()
+                self._record_dispatch(queued)
                 self._decide(queued, endpoint)
             elif not queued.excluded:
                 return
 
+    def _record_dispatch(self, queued):
+        self.rates.record_dispatch()
+        if self.waiting.lines is not None:
+            self.fair.record_dispatch(queued)
+
     def dispatch(self):
         """Assign free endpoints to waiting requests, and refuse those that can't be served."""
         now = self.clock.now_ms()
@@ -351,7 +391,7 @@
             return Refusal(reason, MIN_RETRY_AFTER_MS)
         if self._replica_wait_exceeded(queued, now):
             return Refusal("no replica serves the model", NO_REPLICA_RETRY_AFTER_MS)
-        if now > queued.goal_cutoff_ms:
+        if now > queued.on_time_until_ms:
             return self.check_refusal(queued)
         return self._check_held(queued)
 
--- a/libraries/scheduling/src/corianderhaven/scheduling/_metrics.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_metrics.py
@@ -6,3 +6,8 @@
 PREFIX = "corianderhaven_gateway_"
 
 PERMITS = Counter(PREFIX + "permits", "Permits to send to endpoints that name a limit", ["result"])
+FAIR_SHARES = Counter(
+    PREFIX + "fair_share_requests",
+    "Requests in queues that accounts share, by what became of them on arrival",
+    ["decision"],
+)
--- a/libraries/scheduling/src/corianderhaven/scheduling/_waiting_requests.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_waiting_requests.py
@@ -9,7 +9,7 @@
 
 from sortedcontainers import SortedKeyList, SortedList
 
-BEFORE_ALL = -1  # sorts before the sequence number of any request
+from ._fair_shares import BEFORE_ALL, AccountLines
 
 
 @dataclass(frozen=True)
@@ -38,9 +38,18 @@
 
     Resumed requests come first, then those of higher priority; among equals, those that can still
     meet their goal come before late ones, and each of both by the time left.
+
+    Between accounts that share the queue, of the requests that can still meet their goal those that
+    were promised a place come first, then those of the account that was served least.
+
+    Attributes
+    ----------
+    lines : dict of int to AccountLines, or None
+        By priority; None unless accounts share the queue.
     """
 
     def __init__(self):
+        self.lines = None
         self.groups = {}
         self.positions = {}
         self.late_arrivals = SortedList()
@@ -52,13 +61,22 @@
     def __contains__(self, queued):
         return queued in self.positions
 
+    def share(self, shared):
+        """Begin or end to order by account."""
+        if shared == (self.lines is not None):
+            return
+        self.lines = {} if shared else None
+        for queued, position in self.positions.items() if shared else ():
+            if not position.late and _is_shared(queued):
+                self._line(queued).add(position.key, queued)
+
+    def charge(self, queued):
+        """Count a request as served to its account; to be called before it is removed."""
+        self._line(queued).charge(queued.account)
+
     def add(self, queued, now_ms):
         """Add a request behind equal ones."""
-        number = next(self.numbers)
-        if now_ms > queued.goal_cutoff_ms:
-            self._insert(queued, True, number)
-        else:
-            self._insert(queued, False, number)
+        self._insert(queued, now_ms > queued.on_time_until_ms, next(self.numbers))
 
     def remove(self, queued):
         """Remove a request."""
@@ -66,28 +84,26 @@
         group = self.groups[position.group]
         requests = group.late if position.late else group.on_time
         requests.remove((position.key, queued))
+        if not position.late and self.lines is not None and _is_shared(queued):
+            self._line(queued).remove(position.key, queued)
         if position.late:
             self.late_arrivals.remove((queued.arrived_ms, position.key[1]))
 
     def advance(self, now_ms):
         """Move the requests that have become late."""
-        for group in self.groups.values():
-            while group.on_time and group.on_time[0][1].goal_cutoff_ms < now_ms:
-                (_, number), queued = group.on_time.pop(0)
+        for group in list(self.groups.values()):
+            while group.on_time and group.on_time[0][0][0] < now_ms:
+                (_, number), queued = group.on_time[0]
+                self.remove(queued)
                 self._insert(queued, True, number)
 
     def in_order(self):
         """Yield the requests in order; the collection may change once a request was yielded."""
         for name in sorted(self.groups):
             group = self.groups[name]
-            for requests in (group.on_time, group.late):
-                key = None
-                while True:
-                    index = 0 if key is None else requests.bisect_key_right(key)
-                    if index >= len(requests):
-                        break
-                    key, queued = requests[index]
-                    yield queued
+            lines = self._lines_of(name)
+            yield from _walk(group.on_time) if lines is None else lines.in_order()
+            yield from _walk(group.late)
 
     def late(self):
         """Return the late requests, in order."""
@@ -96,13 +112,16 @@
 
     def ahead_of(self, queued, now_ms):
         """Return how many other requests precede one that may or may not be waiting."""
-        name = _group_name(queued)
-        late = now_ms > queued.goal_cutoff_ms
+        late = now_ms > queued.on_time_until_ms
+        name = _group_name(queued, late)
         before = [group for other, group in self.groups.items() if other < name]
         count = sum(len(group.on_time) + len(group.late) for group in before)
         group = self.groups.get(name)
         if group is None:
             return count
+        lines = self._lines_of(name)
+        if lines is not None and not late:
+            return count + lines.ahead_of(queued, _cutoff_ms(queued, late))
         requests = group.late if late else group.on_time
         count += len(group.on_time) if late else 0
         return count + requests.bisect_key_left((_cutoff_ms(queued, late), BEFORE_ALL))
@@ -113,19 +132,56 @@
         count = self.late_arrivals.bisect_right((queued.arrived_ms, float("inf")))
         return count - (position is not None and position.late)
 
+    def late_before(self, queued):
+        """Return how many other late requests precede one in order."""
+        name = _group_name(queued, True)
+        count = sum(len(group.late) for other, group in self.groups.items() if other < name)
+        group = self.groups.get(name)
+        if group is None:
+            return count
+        return count + group.late.bisect_key_left((_cutoff_ms(queued, True), BEFORE_ALL))
+
+    def _line(self, queued):
+        return self.lines.setdefault(queued.priority, AccountLines())
+
+    def _lines_of(self, name):
+        """Return the lines of a group's requests, or None if accounts don't matter there."""
+        resumed, priority, promised = not name[0], name[1], not name[2]
+        if self.lines is None or resumed or promised:
+            return None
+        return self.lines.get(priority)
+
     def _insert(self, queued, late, number):
-        name = _group_name(queued)
+        name = _group_name(queued, late)
         group = self.groups.setdefault(name, Group())
         key = (_cutoff_ms(queued, late), number)
         (group.late if late else group.on_time).add((key, queued))
+        if not late and self.lines is not None and _is_shared(queued):
+            self._line(queued).add(key, queued)
         if late:
             self.late_arrivals.add((queued.arrived_ms, number))
         self.positions[queued] = Position(name, late, key)
 
 
-def _group_name(queued):
-    return (not queued.resumed, queued.priority)
+def _walk(requests):
+    """Yield requests in order; they may change once a request was yielded."""
+    key = None
+    while True:
+        index = 0 if key is None else requests.bisect_key_right(key)
+        if index >= len(requests):
+            return
+        key, queued = requests[index]
+        yield queued
+
+
+def _is_shared(queued):
+    """Return whether the order of a request that can be on time depends on its account."""
+    return not queued.resumed and not queued.promised
+
+
+def _group_name(queued, late):
+    return (not queued.resumed, queued.priority, late or not queued.promised)
 
 
 def _cutoff_ms(queued, late):
-    return queued.deadline_cutoff_ms if late else queued.goal_cutoff_ms
+    return queued.deadline_cutoff_ms if late else queued.on_time_until_ms
