Share the gateway's queues between the accounts of a configuration

Cause: the queue's order by account needs the account and the class of a request, and the knowledge whether several accounts are configured. Change: Dispatcher names account and route in QueuedRequest; queues are shared where the configuration names two or more accounts, unless fair_shares = false under [bounds] of the settings file. Ruled out: a counter by account (its label set would not be bounded). Conclusion: with one account nothing changes.

--- a/libraries/fleet/src/corianderhaven/fleet/_types.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_types.py
@@ -255,6 +255,8 @@
         Shortest lease that the store grants.
     load_window_ms : float
         Window over which loads from the weight store are counted to limit their rate.
+    fair_shares : bool
+        Whether accounts share full queues equally, where the configuration names several.
     """
 
     name: str
@@ -272,3 +274,4 @@
     retry_slack: float = 10.0
     lease_min_ms: float = 1_000.0
     load_window_ms: float = 5_000.0
+    fair_shares: bool = True
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -43,6 +43,10 @@
         Takes an `Endpoint`; returns whether a connection to it is kept that can be used.
     end_ms : float
         Time by which all answers have to be complete; infinite unless the daemon drains.
+    shares_queues : bool
+        Whether client accounts share the queues.
+    on_over_share : callable
+        Takes what `FairAdmission.on_over_share` takes.
     """
 
     def __init__(
@@ -59,6 +63,8 @@
         self.has_idle_connection = lambda endpoint: False
         self.latest_lost_services = (-1e12, {})
         self.end_ms = math.inf
+        self.shares_queues = False
+        self.on_over_share = lambda queued, rate_per_s, share_per_s: None
         self.queues = {}
         self.plain_queues = {}
         self.plain_rates = {}
@@ -87,6 +93,8 @@
             may_repeat=context.can_fail_over(),
             excluded=context.excluded,
             parts=() if context.sound else metadata.blamed_parts,
+            account=context.account.name if context.account else "",
+            request_class=route.name,
         )
 
     def queue(self, service, engine, model):
@@ -105,9 +113,15 @@
                 self.replica_view.expected_heads(service, model.name)
             )
             queue.release_endpoint = lambda endpoint: self.release(endpoint, queue)
+            self._share(queue)
             queue.end_ms = self.end_ms
         return queue
 
+    def _share(self, queue):
+        """Have a queue shared between accounts wherever the configuration names several."""
+        queue.is_shared = lambda: self.shares_queues
+        queue.fair.on_over_share = lambda *values: self.on_over_share(*values)
+
     def _capacity_per_ms(self, service, engine, model):
         """Return how many requests per ms the open replicas can accept from this daemon."""
         heads = self.replica_view.expected_heads(service, model.name)
@@ -378,6 +392,7 @@
             )
             queue.is_limited = lambda: True
             queue.release_endpoint = self.release
+            self._share(queue)
             queue.end_ms = self.end_ms
         return queue
 
@@ -397,6 +412,8 @@
             may_repeat=context.can_fail_over(),
             excluded=context.excluded,
             parts=context.metadata.blamed_parts,
+            account=context.account.name if context.account else "",
+            request_class=context.route.name,
         )
 
     def _plain_capacity_per_ms(self, service):
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -84,6 +84,7 @@
             self.permits,
             self.reachability,
         )
+        self.dispatcher.on_over_share = self._log_over_share
         self.crash_guard = CrashGuard(directory, peers, clock, decisions, settings.ip)
         self.crash_guard.on_verdict = self._note_verdict
         peers.on_parts = self.crash_guard.merge
@@ -302,6 +303,7 @@
 
     def _update_routes(self, config):
         self.route_table = RouteTable(config)
+        self.dispatcher.shares_queues = self.settings.fair_shares and len(config.accounts) > 1
         self.open_requests.keep_routes({route.name for route in config.routes})
 
     async def _handle(self, request, caller, origin):
@@ -396,6 +398,16 @@
         for queue in self.dispatcher.queues_without_path():
             queue.reject(lambda parts: True, PATHS_LOST)
 
+    def _log_over_share(self, queued, rate_per_s, share_per_s):
+        self.decisions.record(
+            "account_over_share",
+            account=queued.account,
+            route=queued.request_class,
+            priority=queued.priority,
+            rate_per_s=round(rate_per_s, 1),
+            share_per_s=round(share_per_s, 1),
+        )
+
     def _note_verdict(self, part, proven):
         """Reject what waits with a part that is proven to end endpoints."""
         if proven:
