--- a/libraries/scheduling/src/corianderhaven/scheduling/_fair_shares.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_fair_shares.py
@@ -187,6 +187,7 @@
         self.started_ms = clock.now_ms()
         self.arrivals = deque()
         self.by_account = {}
+        self.arrived = Counter()
         self.dispatches = deque()
         self.dispatched = Counter()
         self.levels = {}
@@ -196,6 +197,7 @@
         arrival = Arrival(self.clock.now_ms(), queued.priority, queued.account)
         self.arrivals.append(arrival)
         self.by_account.setdefault(arrival.priority, Counter())[arrival.account] += 1
+        self.arrived[arrival.priority] += 1
         self._expire()
 
     def record_dispatch(self, queued):
@@ -241,9 +243,7 @@
         precede them.
         """
         self._expire()
-        arrivals = sum(
-            counts.total() for other, counts in self.by_account.items() if other <= priority
-        )
+        arrivals = sum(n for other, n in self.arrived.items() if other <= priority)
         left = throughput_per_ms - arrivals / self._window_ms()
         least = MIN_SPARE_RATIO * throughput_per_ms
         return max(left, self.less_urgent_per_ms(priority), least)
@@ -251,7 +251,7 @@
     def _compute_share(self, priority, throughput_per_ms):
         self._expire()
         window_ms = self._window_ms()
-        urgent = sum(c.total() for other, c in self.by_account.items() if other < priority)
+        urgent = sum(n for other, n in self.arrived.items() if other < priority)
         left = max(throughput_per_ms * window_ms - urgent, 0.0)
         counts = sorted(self.by_account.get(priority, Counter()).values())
         for number, count in enumerate(counts):
@@ -271,10 +271,11 @@
             arrival = self.arrivals.popleft()
             counts = self.by_account[arrival.priority]
             counts[arrival.account] -= 1
+            self.arrived[arrival.priority] -= 1
             if not counts[arrival.account]:
                 del counts[arrival.account]
             if not counts:
-                del self.by_account[arrival.priority]
+                del self.by_account[arrival.priority], self.arrived[arrival.priority]
                 self.levels.pop(arrival.priority, None)
         while self.dispatches and self.dispatches[0][0] < since:
             _, priority = self.dispatches.popleft()
