--- a/libraries/scheduling/src/corianderhaven/scheduling/_metrics.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_metrics.py
@@ -8,6 +8,6 @@
 PERMITS = Counter(PREFIX + "permits", "Permits to send to endpoints that name a limit", ["result"])
 FAIR_SHARES = Counter(
     PREFIX + "fair_share_requests",
-    "Requests in queues that accounts share, by what became of them on arrival",
+    "Requests refused in queues that accounts share, and returned to a place that was kept",
     ["decision"],
 )
