Give the rates of the admission queue a module of their own

Change: QueueRates and its constants are _queue_rates.py; _fair_shares.py and _admission.py import what they share. Ruled out: a facade with two names for the constants. Conclusion: no decision changed.

--- a/libraries/scheduling/src/corianderhaven/scheduling/__init__.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/__init__.py
@@ -5,7 +5,6 @@
     QUEUE_CHECK_INTERVAL_MS,
     AdmissionQueue,
     QueuedRequest,
-    QueueRates,
     Refusal,
     dispatch_periodically,
     queue_order,
@@ -16,6 +15,7 @@
 from ._latency_estimator import LatencyEstimator
 from ._load_tracker import LoadTracker
 from ._promised_places import PromisedPlaces
+from ._queue_rates import QueueRates
 from ._retry_budget import RetryBudget
 from ._send_permits import SendPermits
 from ._waiting_requests import WaitingRequests
--- a/libraries/scheduling/src/corianderhaven/scheduling/_admission.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_admission.py
@@ -5,23 +5,18 @@
 
 import asyncio
 import math
-from collections import deque
 from dataclasses import dataclass, field
 
 from corianderhaven.common import MS_PER_S
 
 from ._fair_admission import FairAdmission
+from ._promised_places import MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS
+from ._queue_rates import QueueRates
 from ._waiting_requests import WaitingRequests
 
 MAX_WAIT_WITHOUT_REPLICA_MS = 350.0  # about the time to form a replica of staged VMs
 MAX_RESUMED_WAIT_MS = 1_500.0  # callers abandon a stream after a pause of two seconds
-RATE_WINDOW_MS = 3_000.0  # for the rates of arrivals and dispatches; holds about ten of each
-OVERLOAD_RATIO = 1.25  # of arrivals to throughput; exceeds random variation of ten arrivals
-MIN_SPARE_RATIO = 0.1  # of the throughput, left to late requests unless overloaded
-CAPACITY_CACHE_MS = 20.0  # less than the interval of checks
-MIN_RETRY_AFTER_MS = 300.0
 OVERLOAD_RETRY_AFTER_MS = 1_200.0  # most of a typical answer: slots are freed by then
-MAX_RETRY_AFTER_MS = 10_000.0  # later promises can't be foreseen
 NO_REPLICA_RETRY_AFTER_MS = 1_000.0
 QUEUE_CHECK_INTERVAL_MS = 50.0
 
@@ -109,72 +104,6 @@
     return (not queued.resumed, queued.priority, late, cutoff_ms)
 
 
-class QueueRates:
-    """Recent rates of arrivals and dispatches.
-
-    Parameters
-    ----------
-    clock : Clock
-    capacity_per_ms : callable
-        Returns how many requests per ms the replicas can accept from this daemon.
-    """
-
-    def __init__(self, clock, capacity_per_ms):
-        self.clock = clock
-        self.capacity_per_ms = capacity_per_ms
-        self.started_ms = clock.now_ms()
-        self.arrivals = deque()
-        self.dispatches = deque()
-        self.capacity = 0.0
-        self.capacity_from_ms = -1e12
-
-    def record_arrival(self):
-        """Count a request that arrived."""
-        self._record(self.arrivals)
-
-    def record_dispatch(self):
-        """Count a request that was given an endpoint."""
-        self._record(self.dispatches)
-
-    def arrivals_per_ms(self):
-        """Return the recent rate of arrivals."""
-        return self._count(self.arrivals) / self._window_ms()
-
-    def throughput_per_ms(self):
-        """Return the recent rate of dispatches, or the replicas' capacity if higher."""
-        recent = max(1, self._count(self.dispatches)) / self._window_ms()
-        return max(recent, self._recent_capacity_per_ms())
-
-    def _recent_capacity_per_ms(self):
-        """Return the replicas' capacity, which takes a walk over all heads to work out."""
-        now = self.clock.now_ms()
-        if now - self.capacity_from_ms >= CAPACITY_CACHE_MS:
-            self.capacity, self.capacity_from_ms = self.capacity_per_ms(), now
-        return self.capacity
-
-    def spare_throughput_per_ms(self):
-        """Return the throughput that arrivals leave to late requests; 0.0 in overload."""
-        arrivals = self.arrivals_per_ms()
-        throughput = self.throughput_per_ms()
-        if arrivals > OVERLOAD_RATIO * throughput:
-            return 0.0
-        return max(throughput - arrivals, MIN_SPARE_RATIO * throughput)
-
-    def _window_ms(self):
-        age_ms = self.clock.now_ms() - self.started_ms
-        return min(RATE_WINDOW_MS, max(age_ms, RATE_WINDOW_MS / 3))
-
-    def _record(self, times):
-        times.append(self.clock.now_ms())
-        self._count(times)  # drops the old ones, also where no rate is asked for
-
-    def _count(self, times):
-        since = self.clock.now_ms() - RATE_WINDOW_MS
-        while times and times[0] < since:
-            times.popleft()
-        return len(times)
-
-
 class AdmissionQueue:
     """Requests for one model that wait in this daemon.
 
--- a/libraries/scheduling/src/corianderhaven/scheduling/_fair_shares.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_fair_shares.py
@@ -9,9 +9,8 @@
 
 from sortedcontainers import SortedKeyList, SortedList
 
-RATE_WINDOW_MS = 3_000.0  # for the rates of an account; holds about ten arrivals
-OVERLOAD_RATIO = 1.25  # of an account's arrivals to its share; exceeds variation of ten arrivals
-MIN_SPARE_RATIO = 0.1  # of the throughput, left to late requests
+from ._queue_rates import MIN_SPARE_RATIO, OVERLOAD_RATIO, RATE_WINDOW_MS
+
 LEVEL_CACHE_MS = 50.0  # the interval of checks; the share takes a walk over all accounts
 GOAL_MARGIN = 0.1  # of the time to the goal; a slot freed just in time is late half of the time
 MIN_FORGOTTEN = 64  # accounts without a lead are dropped in batches of this size
