--- a/libraries/scheduling/src/corianderhaven/scheduling/tests/test_fair_shares.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/tests/test_fair_shares.py
@@ -309,3 +309,17 @@
         picks = [True] * 100
         results.append(decide(make_queue(shared, picks), picks, actions))
     assert results[0] == results[1]
+
+
+def test_places_count_towards_the_share_of_their_account():
+    """Guards against an account that gets its share and its kept places on top of it."""
+    waiting = WaitingRequests()
+    waiting.share(True)
+    for number in range(15):
+        queued = request("a")
+        queued.promised = number < 5
+        waiting.add(queued, 0.0)
+        waiting.add(request("b"), 0.0)
+    served = [serve_first(waiting).account for _ in range(20)]
+    assert served[:5] == ["a"] * 5
+    assert abs(served.count("a") - served.count("b")) <= 1
