Have the test of the share bound fail without a count of service

Cause: without the count in AccountLines.charge, three tests failed, but not those of the share bound and of kept places: their requests were interleaved by time, so that the plain order shared evenly as well. Change: one account's requests are all more urgent by time than another's. Ruled out: a longer random history alone, which seldom is one-sided by time. Figures: test_fair_shares.py 13 passed; with the count removed 5 of 13 failed, among them both (pytest -n 2). Conclusion: the tests are stricter than before.

--- a/libraries/scheduling/src/corianderhaven/scheduling/tests/test_fair_shares.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/tests/test_fair_shares.py
@@ -106,8 +106,9 @@
     waiting = WaitingRequests()
     waiting.share(True)
     for account, length in backlog.items():
+        # One account's requests are all more urgent by time than those of the next.
         for number in range(length):
-            waiting.add(request(account, FAR_MS + number), 0.0)
+            waiting.add(request(account, FAR_MS + 100 * ord(account) + number), 0.0)
     served = Counter()
     for _ in range(min(count, sum(backlog.values()))):
         served[serve_first(waiting).account] += 1
@@ -316,7 +317,7 @@
     waiting = WaitingRequests()
     waiting.share(True)
     for number in range(15):
-        queued = request("a")
+        queued = request("a", FAR_MS / 2)
         queued.promised = number < 5
         waiting.add(queued, 0.0)
         waiting.add(request("b"), 0.0)
