--- a/libraries/fleet/src/corianderhaven/fleet/_types.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_types.py
@@ -280,6 +280,8 @@
     cold_overrun, cold_slack : float
         Requests that a cold endpoint gets in any one second are at most `cold_overrun` times its
         rate, plus `cold_slack`.
+    fair_shares : bool
+        Whether accounts share full queues equally, where the configuration names several.
     """
 
     name: str
@@ -305,3 +307,4 @@
     config_ms: float = 0.0
     cold_overrun: float = 1.5
     cold_slack: float = 5.0
+    fair_shares: bool = True
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -54,6 +54,10 @@
         Time by which all answers have to be complete; infinite unless the daemon drains.
     weighs_prompts : bool
         Whether heads are chosen by the prompt tokens that they have to prefill, too.
+    shares_queues : bool
+        Whether client accounts share the queues.
+    on_over_share : callable
+        Takes what `FairAdmission.on_over_share` takes.
     """
 
     def __init__(
@@ -81,6 +85,8 @@
         self.latest_lost_services = (-1e12, {})
         self.end_ms = math.inf
         self.weighs_prompts = False
+        self.shares_queues = False
+        self.on_over_share = lambda queued, rate_per_s, share_per_s: None
         self.queues = {}
         self.plain_queues = {}
         self.plain_rates = {}
@@ -110,6 +116,8 @@
             excluded=context.excluded,
             parts=() if context.sound else metadata.blamed_parts,
             work=RequestWork(metadata.prompt_tokens, round(tokens)),
+            account=context.account.name if context.account else "",
+            request_class=route.name,
         )
 
     def queue(self, service, engine, model):
@@ -131,9 +139,15 @@
                 endpoint, queue, queued.work
             )
             queue.check_access = lambda: self.replica_view.refusal(service, model.name)
+            self._share(queue)
             queue.end_ms = self.end_ms
         return queue
 
+    def _share(self, queue):
+        """Have a queue shared between accounts wherever the configuration names several."""
+        queue.is_shared = lambda: self.shares_queues
+        queue.fair.on_over_share = lambda *values: self.on_over_share(*values)
+
     def _capacity_per_ms(self, service, engine, model):
         """Return how many requests per ms the open replicas can accept from this daemon."""
         heads = self.replica_view.expected_heads(service, model.name)
@@ -509,6 +523,7 @@
                 endpoint, None, queued.work
             )
             queue.check_access = lambda: self._check_plain_access(service)
+            self._share(queue)
             queue.end_ms = self.end_ms
         return queue
 
@@ -528,6 +543,8 @@
             may_repeat=context.can_fail_over(),
             excluded=context.excluded,
             parts=context.metadata.blamed_parts,
+            account=context.account.name if context.account else "",
+            request_class=context.route.name,
         )
 
     def _plain_capacity_per_ms(self, service):
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -113,6 +113,7 @@
             self.access,
         )
         self.dispatcher.weighs_prompts = settings.weigh_prompts
+        self.dispatcher.on_over_share = self._log_over_share
         self.crash_guard = CrashGuard(directory, peers, clock, decisions, settings.ip)
         self.crash_guard.on_verdict = self._note_verdict
         peers.on_parts = self.crash_guard.merge
@@ -348,6 +349,7 @@
 
     def _update_routes(self, config):
         self.route_table = RouteTable(config)
+        self.dispatcher.shares_queues = self.settings.fair_shares and len(config.accounts) > 1
         self.open_requests.keep_routes({route.name for route in config.routes})
 
     async def _handle(self, request, caller, origin):
@@ -466,6 +468,16 @@
         if zone is not None and lost_ms > MIN_OUTAGE_MS:
             self.cold_endpoints.assume_cold(zone, "outage", only_unused=True)
 
+    def _log_over_share(self, queued, rate_per_s, share_per_s):
+        self.decisions.record(
+            "account_over_share",
+            account=queued.account,
+            route=queued.request_class,
+            priority=queued.priority,
+            rate_per_s=round(rate_per_s, 1),
+            share_per_s=round(share_per_s, 1),
+        )
+
     def _note_verdict(self, part, proven):
         """Reject what waits with a part that is proven to end endpoints."""
         if proven:
--- a/libraries/scheduling/src/corianderhaven/scheduling/__init__.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/__init__.py
@@ -5,7 +5,6 @@
     QUEUE_CHECK_INTERVAL_MS,
     AdmissionQueue,
     QueuedRequest,
-    QueueRates,
     Refusal,
     dispatch_periodically,
     queue_order,
@@ -13,9 +12,12 @@
 from ._choice import choose_endpoint
 from ._cold_endpoints import OBSERVE_INTERVAL_MS, ColdEndpoints
 from ._endpoint_limits import SHARED_MS, EndpointLimits
+from ._fair_shares import AccountLines, AccountRates
 from ._latency_estimator import LatencyEstimator
 from ._load_tracker import LoadTracker
 from ._placement import BasePlacement, PromptPlacement, RequestCountPlacement
+from ._promised_places import PromisedPlaces
+from ._queue_rates import QueueRates
 from ._retry_budget import RetryBudget
 from ._send_permits import SendPermits
 from ._waiting_requests import WaitingRequests
@@ -26,6 +28,8 @@
     "PATHS_LOST",
     "QUEUE_CHECK_INTERVAL_MS",
     "SHARED_MS",
+    "AccountLines",
+    "AccountRates",
     "AdmissionQueue",
     "BasePlacement",
     "PromptPlacement",
@@ -35,6 +39,7 @@
     "EndpointLimits",
     "LatencyEstimator",
     "LoadTracker",
+    "PromisedPlaces",
     "QueueRates",
     "QueuedRequest",
     "Refusal",
--- a/libraries/scheduling/src/corianderhaven/scheduling/_admission.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_admission.py
@@ -5,23 +5,19 @@
 
 import asyncio
 import math
-from collections import deque
 from dataclasses import dataclass, field
 
 from corianderhaven.common import MS_PER_S
 
+from ._fair_admission import FairAdmission
+from ._promised_places import MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS
+from ._queue_rates import QueueRates
 from ._waiting_requests import WaitingRequests
 from ._work import RequestWork
 
 MAX_WAIT_WITHOUT_REPLICA_MS = 350.0  # about the time to form a replica of staged VMs
 MAX_RESUMED_WAIT_MS = 1_500.0  # callers abandon a stream after a pause of two seconds
-RATE_WINDOW_MS = 3_000.0  # for the rates of arrivals and dispatches; holds about ten of each
-OVERLOAD_RATIO = 1.25  # of arrivals to throughput; exceeds random variation of ten arrivals
-MIN_SPARE_RATIO = 0.1  # of the throughput, left to late requests unless overloaded
-CAPACITY_CACHE_MS = 20.0  # less than the interval of checks
-MIN_RETRY_AFTER_MS = 300.0
 OVERLOAD_RETRY_AFTER_MS = 1_200.0  # most of a typical answer: slots are freed by then
-MAX_RETRY_AFTER_MS = 10_000.0  # later promises can't be foreseen
 NO_REPLICA_RETRY_AFTER_MS = 1_000.0
 QUEUE_CHECK_INTERVAL_MS = 50.0
 
@@ -52,6 +48,14 @@
         Whether it may go to none of the `excluded` endpoints, not even for want of others.
     work : RequestWork
         What it brings to an engine.
+    account : str
+        Client account; empty for an anonymous caller.
+    request_class : str
+        Requests with about the same goal and work, such as those of a route.
+    goal_margin_ms : float
+        Time before `goal_cutoff_ms` from which it counts as late.
+    promised : bool
+        Whether its caller returned at the time it was told, and a place was kept for it.
     """
 
     priority: int
@@ -66,6 +70,15 @@
     answer_ms: float = 0.0
     only_others: bool = False
     work: RequestWork = field(default_factory=RequestWork)
+    account: str = ""
+    request_class: str = ""
+    goal_margin_ms: float = 0.0
+    promised: bool = False
+
+    @property
+    def on_time_until_ms(self):
+        """Time from which it counts as late."""
+        return self.goal_cutoff_ms - self.goal_margin_ms
 
     def limit_to(self, end_ms):
         """Lower the cutoffs so that the answer is expected to be complete at `end_ms`."""
@@ -95,77 +108,6 @@
     return (not queued.resumed, queued.priority, late, cutoff_ms)
 
 
-class QueueRates:
-    """Recent rates of arrivals and dispatches.
-
-    Parameters
-    ----------
-    clock : Clock
-    capacity_per_ms : callable
-        Returns how many requests per ms the replicas can accept from this daemon.
-    """
-
-    def __init__(self, clock, capacity_per_ms):
-        self.clock = clock
-        self.capacity_per_ms = capacity_per_ms
-        self.started_ms = clock.now_ms()
-        self.arrivals = deque()
-        self.dispatches = deque()
-        self.capacity = 0.0
-        self.capacity_from_ms = -1e12
-
-    def record_arrival(self):
-        """Count a request that arrived."""
-        self._record(self.arrivals)
-
-    def record_dispatch(self):
-        """Count a request that was given an endpoint."""
-        self._record(self.dispatches)
-
-    def forget_throughput(self):
-        """Work out the throughput anew, as the endpoints that earlier requests got are others."""
-        self.dispatches.clear()
-        self.capacity_from_ms = -1e12
-
-    def arrivals_per_ms(self):
-        """Return the recent rate of arrivals."""
-        return self._count(self.arrivals) / self._window_ms()
-
-    def throughput_per_ms(self):
-        """Return the recent rate of dispatches, or the replicas' capacity if higher."""
-        recent = max(1, self._count(self.dispatches)) / self._window_ms()
-        return max(recent, self._recent_capacity_per_ms())
-
-    def _recent_capacity_per_ms(self):
-        """Return the replicas' capacity, which takes a walk over all heads to work out."""
-        now = self.clock.now_ms()
-        if now - self.capacity_from_ms >= CAPACITY_CACHE_MS:
-            self.capacity, self.capacity_from_ms = self.capacity_per_ms(), now
-        return self.capacity
-
-    def spare_throughput_per_ms(self):
-        """Return the throughput that arrivals leave to late requests; 0.0 in overload."""
-        arrivals = self.arrivals_per_ms()
-        throughput = self.throughput_per_ms()
-        if arrivals > OVERLOAD_RATIO * throughput:
-            return 0.0
-        return max(throughput - arrivals, MIN_SPARE_RATIO * throughput)
-
-    def _window_ms(self):
-        age_ms = self.clock.now_ms() - self.started_ms
-        return min(RATE_WINDOW_MS, max(age_ms, RATE_WINDOW_MS / 3))
-
-    def _record(self, times):
-        times.append(self.clock.now_ms())
-        self._count(times)  # drops the old ones, also where no rate is asked for
-
-    def _count(self, times):
-        since = self.clock.now_ms() - RATE_WINDOW_MS
-        while times and times[0] < since:
-            times.popleft()
-        return len(times)
-
-
 class AdmissionQueue:
     """Requests for one model that wait in this daemon.
 
@@ -189,6 +131,8 @@
         Returns whether limits that endpoints name bound the throughput.
     check_access : callable
         Returns the `Refusal` of all requests if there are endpoints but none may get any, or None.
+    is_shared : callable
+        Returns whether several client accounts share the queue.
     end_ms : float
         Time by which all answers have to be complete; infinite unless the daemon drains.
     """
@@ -201,10 +145,12 @@
         self.release_endpoint = lambda endpoint, queued: None
         self.is_limited = lambda: False
         self.check_access = lambda: None
+        self.is_shared = lambda: False
         self.promised_ms = -1e12
         self.end_ms = math.inf
         self.waiting = WaitingRequests()
         self.rates = QueueRates(clock, capacity_per_ms)
+        self.fair = FairAdmission(clock, self.waiting, self.rates)
         self.no_replica_since_ms = None
 
     def expected_wait_ms(self, queued):
@@ -214,6 +160,8 @@
         gets only the throughput that those leave.
         """
         now = self.clock.now_ms()
+        if self.waiting.lines is not None:
+            return self.fair.expected_wait_ms(queued)
         self.waiting.advance(now)
         wait_ms = self.waiting.ahead_of(queued, now) / self.rates.throughput_per_ms()
         if now + wait_ms <= queued.goal_cutoff_ms:
@@ -239,13 +187,20 @@
             return Refusal("no replica serves the model", NO_REPLICA_RETRY_AFTER_MS)
         wait_ms = self.expected_wait_ms(queued)
         if wait_ms is None and self.is_limited():
-            return Refusal("endpoints at their limits", self._promise_place(now))
+            return Refusal("endpoints at their limits", self._retry_after_ms(queued, None))
         if wait_ms is None:
-            return Refusal("overloaded", OVERLOAD_RETRY_AFTER_MS)
+            return Refusal("overloaded", self._retry_after_ms(queued, OVERLOAD_RETRY_AFTER_MS))
         if now + wait_ms > queued.deadline_cutoff_ms:
-            return Refusal("can't be served in time", max(MIN_RETRY_AFTER_MS, wait_ms / 2))
+            retry_after_ms = max(MIN_RETRY_AFTER_MS, wait_ms / 2)
+            return Refusal("can't be served in time", self._retry_after_ms(queued, retry_after_ms))
         return None
 
+    def _retry_after_ms(self, queued, default_ms):
+        """Return the time told to a refused caller; None by default stands for a place."""
+        if self.waiting.lines is not None:
+            return self.fair.promise(queued)
+        return self._promise_place(self.clock.now_ms()) if default_ms is None else default_ms
+
     def _promise_place(self, now):
         """Return the time until a place is free behind the waiting requests and earlier promises.
 
@@ -273,11 +228,16 @@
         """Return an endpoint for the request, or a `Refusal`."""
         queued.limit_to(self.end_ms)
         self.rates.record_arrival()
+        self.waiting.share(self.is_shared())
+        if self.waiting.lines is not None:
+            self.fair.record_arrival(queued)
         self._update_no_replica_since(self.clock.now_ms())
         endpoint = None if self.waiting else self.pick_endpoint(queued)
         if endpoint is not None:
-            self.rates.record_dispatch()
+            self._record_dispatch(queued)
             return endpoint
+        if self.waiting.lines is not None:
+            self.fair.take_place(queued)
         refusal = self.check_refusal(queued)
         if refusal is not None:
             return refusal
@@ -312,11 +272,16 @@
                 continue
             endpoint = self.pick_endpoint(queued)
             if endpoint is not None:
-                self.rates.record_dispatch()
+                self._record_dispatch(queued)
                 self._decide(queued, endpoint)
             elif not queued.excluded:
                 return
 
+    def _record_dispatch(self, queued):
+        self.rates.record_dispatch()
+        if self.waiting.lines is not None:
+            self.fair.record_dispatch(queued)
+
     def dispatch(self):
         """Assign free endpoints to waiting requests, and refuse those that can't be served."""
         now = self.clock.now_ms()
@@ -371,7 +336,7 @@
             return denied
         if self._replica_wait_exceeded(queued, now):
             return Refusal("no replica serves the model", NO_REPLICA_RETRY_AFTER_MS)
-        if now > queued.goal_cutoff_ms:
+        if now > queued.on_time_until_ms:
             return self.check_refusal(queued)
         return self._check_held(queued)
 
