Test records under long leases, the bounds in the node file and a standby's takeover

Cause: three changes of the control plane had no test of their own: a record written without being read, its move to a longer lease, and the delay of a keeper that stood by before. Change: tests only. Ruled out: stopping the keeper alone, as its lease outlasts the delay. Conclusion: no change of behaviour.

--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_control_cost.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_control_cost.py
@@ -269,3 +269,53 @@
 
     before_ms = play(scenario, MIDDLE)
     assert play(scenario, MIDDLE, **BOUNDS) <= before_ms + 250.0
+
+
+@pytest.mark.parametrize("known", [True, False])
+def test_record_of_an_earlier_incarnation_is_replaced(known):
+    """A record is written without being read: one that is there, known or not, is replaced."""
+
+    async def scenario(fleet):
+        node = fleet.nodes["a-001"]
+        fleet.store.put("own/daemons/a-001", b"earlier", 0)
+        if not known:
+            node.watcher.own_items.pop("own/daemons/a-001", None)
+            node.watcher.set_own_items = lambda items: None
+        node.exchange._forget_record()
+        await asyncio.sleep(1.0)
+        item = fleet.store.items["own/daemons/a-001"]
+        return item.value, item.lease == node.exchange.record_lease
+
+    value, under_own_lease = play(scenario, {"a": 3})
+    assert b"a-001" in value
+    assert under_own_lease
+
+
+def test_records_outlive_the_leases_under_which_they_were_first_written():
+    """A daemon that registers before it knows the others moves its record to a longer lease."""
+
+    async def scenario(fleet):
+        await asyncio.sleep(5.0)
+        leases = {item.lease for key, item in fleet.store.items.items() if "daemons/" in key}
+        return len(leases), {fleet.store.leases[lease][0] for lease in leases}
+
+    records, lifetimes = play(scenario, {"a": 12}, **BOUNDS)
+    assert records == 12
+    assert lifetimes == {30_000.0}
+
+
+def test_standby_that_is_elected_waits_until_its_digests_have_told_that_it_reads():
+    """Guards against two daemons that order: the digests of a standby confirm an outage."""
+
+    async def scenario(fleet):
+        standby = fleet.nodes["a-001"]
+        await fleet.nodes["a-000"].lease.resign()
+        fleet.nodes["a-000"].stop()
+        while standby.lease.tenure is None:
+            await asyncio.sleep(0.01)
+        told_ms = standby.lease.orders_from_ms - standby.watcher.following_since_ms
+        return told_ms, fleet.nodes["a-002"].watcher.following
+
+    told_ms, other_follows = play(scenario, {"a": 12}, **BOUNDS)
+    assert told_ms >= 1_200.0
+    assert not other_follows
