--- a/libraries/common/src/corianderhaven/common/_server_connection.py
+++ b/libraries/common/src/corianderhaven/common/_server_connection.py
@@ -9,12 +9,7 @@
 import h11
 from loguru import logger
 
-from ._async_connection import (
-    MAX_UNREAD_BYTES,
-    READ_BYTES,
-    Connection,
-    ConnectionLostError,
-)
+from ._async_connection import MAX_UNREAD_BYTES, READ_BYTES, Connection, ConnectionLostError
 from ._clock import MS_PER_S
 from ._connection_budgets import connection_budgets
 
@@ -243,10 +238,10 @@
         if sum(len(key) + len(value) for key, value in event.headers) > limits.header_bytes:
             await self._reject(HEADERS_TOO_LARGE)
             return None
-        if _declared_bytes(event.headers) > limits.body_bytes:
+        request = CallerRequest(event.method, event.target, list(event.headers))
+        if int(request.header("content-length") or 0) > limits.body_bytes:
             await self._reject(BODY_TOO_LARGE)
             return None
-        request = CallerRequest(event.method, event.target, list(event.headers))
         try:
             async with asyncio.timeout(limits.idle_timeout_ms / MS_PER_S):
                 request.body = await self._read_body(limits.body_bytes)
@@ -400,8 +395,3 @@
     def abort_response(self):
         """Close the connection so that an unfinished response can't look complete."""
         self.transport.close()
-
-
-def _declared_bytes(headers):
-    """Return the declared length of a body, which the parser has checked; 0 if there is none."""
-    return next((int(value) for name, value in headers if name == b"content-length"), 0)
--- a/libraries/gateway/src/corianderhaven/gateway/_attempt.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_attempt.py
@@ -93,6 +93,15 @@
         connection, self.connection = self.connection, None
         return connection
 
+    def drop_answer(self):
+        """Free what was read of the answer.
+
+        The request and its attempts refer to each other, so that they last until the next garbage
+        collection, and a large answer with them.
+        """
+        self.body = None
+        self.chunks = []
+
     def close(self):
         """Close the connection."""
         if self.connection is not None:
--- a/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
@@ -178,6 +178,7 @@
         self.in_flight[forward.target.id] -= 1
         if forward.connection is not None:
             forward.connection.close()
+        forward.body = None  # not kept with the request until the next garbage collection
         context, outcome = forward.context, result.value if result else "not needed"
         _metrics.FORWARDS.labels(context.service.name, outcome).inc()
         self.decisions.record(
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -171,6 +171,7 @@
         if attempt.stream is not None:
             self.silence_detector.remove(attempt.stream)
         attempt.close()
+        attempt.drop_answer()
 
     async def prepare_streaming(self, attempt):
         """Send a request and read the head of its answer.
