Take endpoints for cold at a daemon that has just started

Cause: a daemon that starts while heads are cold, by the end of an evacuation for example, knows of none, and heads that others use don't seem unused.

Ruled out: a higher bound in the test. The simulated restarts had two faults of their own: the former daemon went on sending and issuing, and the new one took the heads for ones that name a limit of 0. Both are mended in cold_fleet.py.

Change: an endpoint that a daemon sees for the first time counts as cold for cold_s. At the site's start that has passed before the first request.

--- a/libraries/scheduling/src/corianderhaven/scheduling/_cold_endpoints.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_cold_endpoints.py
@@ -249,10 +249,15 @@
         state.until_ms = max(state.until_ms, until_ms)
 
     def _state(self, endpoint):
-        """Return the state of an endpoint; one not seen before counts as used just now."""
+        """Return the state of an endpoint.
+
+        One not seen before may be cold, as this daemon may have started after the evidence came.
+        It counts as used just now.
+        """
         state = self.states.get(endpoint.id)
         if state is None or state.started_ms != endpoint.started_ms:
             now = self.clock.now_ms()
-            state = ColdState(endpoint.started_ms, -1e12, -1e12, now)
+            until_ms = now + self.rates[endpoint.service].cold_ms
+            state = ColdState(endpoint.started_ms, until_ms, now, now)
             self.states[endpoint.id] = state
         return state
--- a/libraries/scheduling/src/corianderhaven/scheduling/tests/cold_fleet.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/tests/cold_fleet.py
@@ -110,6 +110,8 @@
         self.assign()
 
     def assign(self):
+        if self.number in self.fleet.down or self.fleet.daemons[self.number] is not self:
+            self.waiting.clear()
         now = self.fleet.clock.now_ms()
         while self.waiting and now - self.waiting[0] > self.fleet.max_wait_ms:
             self.waiting.popleft()
@@ -184,6 +186,10 @@
         self._snapshot()
         return super().run()
 
+    def _restart(self, number):
+        super()._restart(number)
+        self.daemons[number].limits.limits.clear()
+
     def _name_limit(self, i, rate):
         """Heads of this fleet name no limits."""
 
--- a/libraries/scheduling/src/corianderhaven/scheduling/tests/test_cold_endpoints.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/tests/test_cold_endpoints.py
@@ -77,6 +77,16 @@
     assert site.cold.is_cold(HEAD)
 
 
+def test_daemon_that_starts_under_traffic_takes_all_endpoints_for_cold(site):
+    """It can't know of an evacuation that ended before, and heads in use don't seem cold."""
+    site.requests = {HEAD.id: 9}
+    site.cold.observe()
+    assert site.cold.is_cold(HEAD)
+    assert site.cold.is_cold(PLAIN)
+    site.pass_time(COLD_MS)
+    assert not site.cold.is_cold(HEAD)
+
+
 def test_service_without_a_rate_has_no_cold_endpoints(busy):
     busy.cold.note_entry(replace(OTHER, warmup_remaining_ms=2_000.0), OTHER)
     busy.cold.assume_cold("a")
