--- a/libraries/cli/src/corianderhaven/cli/tests/test_check_command.py
+++ b/libraries/cli/src/corianderhaven/cli/tests/test_check_command.py
@@ -24,6 +24,7 @@
 max_fds = 1000
 [bounds]
 grace_s = 0.2
+drain_ms = 3000
 retry_ratio = 0.0
 """
 
@@ -198,6 +199,7 @@
     assert code == 5
     assert {finding["code"] for finding in result["findings"]} == {
         "body_above_memory",
+        "drain_above_grace",
         "goal_above_grace",
         "no_retry_budget",
     }
--- a/libraries/fleet/src/corianderhaven/fleet/_config_checks.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_config_checks.py
@@ -134,6 +134,11 @@
         if route.max_endpoints > 1 and route.retryable and not settings.retry_ratio:
             path = f"$.routes[{route.name}].max_endpoints"
             yield _warning(path, "no_retry_budget", "the settings allow no retries in proportion")
+    if settings.drain_ms > settings.grace_ms:
+        message = (
+            f"daemons end {settings.grace_ms:g} ms after SIGTERM, before endpoints are drained"
+        )
+        yield _warning("$settings.drain_ms", "drain_above_grace", message)
     body_bytes = config.limits.body_bytes
     memory_mb = settings.memory_mb
     if memory_mb is not None and body_bytes > memory_mb * BYTES_PER_MB:
--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -369,7 +369,7 @@
                 expected = 0
             free = [e for e in bounded if limit is None or self._occupancy(e) < limit]
             self.permits.ask(free, expected, needed, self._occupancy)
-        others = [e for e in limited if e not in bounded] if bounded else limited
+        others = [e for e in limited if not self.permits.is_bounded(e)] if bounded else limited
         if others:
             expected = math.floor(rates.arrivals_per_ms() * PERMIT_LIFETIME_MS)
             self.permits.ask(others, expected, needed)
