--- a/libraries/scheduling/src/corianderhaven/scheduling/tests/cold_fleet.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/tests/cold_fleet.py
@@ -135,7 +135,7 @@
             len(self.fleet.daemons),
             max(1, len(self.fleet.daemons) // self.fleet.shape.zones),
             [e for e in limited if self.permits.accepts(e)],
-            self.permits.is_cold,
+            is_cold=self.permits.is_cold,
         )
         if head is None or not self.permits.try_take(head):
             return False
