--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -313,11 +313,13 @@
         return True
 
     def close(self):
-        """End all processes and drop the temporary folder."""
+        """End all processes, record what was run and drop the temporary folder."""
         for daemon in self.daemons:
             daemon.kill()
         if self.site is not None:
             self.site.close()
+            for ran in self.site.runs:
+                self.record.line("ran", ran.request_id, "at", ran.worker, "after event", ran.after)
         if not os.environ.get("KEEP_LOGS"):
             shutil.rmtree(self.folder, ignore_errors=True)
         else:
