--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -302,6 +302,7 @@
     async def start(self, site, zones):
         """Start the site and one daemon in each of `zones`; return whether all get ready."""
         self.site = await site.start()
+        self._record_orders(site.engines)
         store = site.store_server.address
         self.daemons = [
             Daemon(f"edge-{zone}-{number}", zone, store, self.folder).start(True)
@@ -312,6 +313,18 @@
                 return False
         return True
 
+    def _record_orders(self, engines):
+        """Record what the daemons order the engines to do."""
+        carry_out = engines.order
+
+        def order(engine, body):
+            status = carry_out(engine, body)
+            words = (body.get("operation"), engine.id, body.get("group", body.get("model")))
+            self.record.line("order", *words, "answered", status)
+            return status
+
+        engines.order = order
+
     def close(self):
         """End all processes, record what was run and drop the temporary folder."""
         for daemon in self.daemons:
