--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -345,11 +345,15 @@
     async def guarded():
         record = Record(folder)
         lab = Lab(record)
+        # A script that is stopped ends its processes too.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(115.0):
                 result = await case(lab, record)
-        except TimeoutError:
-            record.line("the case took too long")
+        except (TimeoutError, asyncio.CancelledError):
+            record.line("the case was stopped or took too long")
             result = NOT_RUN
         finally:
             lab.close()
