Case 6: the silence begins 0.1 s after the configuration, not 0.6 s

In the run that held and was looked at all streams were cut too, but 3.001 s after the acknowledgement, and the rule counts them up to 3.0 s. The check is unchanged.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -28,7 +28,7 @@
 AFTER_S = 4.0
 STREAMS_PER_S = 3
 CONFIG_MS = 2_000
-PAUSE_AFTER_S = 0.6
+PAUSE_AFTER_S = 0.1
 PAUSE_S = 1.2
 STALL_MS = 4_000  # after which a head that lacks a member breaks; far longer than the pause
 
