Stand-in: heads stall while members stand still, and finish what they have when they close

The stand-in engines let a head go on while another member of its replica stood still, so neither a test nor the soak met a head that answers, is sound, and makes no progress.

Now a head stalls while a member is gone or stands still, and breaks after the stall; one that stands still itself doesn't. A head that closes takes nothing new, finishes what it has, and is ready after that; close_mode cut drops it. Requests belong to the group that accepted them, also when the head joins another one at once. Reports count the requests of the head.

The soak's engines stall for the platform's 4 s instead of 0.4 s, as a pause of a member would break its head otherwise. A pause that breaks a head counts as a loss, for that head ends its streams itself; every other pause stays harmless, also one that long of a head or of all workers.

--- a/libraries/soak/src/corianderhaven/soak/_daemons.py
+++ b/libraries/soak/src/corianderhaven/soak/_daemons.py
@@ -12,6 +12,7 @@
 from ._link_proxy import LinkProxy
 
 KB_PER_MB = 1024.0
+STALL_MS = 4_000  # of the platform: members that pause for less break no replica
 RESTART_DELAY_S = 0.4  # emulates a platform that restarts a process after its exit
 GRACE_PERIOD_S = 4  # 20 times the duration of a stream of the stand-in
 STOP_MARGIN_S = 3.0  # after the grace period, for the exit itself on a busy machine
@@ -157,6 +158,7 @@
             log_name=f"{self.name}-{self.start_count}",
             ip=self.ip,
             packages=self.builds[0],
+            stall_ms=STALL_MS,
         )
         self.first_start = False
 
--- a/libraries/soak/src/corianderhaven/soak/_fault_injector.py
+++ b/libraries/soak/src/corianderhaven/soak/_fault_injector.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 
+from corianderhaven.common import MS_PER_S
 from corianderhaven.standins import ENGINE_SERVICE, PLAIN_SERVICE, WorkerFaults, default_routes
 
 from ._daemons import now_ms
@@ -25,7 +26,7 @@
 MIN_PLAIN_WORKER_SHARE = 0.4
 RESTORE_S = 0.3  # for which a store that is restored is away
 PAUSED_SHARE = 0.6  # of the workers, when neither one, nor a zone, nor all of them pause
-# Through these alone, no daemon, connection or worker is lost.
+# Through these alone, no daemon, connection or worker is lost; a pause may break replicas.
 HARMLESS_KINDS = (PAUSE_KIND, CONFIG_CHANGE_KIND)
 LEAVING_S = 1.0  # a leaving worker keeps serving for this long
 MISBEHAVIOURS = [
@@ -82,7 +83,7 @@
         """Inject one fault; a daemon fault is skipped if the daemon already has one."""
         self.active_count += 1
         self.started_count += 1
-        harmful = fault.kind not in HARMLESS_KINDS
+        harmful = self._may_lose_something(fault)
         if harmful:
             self.invariants.begin_loss()
         try:
@@ -92,6 +93,22 @@
             if harmful:
                 self.invariants.end_loss(now_ms())
 
+    def _may_lose_something(self, fault):
+        """Return whether a daemon, connection, worker or replica may be lost through a fault."""
+        if fault.kind != PAUSE_KIND:
+            return fault.kind not in HARMLESS_KINDS
+        lasts_long = fault.duration_s * MS_PER_S >= self.site.engines.stall_ms
+        return lasts_long and self._stalls_a_head(set(self._select_paused(fault)))
+
+    def _stalls_a_head(self, paused):
+        """Return whether a head that goes on itself lacks a member while workers are paused."""
+        engines = self.site.engines
+        return any(
+            paused.intersection(engine.group.members[1:])
+            for engine in engines.engines.values()
+            if engine.id not in paused and engine.group is not None and engines.is_working(engine)
+        )
+
     def _select(self, candidates, fault):
         return candidates[int(fault.selector * len(candidates))] if candidates else None
 
--- a/libraries/soak/src/corianderhaven/soak/_soak_run.py
+++ b/libraries/soak/src/corianderhaven/soak/_soak_run.py
@@ -11,7 +11,7 @@
 from corianderhaven.standins import HostingSite, small_models
 
 from ._callers import Caller, response_times_s
-from ._daemons import SoakDaemon, now_ms
+from ._daemons import STALL_MS, SoakDaemon, now_ms
 from ._fault_injector import FaultInjector, publish_version
 from ._faults import MIXED_PAUSE_GAP_S, plan_build_changes, plan_faults, plan_worker_pauses
 from ._invariants import InvariantChecker, Violation
@@ -124,7 +124,9 @@
 
     async def run(self):
         """Run the test; returns the `SoakReport`."""
-        site = HostingSite(list(ZONES), ENGINES_PER_ZONE, small_models(), 3, TOKEN_MS)
+        site = HostingSite(
+            list(ZONES), ENGINES_PER_ZONE, small_models(), 3, TOKEN_MS, stall_ms=STALL_MS
+        )
         self.site, self.worker_links = site, {}
         site.wrap_address = self._proxy_worker
         await site.start()
--- a/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
+++ b/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
@@ -575,6 +575,38 @@
     assert (invariants.without_loss_since_ms > LOSS_AFTEREFFECT_MS) == bool(is_loss)
 
 
+@pytest.mark.parametrize(
+    ("rank", "duration_s", "may_lose"), [(1, 0.3, 0), (1, 0.5, 1), (0, 0.5, 0)]
+)
+def test_only_a_pause_that_breaks_a_head_may_lose_something(invariants, rank, duration_s, may_lose):
+    """A head that stands still itself does not break, and a short pause breaks none."""
+
+    async def scenario():
+        site = await HostingSite(["a"], 2, small_models(), 1, stall_ms=400.0).start()
+        engines = list(site.engines.engines.values())
+        group = {"group": "large.1.1", "epoch": 1}
+        members = [engine.id for engine in engines]
+        for engine in engines:
+            join = {"operation": "join", "model": "large", "members": members, **group}
+            site.engines.order(engine, join)
+        await asyncio.sleep(0.1)
+        site.engines.order(engines[0], {"operation": "open", **group})
+        await asyncio.sleep(0.1)
+        live = sorted(w.id for w in site.workers.values())
+        selector = (live.index(members[rank]) + 0.5) / len(live) / 4
+        injector = FaultInjector(site, [], {}, invariants, None, None)
+        fault = asyncio.create_task(
+            injector.inject(Fault("workers_pause", 0.0, duration_s, selector))
+        )
+        await asyncio.sleep(0.05)
+        active = invariants.active_losses
+        await fault
+        site.close()
+        return active
+
+    assert asyncio.run(scenario()) == may_lose
+
+
 def test_run_detects_streams_that_end_while_nothing_is_lost(tmp_path, monkeypatch):
     """Callers' connections are reset beside a change of configuration, which loses none."""
     faults = [Fault("config_change", 0.5 + 0.3 * n, 0.0, 0.0) for n in range(6)]
--- a/libraries/standins/src/corianderhaven/standins/_hosting_daemon.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_daemon.py
@@ -22,7 +22,7 @@
 ready = "{ready}"
 [bounds]
 grace_s = {grace_s}
-stall_ms = 400
+stall_ms = {stall_ms}
 retry_ratio = 0.2
 retry_slack = 107
 [platform]
@@ -51,6 +51,8 @@
         process.
     limits : dict
         Entries of the section ``[limits]`` of the node file.
+    stall_ms : int
+        Time after which a head that lacks a member breaks; by default that of a `HostingSite`.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         ip="127.0.0.1",
         packages="",
         limits=None,
+        stall_ms=400,
     ):
         self.front = previous.front if previous else free_address(ip)
         self.ready = previous.ready if previous else free_address(ip)
@@ -82,6 +85,7 @@
                 front=self.front,
                 ready=self.ready,
                 grace_s=grace_s,
+                stall_ms=stall_ms,
                 store=store,
                 limits="\n".join(f"{key} = {value}" for key, value in (limits or {}).items()),
             )
--- a/libraries/standins/src/corianderhaven/standins/_hosting_engine.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_engine.py
@@ -3,6 +3,7 @@
 Times follow the platform's documentation, divided by `speed` to keep tests fast.
 """
 
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 ORDER_OPERATIONS = ("join", "open", "close", "leave", "phase")
@@ -23,7 +24,16 @@
 
 @dataclass
 class HostedGroup:
-    """One engine's membership in a group."""
+    """One engine's membership in a group.
+
+    Parameters
+    ----------
+    closed : bool
+        Whether it takes no new requests and is about to be ready again, once those that it has
+        have ended.
+    active : int
+        Requests that its head has accepted and not ended.
+    """
 
     name: str
     epoch: int
@@ -34,6 +44,7 @@
     closed: bool = False
     broken: bool = False
     stalled_since_ms: float | None = None
+    active: int = 0
 
     @property
     def key(self):
@@ -43,13 +54,20 @@
 
 @dataclass
 class HostedEngine:
-    """State of one engine VM."""
+    """State of one engine VM.
+
+    Parameters
+    ----------
+    paused : bool
+        Whether its process stands still.
+    """
 
     id: str
     zone: str
     domain: str
     address: str = ""
     alive: bool = True
+    paused: bool = False
     leaving: bool = False
     started_ms: int = 1
     highest_epoch: int = 0
@@ -114,6 +132,8 @@
         if now < group.ready_ms:
             return "joining"
         self.ever_ready.add((engine.id, group.key))
+        if group.closed and not group.active:
+            group.open_ms, group.closed = None, False
         if group.open_ms is None:
             return "ready"
         if group.closed:
@@ -122,12 +142,46 @@
 
     def accepts_requests(self, engine):
         """Return whether an engine runs requests now; record violations if its group is partial."""
-        if not engine.alive or self.state(engine) != "open":
+        return engine.alive and self.state(engine) == "open" and self.makes_progress(engine)
+
+    def is_working(self, engine, group=None):
+        """Return whether an engine goes on with the requests that it has accepted.
+
+        Parameters
+        ----------
+        group : HostedGroup or None
+            Group in which it has accepted them, by default its present one.
+        """
+        if group is not None and engine.group is not group:
+            return False
+        return self.state(engine) in ("open", "closing")
+
+    def makes_progress(self, engine, group=None):
+        """Return whether an engine works on its requests now and hasn't stalled.
+
+        Records violations if the group is partial.
+        """
+        if not self.is_working(engine, group):
             return False
         # A head that has never seen a member begins requests before it notices that it lacks one.
         self._check_group_whole(engine)
         return engine.group.stalled_since_ms is None
 
+    @contextmanager
+    def accept(self, engine):
+        """Count a request that an engine's group has accepted until the block ends.
+
+        Yields
+        ------
+        HostedGroup
+        """
+        group = engine.group
+        group.active += 1
+        try:
+            yield group
+        finally:
+            group.active -= 1
+
     def order(self, engine, body):
         """Apply an order and return the HTTP status of the answer."""
         operation = body.get("operation")
@@ -153,7 +207,10 @@
                 return 409
             group.open_ms = self.clock.now_ms() + self.form_ms
         elif operation == "close":
-            group.open_ms, group.closed = None, False
+            if body.get("close_mode") == "cut" or state not in ("open", "closing"):
+                group.open_ms, group.closed = None, False
+            else:
+                group.closed = True
         return 202
 
     def _join(self, engine, body):
@@ -222,7 +279,7 @@
     def _update_stall(self, engine, now):
         """Record when members went missing; mark the group broken after `stall_ms`."""
         group = engine.group
-        if group.members[0] != engine.id or group.open_ms is None or group.broken:
+        if engine.paused or group.members[0] != engine.id or group.open_ms is None or group.broken:
             return
         missing = [m for m in group.members[1:] if not self._in_group(m, group, engine)]
         if not missing:
@@ -236,6 +293,8 @@
         member = self.engines.get(member_id)
         if member is None or not member.alive or member_id in head.unreachable_members:
             return False
+        if member.paused:
+            return False
         return member.group is not None and member.group.key == group.key
 
     def entry(self, engine, service):
@@ -261,7 +320,7 @@
             "born": engine.started_ms,
             "busy": engine.loading is not None,
             "queued": 0,
-            "active": 0,
+            "active": engine.group.active if engine.group is not None else 0,
             "kv_used": 0,
             "kv_total": 1,
             "kv_handles": 0,
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -187,6 +187,9 @@
         Factor by which loads, stalls and joins are faster than on the platform.
     events : int
         Number of events in a stream.
+    stall_ms : float or None
+        Time after which a head that lacks a member breaks; by default that of the platform,
+        divided by `speed`.
 
     Attributes
     ----------
@@ -207,7 +210,15 @@
     """
 
     def __init__(
-        self, zones, domain_size, models, plain_workers=2, token_ms=5.0, speed=10.0, events=8
+        self,
+        zones,
+        domain_size,
+        models,
+        plain_workers=2,
+        token_ms=5.0,
+        speed=10.0,
+        events=8,
+        stall_ms=None,
     ):
         self.clock = Clock()
         self.zones = zones
@@ -218,6 +229,8 @@
         self.events = events
         self.store = HostedStore(self.clock)
         self.engines = HostedEngines(self.clock, models, speed=speed)
+        if stall_ms is not None:
+            self.engines.stall_ms = stall_ms
         self.workers = {}
         self.runs = []
         self.servers = []
@@ -291,15 +304,24 @@
     def pause(self, worker_ids):
         """Have workers stand still: they send nothing, accept no orders and write no entries.
 
-        The kernel goes on accepting their connections and data.
+        The kernel goes on accepting their connections and data. The heads of their groups stall.
         """
         for worker_id in worker_ids:
-            self.workers[worker_id].running.clear()
+            self._set_paused(self.workers[worker_id], True)
 
     def resume(self, worker_ids):
         """Have paused workers go on where they were."""
         for worker_id in worker_ids:
-            self.workers[worker_id].running.set()
+            self._set_paused(self.workers[worker_id], False)
+
+    @staticmethod
+    def _set_paused(worker, paused):
+        if paused:
+            worker.running.clear()
+        else:
+            worker.running.set()
+        if worker.engine is not None:
+            worker.engine.paused = paused
 
     def publish_config(self):
         """Write the next version of the configuration and return its number."""
@@ -567,15 +589,27 @@
                     faults.shed_copy_ms / MS_PER_S, caller.transport.write, copy
                 )
             return
-        if engine is not None:
-            if self.engines.state(engine) != "open":
-                await caller.send_response(421, not_run_headers, b"")
-                return
-            while not self.engines.accepts_requests(engine):
-                if self.engines.state(engine) == "broken":
+        if engine is None:
+            await self._run_accepted(worker, request, caller)
+        elif self.engines.state(engine) != "open":
+            await caller.send_response(421, not_run_headers, b"")
+        else:
+            with self.engines.accept(engine) as group:
+                if await self._wait_for_progress(engine, group):
+                    await self._run_accepted(worker, request, caller, group)
+                else:
                     await caller.send_response(503, not_run_headers, b"")
-                    return
-                await asyncio.sleep(STATE_POLL_MS / MS_PER_S)
+
+    async def _wait_for_progress(self, engine, group):
+        """Return True once an engine makes progress in a group, False if that ends before."""
+        while not self.engines.makes_progress(engine, group):
+            if not self.engines.is_working(engine, group):
+                return False
+            await asyncio.sleep(STATE_POLL_MS / MS_PER_S)
+        return True
+
+    async def _run_accepted(self, worker, request, caller, group=None):
+        faults, engine = worker.faults, worker.engine
         self._record_run(worker, request)
         self.runs[-1].connection = id(caller)
         await asyncio.sleep((self.token_ms + faults.slow_ms) / MS_PER_S)
@@ -596,7 +630,7 @@
         elif parts := self._parts_that_crash(request):
             self._crash(worker, parts[0])
         elif engine is not None:
-            await self._stream_events(worker, request, caller)
+            await self._stream_events(worker, request, caller, group)
         else:
             await self._answer_plain(worker, request, caller)
 
@@ -652,7 +686,7 @@
             await caller.write(body)
         caller.abort_response()
 
-    async def _stream_events(self, worker, request, caller):
+    async def _stream_events(self, worker, request, caller, group):
         first = int(request.header("last-event-id") or 0) + 1
         headers = [
             *self._response_headers(worker, request),
@@ -675,11 +709,9 @@
                 await send(event[:6])
                 caller.close()
                 return
-            while not self.engines.accepts_requests(worker.engine):
-                if self.engines.state(worker.engine) in (None, "broken"):
-                    caller.close()
-                    return
-                await asyncio.sleep(STATE_POLL_MS / MS_PER_S)
+            if not await self._wait_for_progress(worker.engine, group):
+                caller.close()
+                return
             await worker.running.wait()
             await send(event)
             await asyncio.sleep(self.token_ms / MS_PER_S)
