Stand-in: streams find their group themselves, so that tests can go on overriding them

Their overrides are called as before again; that the group is still the one that accepted the request is checked before.

--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -614,7 +614,7 @@
         self.runs[-1].connection = id(caller)
         await asyncio.sleep((self.token_ms + faults.slow_ms) / MS_PER_S)
         await worker.running.wait()
-        if faults.lose_answer:
+        if faults.lose_answer or (group is not None and not self.engines.is_working(engine, group)):
             caller.close()
         elif faults.cut_head:
             head = _response_bytes(b"200 OK", self._response_headers(worker, request), b"")
@@ -630,7 +630,7 @@
         elif parts := self._parts_that_crash(request):
             self._crash(worker, parts[0])
         elif engine is not None:
-            await self._stream_events(worker, request, caller, group)
+            await self._stream_events(worker, request, caller)
         else:
             await self._answer_plain(worker, request, caller)
 
@@ -686,7 +686,8 @@
             await caller.write(body)
         caller.abort_response()
 
-    async def _stream_events(self, worker, request, caller, group):
+    async def _stream_events(self, worker, request, caller):
+        group = worker.engine.group
         first = int(request.header("last-event-id") or 0) + 1
         headers = [
             *self._response_headers(worker, request),
