Let a suspicion last at the peers as long as a daemon raises it again

Callers' new streams were sent to a stalled head by the daemons that had the suspicion from a peer, at its end 2.5 s after the first report: their copy took no later start while it was valid, and was adopted anew only with a later digest.

A copy now keeps the time at which the peer last raised the suspicion. What a daemon saw itself is told with its own start as before, so that copies don't renew each other.

test_suspicion_that_a_peer_raises_again_lasts_without_a_gap failed before (both cases), and passes now.

--- a/libraries/gateway/src/corianderhaven/gateway/_replica_view.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_replica_view.py
@@ -1,7 +1,8 @@
 """Heads that can receive requests for a model."""
 
+import math
 from collections import defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from corianderhaven.fleet import count_missing_members, group_replicas, is_serving
 
@@ -27,6 +28,8 @@
         is excluded only where that was observed.
     lasting : bool
         Whether events of the head's streams don't disprove it.
+    told_ms : float
+        When a peer last raised the same suspicion.
     """
 
     membership: object
@@ -34,6 +37,12 @@
     observed_locally: bool
     unreachable: bool = False
     lasting: bool = False
+    told_ms: float = -math.inf
+
+    @property
+    def raised_ms(self):
+        """When any daemon last raised it; it expires `SUSPICION_MS` later."""
+        return max(self.since_ms, self.told_ms)
 
     @property
     def excludes(self):
@@ -130,7 +139,8 @@
     def add_peer_suspicion(self, head, age_ms, unreachable=False):
         """Adopt a suspicion reported by a peer; returns whether it is new.
 
-        It expires relative to its start at the peer, so that repeated reports don't extend it.
+        It expires relative to its start at the peer, so that repeated reports don't extend it, but
+        a suspicion that the peer raises again lasts on here, too.
         """
         since_ms = self.clock.now_ms() - age_ms
         known = self.suspicions.get(head.id)
@@ -141,7 +151,9 @@
             and _same_replica(known.membership, head.membership)
             and (known.excludes or unreachable)
         )
-        if already_suspected and since_ms < known.since_ms + SUSPICION_MS:
+        if already_suspected and since_ms < known.raised_ms + SUSPICION_MS:
+            # Kept apart from what is observed here, which peers are told of in turn.
+            self.suspicions[head.id] = replace(known, told_ms=max(known.told_ms, since_ms))
             return False
         self.suspicions[head.id] = Suspicion(head.membership, since_ms, False, unreachable)
         return True
@@ -171,10 +183,10 @@
         suspicion = self.suspicions.get(head.id)
         if suspicion is None or not suspicion.excludes:
             return True
-        if now - suspicion.since_ms >= SUSPICION_MS:
+        if now - suspicion.raised_ms >= SUSPICION_MS:
             return True
         told_ms = None if suspicion.lasting else self.told_activity_ms(head.id)
-        if told_ms is not None and told_ms > suspicion.since_ms + TOLD_ACTIVITY_MARGIN_MS:
+        if told_ms is not None and told_ms > suspicion.raised_ms + TOLD_ACTIVITY_MARGIN_MS:
             return True
         return not _same_replica(suspicion.membership, head.membership)
 
--- a/libraries/gateway/src/corianderhaven/gateway/_silence_detector.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_silence_detector.py
@@ -167,6 +167,13 @@
             return -1.0
         return self.clock.now_ms() - activity.last_activity_ms
 
+    def last_activity_ms(self, head_id):
+        """Return when any daemon last observed activity of a head, or None."""
+        activity = self.heads.get(head_id)
+        own_ms = activity.last_activity_ms if activity is not None else 0.0
+        seen_ms = self.peers.last_activity_ms(head_id)
+        return max((t for t in (own_ms, seen_ms) if t), default=None)
+
     def is_active(self, head_id, within_ms):
         """Return whether any daemon observed activity of a head within `within_ms`."""
         if 0.0 <= self.last_activity_age_ms(head_id) <= within_ms:
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_replica_view.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_replica_view.py
@@ -64,6 +64,30 @@
     assert is_trusted(views[1], clock)
 
 
+@pytest.mark.parametrize("seen_by_both", [False, True])
+def test_suspicion_that_a_peer_raises_again_lasts_without_a_gap(clock, views, seen_by_both):
+    """Guards against requests to a stalled head at each end of the suspicion of 2.5 s."""
+    for view in views[: 2 if seen_by_both else 1]:
+        view.suspect(make_head())
+    for step in range(60):
+        clock.advance_ms(100.0)
+        if step % 3 == 0:
+            views[0].suspect(make_head())
+        if step % 5 == 0:
+            exchange_suspicions(views[:2], delay_ms=50.0)
+        assert step < 5 or not any(is_trusted(view, clock) for view in views[:2])
+
+
+def test_suspicion_that_two_daemons_saw_is_not_renewed_among_them(clock, views):
+    for view in views:
+        view.suspect(make_head())
+        clock.advance_ms(300.0)
+    for _ in range(30):
+        clock.advance_ms(100.0)
+        exchange_suspicions(views, delay_ms=100.0)
+    assert all(is_trusted(view, clock) for view in views)
+
+
 def test_second_suspicion_of_the_same_replica_is_new(clock, views):
     views[0].suspect(make_head())
     views[1].add_peer_suspicion(make_head(), 0.0)
