--- a/libraries/fleet/src/corianderhaven/fleet/tests/reading_fleet.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/reading_fleet.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from corianderhaven.common import ConnectionLostError
+from corianderhaven.common import AsyncHttpClient, ConnectionLostError
 from corianderhaven.fleet import (
     DIGEST_PATH,
     ActiveConfig,
@@ -295,6 +295,7 @@
                 node.stop()
         for task in self.tasks:
             task.cancel()
+        peer_exchange.AsyncHttpClient = AsyncHttpClient
 
     def live(self):
         return [n for n in self.nodes.values() if not n.stopped and n.running.is_set()]
