Leave a replica with a silent member to its head unless others gain by its end (LOST)

Cause: two failed probes made the member lost, and the keeper ordered the sound head to leave, although nothing could be formed of the members that were left. Evidence: endpoint_silent, replica_dissolving (member silent) and the leave precede the first send_failed by 2 ms in the daemons' logs. Ruled out: the gateway's own handling of silent heads, the expiry of entries, and the configuration.

DissolutionPolicy (docs/design/dissolution.md) dissolves such a replica early only if its other members complete another one, with spares or with those of further replicas. Otherwise the head goes on when the member does, or breaks after stall_ms. A head that has sent events since is left alone. The stalled head stays suspected, at all daemons. A restarted endpoint is probed at once, and a probe that fails after a later one was answered tells nothing: without these two, a member that restarts would have been back later than before.

Why it works: the only thing that ended sound streams was our order, and it is given now only where it gains a replica, in which the streams go on.

test_late_orders.py and two tests of test_keeper_model.py need a head that has left while nothing else is free. A silent member doesn't cause that any more, one that restarted does (MemoryFleet.lose_restarted); what they assert is unchanged.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -50,6 +50,7 @@
     read_node_file,
 )
 
+from ._keeper_metrics import count_doubt
 from ._parts_api import PARTS_PATH, answer_parts
 from ._resource_bounds import ResourceBounds
 from ._store_metrics import count_store_call
@@ -398,6 +399,10 @@
         self.peers.on_leaving = self._apply_leaving
         self.peers.on_peer_state = self._observe_peer
         self.gateway.on_suspicion = self.keeper.suspect
+        self.keeper.on_stalled = self.gateway.replica_view.suspect
+        self.keeper.on_recovered = self.gateway.replica_view.note_activity
+        self.keeper.on_doubt_ended = count_doubt
+        self.keeper.dissolution.last_activity_ms = self.gateway.silence_detector.last_activity_ms
         self.lease.outage_confirmed = self.peers.store_outage_confirmed
         self.lease.can_reach_engines = self.gateway.can_reach_engines
         self.orders.on_connection = self.gateway.note_order_connection
--- /dev/null
+++ b/libraries/fleet/src/corianderhaven/fleet/_dissolution.py
@@ -0,0 +1,212 @@
+"""Decides when a replica that seems to have failed is dissolved; performs no I/O.
+
+Handles workers that stand still for a second or are cut off from this daemon only, while requests
+run at the heads of their replicas, and the loss of members under the same load.
+"""
+
+from collections import Counter, defaultdict
+
+REAPPEARANCE_MS = 2_500.0  # entries that expired together return within two heartbeats
+HEAD_SILENCE_MS = 1_000.0  # after which a head that responds to no probe counts as lost
+SILENCE_EVIDENCE_MS = 700.0  # for which a probe without an answer counts; a probe takes 400
+PROBE_INTERVAL_MS = 300.0  # between probes of a replica that may be sound
+STALL_MARGIN_MS = 500.0  # added to the time after which a head without members breaks
+
+
+def find_completing(replicas, vms, engine):
+    """Return the keys of the replicas whose other members complete a replica with the spares.
+
+    Dissolving any other one gains nothing, as its members have no use.
+
+    Parameters
+    ----------
+    replicas : list of (Replica, list of Endpoint)
+        Replicas that lack a member, with those of their members that remain; the first ones are
+        preferred.
+    vms : list of Vm
+    engine : EngineSpec
+
+    Returns
+    -------
+    set of (str, int)
+    """
+    free = Counter()
+    for vm in vms:
+        for name in vm.endpoint.staged:
+            model = engine.model(name)
+            if model is not None and vm.has_staged(name):
+                free[_place(vm.endpoint, name)] += 1
+    # Those that complete a replica by themselves are about to do so.
+    free = Counter({place: n % engine.model(place[-1]).size for place, n in free.items()})
+    pending, completing = defaultdict(list), set()
+    for replica, remaining in replicas:
+        places = {_place(e, replica.model) for e in remaining if replica.model in e.staged}
+        for place in places:
+            free[place] += sum(_place(e, replica.model) == place for e in remaining)
+            pending[place].append(replica.key)
+            if free[place] >= engine.model(replica.model).size:
+                free[place] -= engine.model(replica.model).size
+                completing.update(pending.pop(place))
+    return completing
+
+
+def _place(endpoint, model):
+    """Return what the members of a replica have in common."""
+    return (endpoint.zone, endpoint.domain, model)
+
+
+class DissolutionPolicy:
+    """Decides which replicas that seem to have failed are dissolved now.
+
+    Silence is no proof that a member is lost. Its head makes no progress meanwhile, and breaks by
+    itself in the end; until then the replica is dissolved only where its other members complete
+    another one. A head that sends events has all its members, whatever this daemon can reach.
+
+    Parameters
+    ----------
+    sender : OrderSender
+    settings : NodeSettings
+    clock : Clock
+
+    Attributes
+    ----------
+    last_activity_ms : callable
+        Returns when any daemon last saw an event of a head, or None.
+    first_seen_ms : dict of (str, int) to float
+        When each replica was first listed in this tenure.
+    next_probe_ms : dict of (str, int) to float
+        Earliest times of the next probes of replicas that may be sound.
+    """
+
+    def __init__(self, sender, settings, clock):
+        self.sender = sender
+        self.settings = settings
+        self.clock = clock
+        self.last_activity_ms = lambda head_id: None
+        self.first_seen_ms = {}
+        self.next_probe_ms = {}
+
+    def note_listed(self, keys):
+        """Record which replicas are listed; return those that are no longer."""
+        now = self.clock.now_ms()
+        for key in keys:
+            self.first_seen_ms.setdefault(key, now)
+        gone = [key for key in self.first_seen_ms if key not in keys]
+        for key in gone:
+            del self.first_seen_ms[key]
+            self.next_probe_ms.pop(key, None)
+        return gone
+
+    def reset(self):
+        """Forget everything, as a tenure begins or ends."""
+        self.first_seen_ms, self.next_probe_ms = {}, {}
+
+    def split(self, actions, vms, engine):
+        """Return the dissolutions that are due, and those of replicas that may be sound.
+
+        Parameters
+        ----------
+        actions : list of Dissolve
+            From `find_failed`.
+        vms : list of Vm
+        engine : EngineSpec
+
+        Returns
+        -------
+        due, doubtful : list of Dissolve
+        """
+        silent = [a.replica for a in actions if a.reason == "member silent"]
+        may_wait = [r for r in silent if self._may_wait(r, engine.model(r.model).size)]
+        may_wait.sort(key=self._silent_since_ms)
+        lacking = [(replica, self._responsive(replica)) for replica in may_wait]
+        waiting = {r.key for r in may_wait} - find_completing(lacking, vms, engine)
+        due, doubtful = [], []
+        for action in actions:
+            is_doubtful = action.replica.key in waiting or self._is_doubtful(action)
+            (doubtful if is_doubtful else due).append(action)
+        return due, doubtful
+
+    def take_due_probes(self, doubtful):
+        """Return the endpoints to probe now, as their replicas may be sound.
+
+        The heads are among them, as they may have broken meanwhile.
+        """
+        now = self.clock.now_ms()
+        replicas = [a.replica for a in doubtful if a.reason == "member silent"]
+        due = [r for r in replicas if now >= self.next_probe_ms.get(r.key, 0.0)]
+        self.next_probe_ms.update((r.key, now + PROBE_INTERVAL_MS) for r in due)
+        return [
+            endpoint
+            for replica in due
+            for endpoint in replica.members.values()
+            if endpoint is replica.head or self._is_silent(endpoint)
+        ]
+
+    def stalled_heads(self, doubtful):
+        """Return the heads that respond and make no progress, as another member is silent."""
+        replicas = [a.replica for a in doubtful if a.reason == "member silent"]
+        return [
+            replica.head
+            for replica in replicas
+            if replica.head is not None
+            and not self._is_silent(replica.head)
+            and not self.has_worked_since(replica.head, self._silent_since_ms(replica))
+        ]
+
+    def has_worked_since(self, head, since_ms):
+        """Return whether a head has sent events after a time, for which it needs all members."""
+        if head is None:
+            return False
+        active_ms = self.last_activity_ms(head.id)
+        return active_ms is not None and active_ms > since_ms
+
+    def _is_doubtful(self, action):
+        """Return whether a replica may not have failed, or is just listed incompletely."""
+        replica = action.replica
+        if all(self._is_silent(e) for e in replica.members.values()):
+            return True  # no member responds: this daemon itself may be cut off
+        if action.reason == "member silent":
+            return self._is_silence_doubtful(replica)
+        if action.reason == "member lost":
+            listed_ms = self.clock.now_ms() - self.first_seen_ms.get(replica.key, 0.0)
+            return listed_ms <= REAPPEARANCE_MS
+        return False
+
+    def _may_wait(self, replica, size):
+        """Return whether a replica with silent members may wait until its head breaks."""
+        head = replica.head
+        if head is None or self._is_silent(head) or len(replica.members) < size:
+            return False
+        silent_ms = self.clock.now_ms() - self._silent_since_ms(replica)
+        return silent_ms < self.settings.stall_ms + STALL_MARGIN_MS
+
+    def _is_silence_doubtful(self, replica):
+        """Return whether silent members may be sound, which probes are to show.
+
+        The members of a silent head are not free before a lost head would have stalled in any
+        case, so it is given some time. Silence is no evidence once others have responded after it,
+        or once the head has sent events.
+        """
+        now, sender = self.clock.now_ms(), self.sender
+        head = replica.head
+        if self.has_worked_since(head, self._silent_since_ms(replica)):
+            return True
+        head_silent = head is not None and self._is_silent(head)
+        if head_silent and now - sender.silences[head.id].since_ms < HEAD_SILENCE_MS:
+            return True
+        recovered_ms = (sender.recovered_ms.get(e.id, 0.0) for e in replica.members.values())
+        since_ms = max(now - SILENCE_EVIDENCE_MS, *recovered_ms)
+        return any(sender.silences[e.id].last_ms <= since_ms for e in self._silent(replica))
+
+    def _silent(self, replica):
+        return [e for e in replica.members.values() if self._is_silent(e)]
+
+    def _responsive(self, replica):
+        return [e for e in replica.members.values() if not self._is_silent(e) and not e.leaving]
+
+    def _is_silent(self, endpoint):
+        return endpoint.id in self.sender.unresponsive
+
+    def _silent_since_ms(self, replica):
+        """Return when the first of the silent members fell silent."""
+        return min(self.sender.silences[e.id].since_ms for e in self._silent(replica))
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper.py
@@ -5,9 +5,10 @@
 
 from corianderhaven.common import MS_PER_S
 
+from ._dissolution import STALL_MARGIN_MS, DissolutionPolicy
 from ._formation import Form, Stage, Standby, Vm, find_failed
 from ._order_sender import PROBE_TIMEOUT_MS, OrderSender
-from ._replica_tasks import STALL_MARGIN_MS, ReplicaTasks
+from ._replica_tasks import ReplicaTasks
 from ._replicas import group_replicas, model_of
 from ._types import ReplicaState
 
@@ -16,10 +17,6 @@
 EXTRA_LOADS = 3  # keeps the weight store busy while orders are in flight
 DISCOVERY_MS = 3_000.0  # for the first entries when all VMs start at once
 CONFIRMATION_MS = 1_000.0  # time for which an endpoint's report replaces its missing entry
-HEAD_SILENCE_MS = 1_000.0  # after which a head that responds to no probe counts as lost
-SILENCE_EVIDENCE_MS = 700.0  # for which a probe without an answer counts; a probe takes 400
-MEMBER_PROBE_INTERVAL_MS = 300.0
-REAPPEARANCE_MS = 2_500.0  # entries that expired together return within two heartbeats
 
 
 class ReplicaKeeper:
@@ -34,6 +31,17 @@
     settings : NodeSettings
     clock : Clock
     decisions : DecisionLog
+
+    Attributes
+    ----------
+    on_stalled : callable
+        Called with a head that makes no progress as another member of its replica is silent, again
+        and again as long as it does.
+    on_recovered : callable
+        Called with the id of a head once the silent members of its replica respond again.
+    on_doubt_ended : callable
+        Called when it is certain whether a replica with silent members has failed, with True if it
+        has.
     """
 
     def __init__(self, lease, orders, directory, active_config, settings, clock, decisions):
@@ -46,11 +54,15 @@
         self.decisions = decisions
         self.traffic_seen = not settings.first_start
         self.sender = OrderSender(lease, orders, directory, clock, decisions)
+        self.dissolution = DissolutionPolicy(self.sender, settings, clock)
+        self.on_stalled = lambda head: None
+        self.on_recovered = lambda head_id: None
+        self.on_doubt_ended = lambda failed: None
         self.replica_tasks = None
         self.tenure_started_ms = 0.0
         self.next_probe_ms = {}
+        self.doubtful = {}
         self.last_members = {}
-        self.first_seen_ms = {}
         self.confirmed_until_ms = {}
         self.task = None
 
@@ -131,7 +143,9 @@
         if self.replica_tasks is not None:
             self.replica_tasks.close()
         self.replica_tasks = None
-        self.last_members, self.first_seen_ms, self.confirmed_until_ms = {}, {}, {}
+        self.last_members, self.confirmed_until_ms = {}, {}
+        self.dissolution.reset()
+        self.doubtful = {}
         self.sender.unresponsive.clear()
         self.sender.silences.clear()
         self.sender.recovered_ms.clear()
@@ -176,17 +190,42 @@
         self._record_members(endpoints)
         known_endpoints = endpoints + self._confirmed_members(endpoints)
         excluded = keeper_state.forming | keeper_state.dissolving | keeper_state.released
-        for action in find_failed(
-            known_endpoints, engine, self.sender.unresponsive.keys(), excluded
-        ):
-            if self._is_failure_certain(action):
-                self.replica_tasks.begin_dissolving(action)
-        self._plan(service, endpoints)
+        unresponsive = self.sender.unresponsive.keys()
+        vms = [self._vm_state(e) for e in endpoints if not e.leaving and e.id not in unresponsive]
+        failed = find_failed(known_endpoints, engine, unresponsive, excluded)
+        due, doubtful = self.dissolution.split(failed, vms, engine)
+        for action in due:
+            self.replica_tasks.begin_dissolving(action)
+        self._end_doubts(service.name, due, doubtful)
+        self._probe_doubtful(doubtful)
+        self._plan(service, vms)
 
-    def _plan(self, service, endpoints):
+    def _end_doubts(self, service, due, doubtful):
+        """Record whose silence has begun or ended, and tell of the heads that are sound."""
+        before = self.doubtful.get(service, {})
+        now = {a.replica.key: a.replica for a in doubtful if a.reason == "member silent"}
+        failed = {action.replica.key for action in due}
+        for key in now.keys() - before.keys():
+            self.decisions.record("replica_doubtful", replica=key[0])
+        for key in before.keys() - now.keys():
+            if key not in failed:
+                self.decisions.record("replica_sound", replica=key[0])
+                if before[key].head is not None:
+                    self.on_recovered(before[key].head.id)
+            self.on_doubt_ended(key in failed)
+        self.doubtful[service] = now
+
+    def _probe_doubtful(self, doubtful):
+        """Probe replicas that may be sound, and tell of heads that make no progress meanwhile."""
+        due = self.dissolution.take_due_probes(doubtful)
+        if not due:
+            return
+        self.replica_tasks.spawn(self.sender.probe(due))
+        for head in self.dissolution.stalled_heads(doubtful):
+            self.on_stalled(head)
+
+    def _plan(self, service, vms):
         engine = service.engine
-        unresponsive = self.sender.unresponsive
-        vms = [self._vm_state(e) for e in endpoints if not e.leaving and e.id not in unresponsive]
         discovery_complete = (
             self.traffic_seen or self.clock.now_ms() > self.tenure_started_ms + DISCOVERY_MS
         )
@@ -205,13 +244,10 @@
 
     def _record_members(self, endpoints):
         """Record the members of each replica and when the replica was first listed."""
-        now = self.clock.now_ms()
         replicas = group_replicas(endpoints)
         for key, replica in replicas.items():
-            self.first_seen_ms.setdefault(key, now)
             self.last_members.setdefault(key, {}).update(replica.members)
-        for key in [key for key in self.first_seen_ms if key not in replicas]:
-            del self.first_seen_ms[key]
+        for key in self.dissolution.note_listed(replicas.keys()):
             self.last_members.pop(key, None)
             self.replica_tasks.note_missing_members(key)
         for endpoint in endpoints:
@@ -250,52 +286,20 @@
         return [replace(e, leaving=False) for e in confirmed]
 
     async def _probe_member(self, endpoint, key):
+        asked_ms = self.clock.now_ms()
         reports = await self.sender.probe([endpoint])
         report = reports[endpoint.id]
-        member = report.membership if report is not None else None
-        in_place = member is not None and (member.replica, member.generation) == key
+        if report is None:
+            head = self.last_members.get(key, {}).get(0)
+            in_place = self.dissolution.has_worked_since(head, asked_ms)
+        else:
+            member = report.membership
+            in_place = member is not None and (member.replica, member.generation) == key
         self.decisions.record("member_without_entry", endpoint=endpoint.id, in_place=in_place)
         if not in_place:
             self.last_members.get(key, {}).pop(endpoint.membership.rank, None)
             self.directory.changed.set()
 
-    def _is_failure_certain(self, action):
-        """Return whether a replica has certainly failed and isn't just listed incompletely."""
-        replica = action.replica
-        key = (replica.name, replica.generation)
-        members = replica.members.values()
-        if all(e.id in self.sender.unresponsive for e in members):
-            return False  # no member responds: this daemon itself may be cut off
-        if action.reason == "member silent" and self._is_silence_doubtful(replica):
-            return False
-        if action.reason != "member lost":
-            return True
-        return self.clock.now_ms() - self.first_seen_ms.get(key, 0.0) > REAPPEARANCE_MS
-
-    def _is_silence_doubtful(self, replica):
-        """Return whether silent members may be sound, which probes are to show.
-
-        The members of a silent head are not free before a lost head would have stalled in any
-        case, so it is given some time. Silence is no evidence once others have responded after it.
-        """
-        now, sender = self.clock.now_ms(), self.sender
-        silent = [e for e in replica.members.values() if e.id in sender.unresponsive]
-        head = replica.head
-        head_may_return = (
-            head in silent and now - sender.silences[head.id].since_ms < HEAD_SILENCE_MS
-        )
-        recovered_ms = (sender.recovered_ms.get(e.id, 0.0) for e in replica.members.values())
-        since_ms = max(now - SILENCE_EVIDENCE_MS, *recovered_ms)
-        outdated = [e for e in silent if sender.silences[e.id].last_ms <= since_ms]
-        if not head_may_return and not outdated:
-            return False
-        due = [e for e in silent if now >= self.next_probe_ms.get(e.id, 0.0)]
-        for endpoint in due:
-            self.next_probe_ms[endpoint.id] = now + MEMBER_PROBE_INTERVAL_MS
-        if due:
-            self.replica_tasks.spawn(sender.probe(due))
-        return True
-
     def _vm_state(self, endpoint):
         keeper_state, member = self.replica_tasks.keeper_state, endpoint.membership
         now = self.clock.now_ms()
--- a/libraries/fleet/src/corianderhaven/fleet/_order_sender.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_order_sender.py
@@ -1,6 +1,7 @@
 """Delivery of orders to engines with retries, and probes of engines."""
 
 import asyncio
+import math
 from dataclasses import dataclass
 
 from corianderhaven.common import MS_PER_S
@@ -19,10 +20,17 @@
 
 @dataclass
 class Silence:
-    """Times at which an endpoint first and last failed to respond, with no response between."""
+    """Times at which an endpoint first and last failed to respond, with no response between.
+
+    Parameters
+    ----------
+    started_ms : int or None
+        Incarnation that failed to respond last, None if it isn't known.
+    """
 
     since_ms: float
     last_ms: float
+    started_ms: int | None = None
 
 
 class OrderSender:
@@ -115,6 +123,7 @@
             return await self.orders.report(endpoint, PROBE_TIMEOUT_MS), asked_ms
 
         async def probe_one(endpoint):
+            begun_ms = self.clock.now_ms()
             attempts = [
                 report_after(endpoint, PROBE_INTERVAL_MS * number)
                 for number in range(PROBE_ATTEMPTS)
@@ -128,7 +137,9 @@
                     if self.silences.pop(endpoint.id, None) is not None:
                         self.recovered_ms[endpoint.id] = self.clock.now_ms()
                     return report
-            self.mark_unresponsive(endpoint.id)
+            # Another probe that began later may have been answered meanwhile.
+            if self.recovered_ms.get(endpoint.id, -math.inf) < begun_ms:
+                self.mark_unresponsive(endpoint.id)
             return None
 
         reports = await asyncio.gather(*(probe_one(e) for e in endpoints))
@@ -137,14 +148,20 @@
     def mark_unresponsive(self, endpoint_id):
         """Treat an endpoint as unresponsive for `UNRESPONSIVE_MS`."""
         now = self.clock.now_ms()
-        self.silences.setdefault(endpoint_id, Silence(now, now)).last_ms = now
+        endpoint = self.directory.get(endpoint_id)
+        silence = self.silences.setdefault(endpoint_id, Silence(now, now))
+        silence.last_ms = now
+        silence.started_ms = endpoint.started_ms if endpoint is not None else None
         if endpoint_id not in self.unresponsive:
             self.decisions.record("endpoint_silent", endpoint=endpoint_id)
         self.unresponsive[endpoint_id] = now + UNRESPONSIVE_MS
         self.directory.changed.set()
 
     def due_probes(self, endpoints):
-        """Return the unresponsive endpoints to probe again, and drop those that are gone."""
+        """Return the unresponsive endpoints to probe again, and drop those that are gone.
+
+        One that has restarted since is probed at once.
+        """
         now = self.clock.now_ms()
         by_id = {e.id: e for e in endpoints}
         due = []
@@ -153,11 +170,17 @@
                 del self.unresponsive[endpoint_id]
                 self.silences.pop(endpoint_id, None)
                 self.recovered_ms.pop(endpoint_id, None)
-            elif now >= until and endpoint_id in by_id:
+            elif endpoint_id in by_id and (now >= until or self._has_restarted(by_id[endpoint_id])):
                 self.unresponsive[endpoint_id] = now + UNRESPONSIVE_MS
                 due.append(by_id[endpoint_id])
         return due
 
+    def _has_restarted(self, endpoint):
+        silence = self.silences[endpoint.id]
+        restarted = endpoint.started_ms != silence.started_ms
+        silence.started_ms = endpoint.started_ms
+        return restarted
+
     async def _check_superseded(self, endpoint):
         """Step down if an engine has seen the generation of a newer holder."""
         report = await self.orders.report(endpoint, PROBE_TIMEOUT_MS)
--- a/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
@@ -6,6 +6,7 @@
 
 from corianderhaven.common import MS_PER_S
 
+from ._dissolution import STALL_MARGIN_MS
 from ._formation import FormationPlanner
 from ._interfaces import OrderResult
 from ._keeper_state import KeeperState
@@ -15,7 +16,6 @@
 from ._types import Membership, ReplicaState
 
 LATE_ORDER_MS = 15_000.0  # engines carry out orders some seconds late, if they don't answer
-STALL_MARGIN_MS = 500.0  # added to the time after which a head without members breaks
 OPEN_REPORT_TIMEOUT_MS = 3_000.0  # time for the head to report that it is open
 READY_MARGIN_MS = 4_000.0  # added to the expected duration of a load
 STANDBY_RETRY_MS = 3_000.0  # until the order to a spare that isn't ready is repeated
--- a/libraries/fleet/src/corianderhaven/fleet/_replicas.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_replicas.py
@@ -19,6 +19,11 @@
     generation: int
     members: dict
 
+    @property
+    def key(self):
+        """Name and generation, which together identify a replica."""
+        return (self.name, self.generation)
+
     @property
     def head(self):
         """Endpoint with rank 0, or None."""
--- a/libraries/fleet/src/corianderhaven/fleet/tests/memory_fleet.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/memory_fleet.py
@@ -74,7 +74,8 @@
     def _reachable(self, endpoint_id):
         engine = self.fleet.hosted.engines.get(endpoint_id)
         cut = self.keeper_name in self.fleet.keepers_without_engines
-        return engine is not None and engine.alive and not cut and not engine.unreachable
+        answers = engine is not None and engine.alive and not engine.paused
+        return answers and not cut and not engine.unreachable
 
     async def report(self, endpoint, timeout_ms):
         if not self._reachable(endpoint.id):
@@ -296,6 +297,15 @@
     def lease_holder(self):
         return next((k for k in self.keepers.values() if k.lease.tenure is not None), None)
 
+    def lose_restarted(self, engine_id):
+        """Have a member restart, which its entry shows, and lose it right after.
+
+        Its head has to leave at once, although no other replica can be formed of what is left.
+        """
+        self.hosted.restart(engine_id)
+        self.publish(self.hosted.engines[engine_id])
+        self.hosted.kill(engine_id)
+
     def loses_first_order(self, engine, body):
         """Return whether the first order of its kind to an engine and replica gets no answer."""
         kind = (engine.id, body["operation"], body.get("group"))
@@ -484,7 +494,7 @@
             asyncio.get_running_loop().call_later(0.6, self._set_outage_confirmed, all_cut_off)
             for engine in list(self.hosted.engines.values()):
                 now = self.clock.now_ms()
-                if not engine.alive or engine.without_store:
+                if not engine.alive or engine.paused or engine.without_store:
                     silent_since_ms.setdefault(engine.id, now)
                     if now - silent_since_ms[engine.id] > ENTRY_TTL_MS and not self.store_down:
                         self.entries.pop(engine.id, None)
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_keeper_model.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_keeper_model.py
@@ -102,12 +102,12 @@
 
 
 async def lose_newest_replica(fleet):
-    """Kill a member of the replica that was formed last, and let the keeper notice at once."""
+    """Lose a member of the replica that was formed last, and let the keeper notice at once."""
     heads = [e for e in fleet.hosted.engines.values() if fleet.hosted.accepts_requests(e)]
     holder = fleet.lease_holder()
     if heads and holder is not None:
         head = max(heads, key=lambda e: e.group.epoch)
-        fleet.hosted.kill(next(i for i in head.group.members if i != head.id))
+        fleet.lose_restarted(next(i for i in head.group.members if i != head.id))
         holder.suspect(head.id, "test")
 
 
@@ -389,7 +389,7 @@
         group = head.group
         replace_keeper(fleet)
         await asyncio.sleep(6)
-        fleet.hosted.kill(group.members[1])
+        fleet.lose_restarted(group.members[1])
         fleet.lease_holder().suspect(head.id, "test")
         while head.group is not None:
             await asyncio.sleep(0.02)
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_late_orders.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_late_orders.py
@@ -55,7 +55,7 @@
             return result
 
         holder.orders.leave = leave_and_announce
-        fleet.hosted.kill(group.members[1])
+        fleet.lose_restarted(group.members[1])
         holder.suspect(head.id, "test")
         while head.group is not None:
             await asyncio.sleep(0.02)
@@ -87,7 +87,7 @@
             return await join(endpoint, *order)
 
         orders.join = join_after_late_orders
-        fleet.hosted.kill(group.members[1])
+        fleet.lose_restarted(group.members[1])
         fleet.lease_holder().suspect(head.id, "test")
         while head.group is not None:
             await asyncio.sleep(0.02)
@@ -133,7 +133,7 @@
         group = head.group
         holder = fleet.lease_holder()
         state = holder.replica_tasks.keeper_state
-        fleet.hosted.kill(group.members[1])
+        fleet.lose_restarted(group.members[1])
         holder.suspect(head.id, "test")
         while (group.name, group.epoch) not in state.released or head.group is not None:
             await asyncio.sleep(0.02)
@@ -157,7 +157,7 @@
         group = head.group
         holder = fleet.lease_holder()
         state, probe = holder.replica_tasks.keeper_state, holder.sender.probe
-        fleet.hosted.kill(group.members[1])
+        fleet.lose_restarted(group.members[1])
         holder.suspect(head.id, "test")
         while (group.name, group.epoch) not in state.released or head.group is not None:
             await asyncio.sleep(0.02)
@@ -201,7 +201,7 @@
                 publish(engine)
 
         fleet.publish = publish_once_returned
-        fleet.hosted.kill(group.members[1])
+        fleet.lose_restarted(group.members[1])
         fleet.lease_holder().suspect(head.id, "test")
         while head.group is not None:
             await asyncio.sleep(0.02)
--- a/libraries/standins/src/corianderhaven/standins/_hosting_engine.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_engine.py
@@ -90,6 +90,12 @@
     stall_ms, form_ms : float
     speed : float
         Factor by which all times are shortened.
+
+    Attributes
+    ----------
+    violations : list of str
+    cuts : list of str
+        Orders that ended accepted requests of a head that had not broken.
     """
 
     def __init__(self, clock, models, stall_ms=4_000.0, form_ms=300.0, speed=1.0):
@@ -101,6 +107,7 @@
         self.engines = {}
         self.ever_ready = set()
         self.violations = []
+        self.cuts = []
         self.loads = []
 
     def add(self, engine):
@@ -199,6 +206,7 @@
             return 200 if operation == "leave" else 409
         engine.order_count += 1
         if operation == "leave":
+            self._record_cut(engine, operation)
             engine.group = None
         elif operation == "open":
             if state == "open" or group.open_ms is not None:
@@ -208,11 +216,19 @@
             group.open_ms = self.clock.now_ms() + self.form_ms
         elif operation == "close":
             if body.get("close_mode") == "cut" or state not in ("open", "closing"):
+                self._record_cut(engine, operation)
                 group.open_ms, group.closed = None, False
             else:
                 group.closed = True
         return 202
 
+    def _record_cut(self, engine, operation):
+        group = engine.group
+        if group.active and self.is_working(engine):
+            self.cuts.append(
+                f"{operation}: {engine.id} had {group.active} requests in {group.name}"
+            )
+
     def _join(self, engine, body):
         epoch, members = body["epoch"], tuple(body["members"])
         old = engine.group
