Let the requests of a model that a configuration drops finish (LOST)

Cause: find_failed named the open replicas (unknown model) without graceful, so the keeper ordered their heads to leave at once. Evidence: config_in_force, replica_dissolving and the leave precede the first send_failed in the daemons' logs. Ruled out: the gateway (it ends no stream for a configuration), and the want of another replica as the cause (it only keeps broken streams from going on).

Now such a replica stays open for config_ms, and longer while daemons tell of requests there, up to the longest timeout of the service's routes; a version that takes the drop back finds it as it was. Then the head is closed, finishes what nobody told of, and leaves.

Why it works: no new request is sent there, each running one ends within its route's timeout, and no order that ends requests is given before.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_silent_members.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_silent_members.py
@@ -32,6 +32,8 @@
         async with hosted_site(2, fields, stall_ms=STALL_MS) as (site, daemons):
             await wait_until(lambda: all(len(d.peers.peers) == 1 for d in daemons))
             await scenario(site, daemons)
+            entries = [e for daemon in daemons for e in daemon.decisions.entries]
+            assert not [e for e in entries if e["event"] == "keeper_failed"]
 
     asyncio.run(run())
 
--- a/libraries/fleet/src/corianderhaven/fleet/_dissolution.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_dissolution.py
@@ -1,10 +1,14 @@
-"""Decides when a replica that seems to have failed is dissolved; performs no I/O.
+"""Decides when a replica that can't serve any more is dissolved; performs no I/O.
 
 Handles workers that stand still for a second or are cut off from this daemon only, while requests
-run at the heads of their replicas, and the loss of members under the same load.
+run at the heads of their replicas, the loss of members under the same load, and configurations that
+drop a model whose requests still run, or take that back.
 """
 
 from collections import Counter, defaultdict
+from dataclasses import replace
+
+from ._formation import LEAVING_FINISH_MS
 
 REAPPEARANCE_MS = 2_500.0  # entries that expired together return within two heartbeats
 HEAD_SILENCE_MS = 1_000.0  # after which a head that responds to no probe counts as lost
@@ -56,7 +60,10 @@
 
 
 class DissolutionPolicy:
-    """Decides which replicas that seem to have failed are dissolved now.
+    """Decides which replicas that can't serve any more are dissolved now.
+
+    A replica whose model the configuration no longer names gets no new requests. It stays open for
+    those that it has, and as the next version may name the model again.
 
     Silence is no proof that a member is lost. Its head makes no progress meanwhile, and breaks by
     itself in the end; until then the replica is dissolved only where its other members complete
@@ -72,6 +79,12 @@
     ----------
     last_activity_ms : callable
         Returns when any daemon last saw an event of a head, or None.
+    requests_at : callable
+        Returns the requests of all daemons at a head, as far as they are known.
+    longest_request_ms : dict of str to float
+        Maximum time of requests to each service, in any version of the configuration so far.
+    dropped_ms : dict of (str, int) to float
+        Since when the configuration has not named the model of each replica.
     first_seen_ms : dict of (str, int) to float
         When each replica was first listed in this tenure.
     next_probe_ms : dict of (str, int) to float
@@ -83,6 +96,9 @@
         self.settings = settings
         self.clock = clock
         self.last_activity_ms = lambda head_id: None
+        self.requests_at = lambda head_id: 0
+        self.longest_request_ms = {}
+        self.dropped_ms = {}
         self.first_seen_ms = {}
         self.next_probe_ms = {}
 
@@ -98,41 +114,53 @@
         return gone
 
     def reset(self):
-        """Forget everything, as a tenure begins or ends."""
-        self.first_seen_ms, self.next_probe_ms = {}, {}
+        """Forget all replicas, as a tenure begins or ends."""
+        self.first_seen_ms, self.next_probe_ms, self.dropped_ms = {}, {}, {}
+
+    def note_config(self, config):
+        """Take note of how long requests may take; those of earlier versions may still run."""
+        for route in config.routes:
+            for service, _ in route.services:
+                longest_ms = max(self.longest_request_ms.get(service, 0.0), route.timeout_ms)
+                self.longest_request_ms[service] = longest_ms
 
-    def split(self, actions, vms, engine):
-        """Return the dissolutions that are due, and those of replicas that may be sound.
+    def split(self, actions, vms, service):
+        """Return the dissolutions that are due, and those of replicas that are kept for now.
 
         Parameters
         ----------
         actions : list of Dissolve
             From `find_failed`.
         vms : list of Vm
-        engine : EngineSpec
+        service : ServiceSpec
 
         Returns
         -------
-        due, doubtful : list of Dissolve
+        due, kept : list of Dissolve
         """
+        engine = service.engine
+        longest_ms = self.longest_request_ms.get(service.name, 0.0)
+        actions = [self._with_finish_ms(action, longest_ms) for action in actions]
+        self._note_dropped(actions)
         silent = [a.replica for a in actions if a.reason == "member silent"]
         may_wait = [r for r in silent if self._may_wait(r, engine.model(r.model).size)]
         may_wait.sort(key=self._silent_since_ms)
         lacking = [(replica, self._responsive(replica)) for replica in may_wait]
         waiting = {r.key for r in may_wait} - find_completing(lacking, vms, engine)
-        due, doubtful = [], []
+        due, kept = [], []
         for action in actions:
-            is_doubtful = action.replica.key in waiting or self._is_doubtful(action)
-            (doubtful if is_doubtful else due).append(action)
-        return due, doubtful
+            may_wait = action.replica.key in waiting or self._is_doubtful(action)
+            may_wait = may_wait or self._may_be_needed(action, longest_ms)
+            (kept if may_wait else due).append(action)
+        return due, kept
 
-    def take_due_probes(self, doubtful):
+    def take_due_probes(self, kept):
         """Return the endpoints to probe now, as their replicas may be sound.
 
         The heads are among them, as they may have broken meanwhile.
         """
         now = self.clock.now_ms()
-        replicas = [a.replica for a in doubtful if a.reason == "member silent"]
+        replicas = [a.replica for a in kept if a.reason == "member silent"]
         due = [r for r in replicas if now >= self.next_probe_ms.get(r.key, 0.0)]
         self.next_probe_ms.update((r.key, now + PROBE_INTERVAL_MS) for r in due)
         return [
@@ -142,9 +170,9 @@
             if endpoint is replica.head or self._is_silent(endpoint)
         ]
 
-    def stalled_heads(self, doubtful):
+    def stalled_heads(self, kept):
         """Return the heads that respond and make no progress, as another member is silent."""
-        replicas = [a.replica for a in doubtful if a.reason == "member silent"]
+        replicas = [a.replica for a in kept if a.reason == "member silent"]
         return [
             replica.head
             for replica in replicas
@@ -160,6 +188,32 @@
         active_ms = self.last_activity_ms(head.id)
         return active_ms is not None and active_ms > since_ms
 
+    def _with_finish_ms(self, action, longest_ms):
+        """Return the dissolution of a dropped model with the time that its requests may take."""
+        if action.reason != "unknown model":
+            return action
+        return replace(action, finish_ms=max(LEAVING_FINISH_MS, longest_ms))
+
+    def _note_dropped(self, actions):
+        """Record since when models have been dropped, and forget those that are back."""
+        now = self.clock.now_ms()
+        keys = [a.replica.key for a in actions if a.reason == "unknown model"]
+        self.dropped_ms = {key: self.dropped_ms.get(key, now) for key in keys}
+
+    def _may_be_needed(self, action, longest_ms):
+        """Return whether a replica of a dropped model has requests, or may be taken back.
+
+        Other daemons send requests there until they have the version. Each ends in the time that
+        its route allows; what daemons don't tell of is left to the head, which is closed before.
+        """
+        if action.reason != "unknown model" or not action.graceful:
+            return False
+        dropped_for_ms = self.clock.now_ms() - self.dropped_ms[action.replica.key]
+        if dropped_for_ms < self.settings.config_ms:
+            return True
+        in_time = dropped_for_ms < self.settings.config_ms + longest_ms
+        return in_time and self.requests_at(action.replica.head.id) > 0
+
     def _is_doubtful(self, action):
         """Return whether a replica may not have failed, or is just listed incompletely."""
         replica = action.replica
--- a/libraries/fleet/src/corianderhaven/fleet/_formation.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_formation.py
@@ -16,6 +16,8 @@
 # The loss of one VM interrupts its whole replica until a spare joins. A model therefore gets
 # spare VMs in proportion to its replica size: each member adds this part of the model's share.
 SPARE_SHARE_PER_MEMBER = 0.25
+LEAVING_FINISH_MS = 9_000.0  # engines wait ten seconds for the replica of a leaving member
+WORKING_STATES = (ReplicaState.OPEN, ReplicaState.CLOSING)  # of a head that runs requests
 QUOTA_ROUNDING = 0.5  # rounds the VMs of a share to the nearest whole number
 
 
@@ -89,11 +91,20 @@
 
 @dataclass(frozen=True)
 class Dissolve:
-    """Dissolve a replica; `graceful` lets running requests finish."""
+    """Dissolve a replica.
+
+    Parameters
+    ----------
+    graceful : bool
+        Whether its head finishes the requests that it has.
+    finish_ms : float
+        Maximum time for that.
+    """
 
     replica: object
     reason: str
     graceful: bool = False
+    finish_ms: float = LEAVING_FINISH_MS
 
 
 def find_failed(endpoints, engine, unresponsive=frozenset(), excluded=frozenset()):
@@ -114,7 +125,8 @@
         if key in excluded:
             continue
         if model is None:
-            actions.append(Dissolve(replica, "unknown model"))
+            is_working = replica.state in WORKING_STATES
+            actions.append(Dissolve(replica, "unknown model", graceful=is_working))
         elif replica.state in (ReplicaState.JOINING, ReplicaState.READY):
             actions.append(Dissolve(replica, "left unfinished"))
         elif replica.state is ReplicaState.BROKEN:
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper.py
@@ -61,10 +61,11 @@
         self.replica_tasks = None
         self.tenure_started_ms = 0.0
         self.next_probe_ms = {}
-        self.doubtful = {}
+        self.kept = {}
         self.last_members = {}
         self.confirmed_until_ms = {}
         self.task = None
+        active_config.listeners.append(self.dissolution.note_config)
 
     def start(self):
         """Start the control loop."""
@@ -145,7 +146,7 @@
         self.replica_tasks = None
         self.last_members, self.confirmed_until_ms = {}, {}
         self.dissolution.reset()
-        self.doubtful = {}
+        self.kept = {}
         self.sender.unresponsive.clear()
         self.sender.silences.clear()
         self.sender.recovered_ms.clear()
@@ -193,35 +194,40 @@
         unresponsive = self.sender.unresponsive.keys()
         vms = [self._vm_state(e) for e in endpoints if not e.leaving and e.id not in unresponsive]
         failed = find_failed(known_endpoints, engine, unresponsive, excluded)
-        due, doubtful = self.dissolution.split(failed, vms, engine)
+        due, kept = self.dissolution.split(failed, vms, service)
         for action in due:
             self.replica_tasks.begin_dissolving(action)
-        self._end_doubts(service.name, due, doubtful)
-        self._probe_doubtful(doubtful)
+        self._record_kept(service.name, due, kept)
+        self._probe_kept(kept)
         self._plan(service, vms)
 
-    def _end_doubts(self, service, due, doubtful):
-        """Record whose silence has begun or ended, and tell of the heads that are sound."""
-        before = self.doubtful.get(service, {})
-        now = {a.replica.key: a.replica for a in doubtful if a.reason == "member silent"}
+    def _record_kept(self, service, due, kept):
+        """Record which replicas are kept for now, and which of them turned out to be sound."""
+        before = self.kept.get(service, {})
+        now = {action.replica.key: action for action in kept}
         failed = {action.replica.key for action in due}
         for key in now.keys() - before.keys():
-            self.decisions.record("replica_doubtful", replica=key[0])
+            self.decisions.record("replica_kept", replica=key[0], reason=now[key].reason)
         for key in before.keys() - now.keys():
-            if key not in failed:
-                self.decisions.record("replica_sound", replica=key[0])
-                if before[key].head is not None:
-                    self.on_recovered(before[key].head.id)
-            self.on_doubt_ended(key in failed)
-        self.doubtful[service] = now
+            self._end_doubt(before[key], key in failed)
+        self.kept[service] = now
 
-    def _probe_doubtful(self, doubtful):
+    def _end_doubt(self, action, failed):
+        replica, reason = action.replica, action.reason
+        if not failed:
+            self.decisions.record("replica_sound", replica=replica.name, reason=reason)
+        if reason == "member silent":
+            self.on_doubt_ended(failed)
+            if not failed and replica.head is not None:
+                self.on_recovered(replica.head.id)
+
+    def _probe_kept(self, kept):
         """Probe replicas that may be sound, and tell of heads that make no progress meanwhile."""
-        due = self.dissolution.take_due_probes(doubtful)
+        due = self.dissolution.take_due_probes(kept)
         if not due:
             return
         self.replica_tasks.spawn(self.sender.probe(due))
-        for head in self.dissolution.stalled_heads(doubtful):
+        for head in self.dissolution.stalled_heads(kept):
             self.on_stalled(head)
 
     def _plan(self, service, vms):
--- a/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
@@ -19,7 +19,6 @@
 OPEN_REPORT_TIMEOUT_MS = 3_000.0  # time for the head to report that it is open
 READY_MARGIN_MS = 4_000.0  # added to the expected duration of a load
 STANDBY_RETRY_MS = 3_000.0  # until the order to a spare that isn't ready is repeated
-CLOSE_TIMEOUT_MS = 9_000.0  # engines wait ten seconds for the replica of a leaving member
 UNFIT_RETRY_MS = 1_000.0  # a sixteenth of the longest load time
 POLL_INTERVAL_MS = 40.0  # a fifth of the shortest join time
 DISSOLVE_RETRY_MS = 700.0  # between attempts while no member responds
@@ -369,7 +368,7 @@
         )
         try:
             if action.graceful:
-                await self._close_gracefully(replica.head, key)
+                await self._close_gracefully(replica.head, key, action.finish_ms)
             if replica.state is ReplicaState.BROKEN or await self._head_left(replica, key):
                 if key in keeper_state.join_unanswered & keeper_state.open_unanswered:
                     self._hold(replica.members.values(), LATE_ORDER_MS)
@@ -408,12 +407,13 @@
             await self.sender.probe([head])
         return await self.sender.leave(head, key)
 
-    async def _close_gracefully(self, head, key):
+    async def _close_gracefully(self, head, key, finish_ms):
+        """Have a head accept no more requests, and wait until it has finished those that it has."""
         result = await self.sender.send(
             "close", head, key[0], lambda: self.orders.close(head, *key, False)
         )
         if result in ACCEPTED:
-            await self._wait_states([head.id], key, ReplicaState.READY, CLOSE_TIMEOUT_MS)
+            await self._wait_states([head.id], key, ReplicaState.READY, finish_ms)
 
     async def _release_without_head(self, replica, key):
         """Remove the members of a replica whose head is unreachable.
--- a/libraries/fleet/src/corianderhaven/fleet/tests/memory_fleet.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/memory_fleet.py
@@ -23,6 +23,8 @@
     OrderResult,
     ReplicaKeeper,
     ReplicaState,
+    RequestKind,
+    RouteRule,
     ServiceSpec,
     StoreEra,
     StoreItem,
@@ -216,7 +218,7 @@
 class MemoryFleet:
     """Engines and keepers with fault injection, in virtual time."""
 
-    def __init__(self, clock, seed=0, domains=2, per_domain=8, keepers=2, traffic=True):
+    def __init__(self, clock, seed=0, domains=2, per_domain=8, keepers=2, traffic=True, **settings):
         self.clock = clock
         random.seed(seed)  # also seeds the jitter of campaigns
         self.random = random.Random(seed)
@@ -254,6 +256,8 @@
         self.outdated_orders = 0
         self.directories = {}
         self.traffic = traffic
+        self.config = FleetConfig(1, (), {SERVICE: ServiceSpec(SERVICE, engine_spec())}, ())
+        self.settings = settings
         for number in range(domains * per_domain):
             self.add_engine(number, f"d{number // per_domain}")
         for number in range(keepers):
@@ -273,10 +277,8 @@
         directory = EndpointDirectory(self.clock, decisions)
         directory.synced = True
         active_config = ActiveConfig(None, decisions)
-        active_config.config = FleetConfig(
-            1, (), {SERVICE: ServiceSpec(SERVICE, engine_spec())}, ()
-        )
-        settings = NodeSettings(name, "a", "", "", "", "", "")
+        active_config.config = self.config
+        settings = NodeSettings(name, "a", "", "", "", "", "", **self.settings)
         watcher = MemoryWatcher(self, name)
         era = self.eras[name] = StoreEra(self.clock, decisions)
         lease = KeeperLease(
@@ -294,6 +296,18 @@
         lease.start()
         keeper.start()
 
+    def configure(self, models, timeout_ms=0.0):
+        """Put the next version of the configuration in force at all daemons."""
+        rule = RouteRule(
+            "draft", "h", "/", RequestKind.STREAM, ((SERVICE, 1.0),), timeout_ms, 400.0
+        )
+        services = {SERVICE: ServiceSpec(SERVICE, engine_spec(models=tuple(models)))}
+        self.config = FleetConfig(self.config.version + 1, (rule,), services, ())
+        for keeper in self.keepers.values():
+            keeper.active_config.config = self.config
+            for listener in keeper.active_config.listeners:
+                listener(self.config)
+
     def lease_holder(self):
         return next((k for k in self.keepers.values() if k.lease.tenure is not None), None)
 
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_dissolution.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_dissolution.py
@@ -5,7 +5,7 @@
 import pytest
 
 from corianderhaven.common import ManualClock
-from corianderhaven.fleet import ReplicaState, Vm, find_failed
+from corianderhaven.fleet import ReplicaState, ServiceSpec, Vm, find_failed
 from corianderhaven.fleet._dissolution import (
     HEAD_SILENCE_MS,
     PROBE_INTERVAL_MS,
@@ -19,6 +19,7 @@
 
 STALL_MS = 4_000.0
 ENGINE = engine_spec()
+SERVICE = ServiceSpec("pool", ENGINE)
 SIZES = {"large": 4, "small": 2}
 
 
@@ -48,7 +49,9 @@
         self.clock.advance_ms(10_000.0)
         self.endpoints = [e for members in replicas for e in members]
         self.sender = SimpleNamespace(unresponsive={}, silences={}, recovered_ms={})
-        self.policy = DissolutionPolicy(self.sender, SimpleNamespace(stall_ms=STALL_MS), self.clock)
+        self.policy = DissolutionPolicy(
+            self.sender, SimpleNamespace(stall_ms=STALL_MS, config_ms=0.0), self.clock
+        )
         self.policy.note_listed(group_replicas(self.endpoints).keys())
         self.clock.advance_ms(10_000.0)
 
@@ -64,8 +67,8 @@
     def split(self, spares=()):
         """Return the names of the replicas that are dissolved now, and of the doubtful ones."""
         vms = [Vm(e, False) for e in self.endpoints if e.id not in self.sender.unresponsive]
-        due, doubtful = self.policy.split(self.failed(), [*vms, *spares], ENGINE)
-        return [a.replica.name for a in due], [a.replica.name for a in doubtful]
+        due, kept = self.policy.split(self.failed(), [*vms, *spares], SERVICE)
+        return [a.replica.name for a in due], [a.replica.name for a in kept]
 
 
 @pytest.mark.parametrize("model", ["small", "large"])
@@ -134,11 +137,11 @@
     members = make_members("large", 1)
     scene = Scene(members)
     scene.silence(members[2])
-    _, doubtful = scene.policy.split(scene.failed(), [], ENGINE)
-    assert scene.policy.take_due_probes(doubtful) == [members[0], members[2]]
-    assert scene.policy.take_due_probes(doubtful) == []
+    _, kept = scene.policy.split(scene.failed(), [], SERVICE)
+    assert scene.policy.take_due_probes(kept) == [members[0], members[2]]
+    assert scene.policy.take_due_probes(kept) == []
     scene.clock.advance_ms(PROBE_INTERVAL_MS)
-    assert scene.policy.take_due_probes(doubtful) == [members[0], members[2]]
+    assert scene.policy.take_due_probes(kept) == [members[0], members[2]]
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_retired_models.py
@@ -0,0 +1,149 @@
+"""Tests of replicas whose model the configuration no longer names, or names with another size."""
+
+import asyncio
+from contextlib import ExitStack
+
+import pytest
+
+from corianderhaven.fleet.tests.memory_fleet import MemoryFleet, engine_spec
+from corianderhaven.fleet.tests.test_keeper_model import replace_keeper
+from corianderhaven.standins import run_in_virtual_time
+
+LARGE, SMALL = engine_spec().models
+TIMEOUT_MS = 8_000.0
+CONFIG_MS = 2_000.0
+
+
+def make_fleet(clock, requests=None, **fields):
+    """Return a fleet in which small replicas serve; `requests` counts those at each head."""
+    fleet = MemoryFleet(clock, 1, domains=1, per_domain=4, config_ms=CONFIG_MS, **fields)
+    fleet.configure([LARGE, SMALL], TIMEOUT_MS)
+    for engine in fleet.hosted.engines.values():
+        engine.staged = ["small"]
+
+    def requests_at(head_id):
+        group = fleet.hosted.engines[head_id].group
+        return group.active if group is not None else 0
+
+    for keeper in fleet.keepers.values():
+        keeper.dissolution.requests_at = requests_at if requests is None else requests
+    return fleet
+
+
+def open_heads(fleet):
+    return [e for e in fleet.hosted.engines.values() if fleet.hosted.accepts_requests(e)]
+
+
+def groups(fleet):
+    return {e.id: e.group and e.group.key for e in fleet.hosted.engines.values()}
+
+
+@pytest.mark.parametrize("requests", [None, lambda head_id: 0], ids=["told", "unknown"])
+@pytest.mark.parametrize("lasts_s", [0.5, 3.0, 7.5])
+def test_requests_of_a_model_that_is_dropped_are_finished(lasts_s, requests):
+    """Guards against LOST: heads had to leave at once when a version no longer named their model.
+
+    The requests that daemons tell of keep the replica open, and those that none tells of as well.
+    """
+
+    async def simulate(clock):
+        fleet = make_fleet(clock, requests)
+        await asyncio.sleep(8)
+        heads = open_heads(fleet)
+        assert len(heads) == 2
+        with ExitStack() as work:
+            kept = [work.enter_context(fleet.hosted.accept(head)) for head in heads]
+            fleet.configure([LARGE], TIMEOUT_MS)
+            await asyncio.sleep(lasts_s)
+            assert fleet.hosted.cuts == []
+            assert all(fleet.hosted.is_working(h, g) for h, g in zip(heads, kept, strict=True))
+        await asyncio.sleep(CONFIG_MS / 1000.0 + 1.0)
+        assert not any(groups(fleet).values())
+        return fleet.hosted.violations
+
+    assert run_in_virtual_time(simulate) == []
+
+
+@pytest.mark.parametrize("requests", [1, 0])
+def test_model_that_is_back_in_the_next_version_keeps_its_replicas(requests):
+    """Guards against a second outage for each configuration that is taken back."""
+
+    async def simulate(clock):
+        fleet = make_fleet(clock)
+        await asyncio.sleep(8)
+        before = groups(fleet)
+        with ExitStack() as work:
+            for head in open_heads(fleet)[:requests]:
+                work.enter_context(fleet.hosted.accept(head))
+            fleet.configure([LARGE], TIMEOUT_MS)
+            await asyncio.sleep(1.0)
+            fleet.configure([LARGE, SMALL], TIMEOUT_MS)
+            await asyncio.sleep(5.0)
+        assert groups(fleet) == before
+        assert fleet.open_replicas("small") == 2
+        return fleet.hosted.violations
+
+    assert run_in_virtual_time(simulate) == []
+
+
+def test_dropped_model_that_returns_while_its_requests_run_out_serves_again():
+    async def simulate(clock):
+        fleet = make_fleet(clock, lambda head_id: 0)
+        await asyncio.sleep(8)
+        heads = open_heads(fleet)
+        with ExitStack() as work:
+            for head in heads:
+                work.enter_context(fleet.hosted.accept(head))
+            fleet.configure([LARGE], TIMEOUT_MS)
+            await asyncio.sleep(CONFIG_MS / 1000.0 + 1.0)
+            assert {fleet.hosted.state(head) for head in heads} == {"closing"}
+            fleet.configure([LARGE, SMALL], TIMEOUT_MS)
+            await asyncio.sleep(1.0)
+            assert fleet.hosted.cuts == []
+        await asyncio.sleep(2.0)
+        assert fleet.open_replicas("small") == 2
+        return fleet.hosted.violations
+
+    assert run_in_virtual_time(simulate) == []
+
+
+def test_request_without_an_end_holds_a_dropped_model_for_a_bounded_time():
+    """No request may take longer than its route allows, so what lasts longer is not waited for."""
+
+    async def simulate(clock):
+        fleet = make_fleet(clock)
+        await asyncio.sleep(8)
+        with ExitStack() as work:
+            for head in open_heads(fleet):
+                work.enter_context(fleet.hosted.accept(head))
+            fleet.configure([LARGE], TIMEOUT_MS / 2)
+            await asyncio.sleep((CONFIG_MS + TIMEOUT_MS) / 1000.0)
+            assert any(groups(fleet).values())
+            await asyncio.sleep(TIMEOUT_MS / 1000.0 + 2.0)
+        assert not any(groups(fleet).values())
+        return fleet.hosted.violations
+
+    assert run_in_virtual_time(simulate) == []
+
+
+@pytest.mark.parametrize("after_s", [0.5, 2.5])
+def test_next_keeper_lets_the_requests_of_a_dropped_model_finish(after_s):
+    """The keeper ends before it has closed the heads, or after."""
+
+    async def simulate(clock):
+        fleet = make_fleet(clock, lambda head_id: 0)
+        await asyncio.sleep(8)
+        heads = open_heads(fleet)
+        with ExitStack() as work:
+            for head in heads:
+                work.enter_context(fleet.hosted.accept(head))
+            fleet.configure([LARGE], TIMEOUT_MS)
+            await asyncio.sleep(after_s)
+            replace_keeper(fleet)
+            await asyncio.sleep(7.0 - after_s)
+            assert fleet.hosted.cuts == []
+        await asyncio.sleep(4.0)
+        assert not any(groups(fleet).values())
+        return fleet.hosted.violations
+
+    assert run_in_virtual_time(simulate) == []
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -92,7 +92,7 @@
             clock, decisions, settings.cold_overrun, settings.cold_slack
         )
         self.cold_endpoints.endpoints = directory.endpoints
-        self.cold_endpoints.in_flight = self._requests_at
+        self.cold_endpoints.in_flight = self.requests_at
         directory.on_entry = self.cold_endpoints.note_entry
         evacuations.on_ended.append(lambda zone, position: self.cold_endpoints.assume_cold(zone))
         active_config.listeners.append(self.cold_endpoints.configure)
@@ -588,7 +588,7 @@
             forwarded_by=context.origin.daemon if context.origin is not None else None,
         )
 
-    def _requests_at(self, endpoint_id):
+    def requests_at(self, endpoint_id):
         """Return the requests of all daemons at an endpoint, as far as they are known."""
         entry = self.load_tracker.entries.get(endpoint_id)
         own = entry.own_in_flight if entry is not None else 0
