--- a/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
@@ -6,8 +6,8 @@
 
 from corianderhaven.common import MS_PER_S
 
-from ._dissolution import STALL_MARGIN_MS
-from ._formation import FormationPlanner
+from ._dissolution import HEAD_SILENCE_MS, STALL_MARGIN_MS
+from ._formation import WORKING_STATES, FormationPlanner
 from ._interfaces import OrderResult
 from ._keeper_state import KeeperState
 from ._membership_order import REPORT_LAG_MS
@@ -367,9 +367,7 @@
             members=[e.id for e in replica.members.values()],
         )
         try:
-            if action.graceful:
-                await self._close_gracefully(replica.head, key, action.finish_ms)
-            if replica.state is ReplicaState.BROKEN or await self._head_left(replica, key):
+            if await self._head_ended(action, key):
                 if key in keeper_state.join_unanswered & keeper_state.open_unanswered:
                     self._hold(replica.members.values(), LATE_ORDER_MS)
                 keeper_state.released.add(key)
@@ -378,25 +376,43 @@
                     head = self.directory.get(replica.head.id)
                     # Its next entries may come at once, the last of which shows it back.
                     self.observe_head(replica.head.id, head and head.membership)
-                await self._release_survivors(replica, key)
+                await self._release_members(replica, key)
             else:
                 await self._release_without_head(replica, key)
         finally:
             keeper_state.dissolving.discard(key)
             keeper_state.last_dissolve_ms[key] = self.clock.now_ms()
 
-    async def _release_survivors(self, replica, key):
-        """Let the other members leave too, so that a later keeper sees that they are free.
+    async def _head_ended(self, action, key):
+        """Have a head end its replica; return whether it certainly can't serve any more."""
+        replica = action.replica
+        if replica.state is ReplicaState.BROKEN:
+            return True
+        if action.graceful:
+            closed = await self._close_gracefully(replica.head, key, action.finish_ms)
+            # It may leave the site at once. An order to open it may still be carried out late.
+            if closed and key not in self.keeper_state.open_unanswered:
+                return True
+        return await self._head_left(replica, key)
+
+    async def _release_members(self, replica, key):
+        """Let all members leave, so that a later keeper sees that they are free.
 
         It would take them for members whose head it doesn't reach, and wait until that must be
         broken.
         """
-        survivors = [
+        present = (self.directory.get(e.id) for e in replica.members.values())
+        members = [
             e
-            for rank, e in replica.members.items()
-            if rank != 0 and not e.leaving and e.id not in self.sender.unresponsive
+            for e in present
+            if e is not None
+            and e.membership is not None
+            and (e.membership.replica, e.membership.generation) == key
+            and e.membership.state is not ReplicaState.BROKEN
+            and (not e.leaving or e.membership.rank == 0)
+            and e.id not in self.sender.unresponsive
         ]
-        await asyncio.gather(*(self.sender.leave(e, key) for e in survivors))
+        await asyncio.gather(*(self.sender.leave(e, key) for e in members))
 
     async def _head_left(self, replica, key):
         head = replica.head
@@ -408,12 +424,33 @@
         return await self.sender.leave(head, key)
 
     async def _close_gracefully(self, head, key, finish_ms):
-        """Have a head accept no more requests, and wait until it has finished those that it has."""
+        """Have a head accept no more requests and finish those that it has; return whether it has.
+
+        A head that leaves, or is silent for a moment, finishes them as well.
+        """
         result = await self.sender.send(
             "close", head, key[0], lambda: self.orders.close(head, *key, False)
         )
-        if result in ACCEPTED:
-            await self._wait_states([head.id], key, ReplicaState.READY, finish_ms)
+        if result not in ACCEPTED:
+            return False
+        begun_ms = last_probe_ms = self.clock.now_ms()
+        while self.clock.now_ms() - begun_ms <= finish_ms and not self._is_lost(head.id):
+            current = self.directory.get(head.id)
+            member = current.membership if current is not None else None
+            if member is None or (member.replica, member.generation) != key:
+                return False
+            if member.state not in WORKING_STATES:
+                return member.state is ReplicaState.READY
+            if self.clock.now_ms() - last_probe_ms > MS_PER_S:
+                last_probe_ms = self.clock.now_ms()
+                self.spawn(self.sender.probe([current]))
+            await asyncio.sleep(POLL_INTERVAL_MS / MS_PER_S)
+        return False
+
+    def _is_lost(self, endpoint_id):
+        """Return whether an endpoint has been silent for as long as one that is lost."""
+        silence = self.sender.silences.get(endpoint_id)
+        return silence is not None and self.clock.now_ms() - silence.since_ms > HEAD_SILENCE_MS
 
     async def _release_without_head(self, replica, key):
         """Remove the members of a replica whose head is unreachable.
--- a/libraries/fleet/src/corianderhaven/fleet/tests/memory_fleet.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/memory_fleet.py
@@ -376,7 +376,7 @@
             group = engine.group
             rank = group.members.index(engine.id)
             membership = Membership(group.name, group.epoch, rank, ReplicaState(state))
-        return endpoint(
+        state = endpoint(
             int(engine.id[1:]),
             engine.domain,
             staged=tuple(self.hosted.staged(engine)),
@@ -384,6 +384,7 @@
             entry_number=engine.entry_count,
             membership=membership,
         )
+        return replace(state, leaving=engine.leaving)
 
     def report(self, endpoint_id):
         self._record_report(self.hosted.engines[endpoint_id])
@@ -518,7 +519,7 @@
                     continue
                 silent_since_ms.pop(engine.id, None)
                 state = (self.hosted.state(engine), engine.group and engine.group.key)
-                state += (tuple(self.hosted.staged(engine)),)
+                state += (tuple(self.hosted.staged(engine)), engine.leaving)
                 missing = any(engine.id not in d.records for d in self.directories.values())
                 if published.get(engine.id) != state or missing:
                     published[engine.id] = state
