Let replicas of a model whose size changes finish their requests (LOST)

Callers saw: a version that names a larger size for a model cut its running streams at once; with a smaller one the replicas of the old size went on taking requests for good.

Cause: members that the configuration names beyond those of a replica counted as lost, and members beyond the size weren't counted. Ruled out: a real loss, as the head sends events all the while.

A replica with more members than the size gets no new requests and is closed; one with fewer, all of whose members are there and whose head has worked within the last second, likewise. Without such events it is dissolved as after a loss, as early as before.

The stand-in checks the size of a group where a request begins, as the platform's rule does, and no longer for requests that run on.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_dropped_models.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_dropped_models.py
@@ -1,11 +1,13 @@
 """Tests of streams of a model that the next version of the configuration no longer names."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
 from corianderhaven.daemon.tests.hosted_load import wait_ms
 from corianderhaven.daemon.tests.hosted_site import heads, hosted_site, send_draft, wait_until
+from corianderhaven.fleet._dissolution import REAPPEARANCE_MS
 from corianderhaven.standins import HostedModel
 
 EVENTS = 40
@@ -19,9 +21,10 @@
 CONFIG_MS = 500.0
 
 
-def run_scenario(scenario):
+def run_scenario(scenario, **site_fields):
     async def run():
-        async with hosted_site(2, SITE, config_ms=CONFIG_MS) as (site, daemons):
+        fields = {**SITE, **site_fields}
+        async with hosted_site(2, fields, config_ms=CONFIG_MS) as (site, daemons):
             await wait_until(lambda: all(len(d.peers.peers) == 1 for d in daemons))
             await scenario(site, daemons)
             entries = [e for daemon in daemons for e in daemon.decisions.entries]
@@ -59,6 +62,28 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("size", [1, 3])
+def test_streams_of_a_model_that_gets_another_size_end_whole(size):
+    """Guards against LOST: replicas of fewer members than a version names lost their heads."""
+
+    async def scenario(site, daemons):
+        await wait_ms(site.clock, REAPPEARANCE_MS)  # before, no member counts as lost
+        drafts = send_drafts(daemons)
+        await wait_ms(site.clock, 600.0)
+        kept, dropped = site.models
+        site.models = [kept, replace(dropped, size=size)]
+        site.engines.models["dropped"] = site.models[1]
+        site.publish_config()
+        check_whole(await asyncio.gather(*drafts))
+        assert site.engines.cuts == []
+        await wait_until(
+            lambda: {len(h.engine.group.members) for h in heads(site, "dropped")} == {size}
+        )
+        check_whole(await asyncio.gather(*send_drafts(daemons, 2)))
+
+    run_scenario(scenario, domain_size=12)
+
+
 def test_streams_end_whole_when_a_version_takes_the_drop_of_their_model_back():
     async def scenario(site, daemons):
         before = {head.id for head in heads(site, "dropped")}
--- a/libraries/fleet/src/corianderhaven/fleet/_dissolution.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_dissolution.py
@@ -13,6 +13,7 @@
 REAPPEARANCE_MS = 2_500.0  # entries that expired together return within two heartbeats
 HEAD_SILENCE_MS = 1_000.0  # after which a head that responds to no probe counts as lost
 SILENCE_EVIDENCE_MS = 700.0  # for which a probe without an answer counts; a probe takes 400
+RECENT_WORK_MS = 1_000.0  # longer than a prefill or a pause between events usually takes
 PROBE_INTERVAL_MS = 300.0  # between probes of a replica that may be sound
 STALL_MARGIN_MS = 500.0  # added to the time after which a head without members breaks
 
@@ -87,6 +88,8 @@
         Since when the configuration has not named the model of each replica.
     first_seen_ms : dict of (str, int) to float
         When each replica was first listed in this tenure.
+    seen_ranks : dict of (str, int) to set of int
+        Ranks of the members that each replica has had in this tenure.
     next_probe_ms : dict of (str, int) to float
         Earliest times of the next probes of replicas that may be sound.
     """
@@ -100,22 +103,25 @@
         self.longest_request_ms = {}
         self.dropped_ms = {}
         self.first_seen_ms = {}
+        self.seen_ranks = {}
         self.next_probe_ms = {}
 
-    def note_listed(self, keys):
-        """Record which replicas are listed; return those that are no longer."""
+    def note_listed(self, replicas):
+        """Record the listed `Replica`s by key; return the keys of those that are no longer."""
         now = self.clock.now_ms()
-        for key in keys:
+        for key, replica in replicas.items():
             self.first_seen_ms.setdefault(key, now)
-        gone = [key for key in self.first_seen_ms if key not in keys]
+            self.seen_ranks.setdefault(key, set()).update(replica.members)
+        gone = [key for key in self.first_seen_ms if key not in replicas]
         for key in gone:
-            del self.first_seen_ms[key]
+            del self.first_seen_ms[key], self.seen_ranks[key]
             self.next_probe_ms.pop(key, None)
         return gone
 
     def reset(self):
         """Forget all replicas, as a tenure begins or ends."""
-        self.first_seen_ms, self.next_probe_ms, self.dropped_ms = {}, {}, {}
+        self.first_seen_ms, self.seen_ranks = {}, {}
+        self.next_probe_ms, self.dropped_ms = {}, {}
 
     def note_config(self, config):
         """Take note of how long requests may take; those of earlier versions may still run."""
@@ -140,7 +146,7 @@
         """
         engine = service.engine
         longest_ms = self.longest_request_ms.get(service.name, 0.0)
-        actions = [self._with_finish_ms(action, longest_ms) for action in actions]
+        actions = [self._refine(action, longest_ms) for action in actions]
         self._note_dropped(actions)
         silent = [a.replica for a in actions if a.reason == "member silent"]
         may_wait = [r for r in silent if self._may_wait(r, engine.model(r.model).size)]
@@ -188,12 +194,30 @@
         active_ms = self.last_activity_ms(head.id)
         return active_ms is not None and active_ms > since_ms
 
-    def _with_finish_ms(self, action, longest_ms):
-        """Return the dissolution of a dropped model with the time that its requests may take."""
-        if action.reason != "unknown model":
+    def _refine(self, action, longest_ms):
+        """Return the dissolution with its true reason and the time that requests may take."""
+        if action.reason == "member lost" and self._works_with_all(action.replica):
+            action = replace(action, reason="other size", graceful=True)
+        if action.reason not in ("unknown model", "other size"):
             return action
         return replace(action, finish_ms=max(LEAVING_FINISH_MS, longest_ms))
 
+    def _works_with_all(self, replica):
+        """Return whether a replica has all the members that it ever had, and its head works.
+
+        It was formed of fewer than the configuration names now.
+        """
+        head = replica.head
+        gone_ranks = self.seen_ranks.get(replica.key, set()) - replica.members.keys()
+        if head is None or gone_ranks or self._is_new(replica):
+            return False
+        return self.has_worked_since(head, self.clock.now_ms() - RECENT_WORK_MS)
+
+    def _is_new(self, replica):
+        """Return whether some entries of a replica may not have been read yet."""
+        listed_ms = self.clock.now_ms() - self.first_seen_ms.get(replica.key, 0.0)
+        return listed_ms <= REAPPEARANCE_MS
+
     def _note_dropped(self, actions):
         """Record since when models have been dropped, and forget those that are back."""
         now = self.clock.now_ms()
@@ -221,10 +245,7 @@
             return True  # no member responds: this daemon itself may be cut off
         if action.reason == "member silent":
             return self._is_silence_doubtful(replica)
-        if action.reason == "member lost":
-            listed_ms = self.clock.now_ms() - self.first_seen_ms.get(replica.key, 0.0)
-            return listed_ms <= REAPPEARANCE_MS
-        return False
+        return action.reason == "member lost" and self._is_new(replica)
 
     def _may_wait(self, replica, size):
         """Return whether a replica with silent members may wait until its head breaks."""
--- a/libraries/fleet/src/corianderhaven/fleet/_formation.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_formation.py
@@ -131,6 +131,8 @@
             actions.append(Dissolve(replica, "left unfinished"))
         elif replica.state is ReplicaState.BROKEN:
             actions.append(Dissolve(replica, "broken"))
+        elif len(replica.members) > model.size:
+            actions.append(Dissolve(replica, "other size", graceful=True))
         elif any(e.id in unresponsive for e in replica.members.values()):
             actions.append(Dissolve(replica, "member silent"))
         elif count_missing_members(replica, model.size):
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper.py
@@ -253,7 +253,7 @@
         replicas = group_replicas(endpoints)
         for key, replica in replicas.items():
             self.last_members.setdefault(key, {}).update(replica.members)
-        for key in self.dissolution.note_listed(replicas.keys()):
+        for key in self.dissolution.note_listed(replicas):
             self.last_members.pop(key, None)
             self.replica_tasks.note_missing_members(key)
         for endpoint in endpoints:
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_dissolution.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_dissolution.py
@@ -52,7 +52,7 @@
         self.policy = DissolutionPolicy(
             self.sender, SimpleNamespace(stall_ms=STALL_MS, config_ms=0.0), self.clock
         )
-        self.policy.note_listed(group_replicas(self.endpoints).keys())
+        self.policy.note_listed(group_replicas(self.endpoints))
         self.clock.advance_ms(10_000.0)
 
     def silence(self, *silent):
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_retired_models.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_retired_models.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import ExitStack
+from dataclasses import replace
 
 import pytest
 
@@ -14,12 +15,12 @@
 CONFIG_MS = 2_000.0
 
 
-def make_fleet(clock, requests=None, **fields):
-    """Return a fleet in which small replicas serve; `requests` counts those at each head."""
+def make_fleet(clock, requests=None, model="small", **fields):
+    """Return a fleet in which replicas of a model serve; `requests` counts those at each head."""
     fleet = MemoryFleet(clock, 1, domains=1, per_domain=4, config_ms=CONFIG_MS, **fields)
     fleet.configure([LARGE, SMALL], TIMEOUT_MS)
     for engine in fleet.hosted.engines.values():
-        engine.staged = ["small"]
+        engine.staged = [model]
 
     def requests_at(head_id):
         group = fleet.hosted.engines[head_id].group
@@ -147,3 +148,52 @@
         return fleet.hosted.violations
 
     assert run_in_virtual_time(simulate) == []
+
+
+def resize(fleet, model, size):
+    """Put a version in force that names another size of a model."""
+    models = [replace(m, size=size) if m.name == model else m for m in (LARGE, SMALL)]
+    fleet.hosted.models[model] = replace(fleet.hosted.models[model], size=size)
+    fleet.configure(models, TIMEOUT_MS)
+
+
+@pytest.mark.parametrize(("model", "size"), [("small", 4), ("small", 3), ("large", 2)])
+@pytest.mark.parametrize("lasts_s", [1.0, 6.0])
+def test_requests_of_a_model_that_gets_another_size_are_finished(lasts_s, model, size):
+    """Guards against LOST: a larger size had the heads leave at once, as if members were lost."""
+
+    async def simulate(clock):
+        fleet = make_fleet(clock, model=model)
+        await asyncio.sleep(8)
+        heads = open_heads(fleet)
+        assert len(heads) == 4 // fleet.hosted.models[model].size
+        for keeper in fleet.keepers.values():
+            keeper.dissolution.last_activity_ms = lambda head_id: clock.now_ms() - 80.0
+        with ExitStack() as work:
+            kept = [work.enter_context(fleet.hosted.accept(head)) for head in heads]
+            resize(fleet, model, size)
+            await asyncio.sleep(0.3)  # the version and the order to close reach the heads
+            fleet.hosted.violations.clear()
+            await asyncio.sleep(lasts_s)
+            assert fleet.hosted.cuts == []
+            assert all(fleet.hosted.is_working(h, g) for h, g in zip(heads, kept, strict=True))
+            assert not open_heads(fleet)
+        await asyncio.sleep(3.0)
+        assert fleet.open_replicas(model) == 4 // size
+        return fleet.hosted.violations
+
+    assert run_in_virtual_time(simulate) == []
+
+
+@pytest.mark.parametrize(("model", "size"), [("small", 4), ("large", 2)])
+def test_idle_replicas_of_a_model_that_gets_another_size_are_formed_anew_at_once(model, size):
+    async def simulate(clock):
+        fleet = make_fleet(clock, model=model)
+        await asyncio.sleep(8)
+        resize(fleet, model, size)
+        await asyncio.sleep(1.5)
+        fleet.hosted.violations.clear()
+        assert fleet.open_replicas(model) == 4 // size
+        return fleet.hosted.violations
+
+    assert run_in_virtual_time(simulate) == []
--- a/libraries/gateway/src/corianderhaven/gateway/_replica_view.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_replica_view.py
@@ -207,7 +207,8 @@
             return heads
         for replica in group_replicas(self.directory.endpoints(spec.name)).values():
             model = spec.engine.model(replica.model)
-            if model is not None and is_serving(replica):
+            # One with more members was formed for an earlier size of its model.
+            if model is not None and len(replica.members) <= model.size and is_serving(replica):
                 heads[model.name].append(replica.head)
         return heads
 
--- a/libraries/standins/src/corianderhaven/standins/_hosting_engine.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_engine.py
@@ -148,8 +148,12 @@
         return "open" if now >= group.open_ms else "ready"
 
     def accepts_requests(self, engine):
-        """Return whether an engine runs requests now; record violations if its group is partial."""
-        return engine.alive and self.state(engine) == "open" and self.makes_progress(engine)
+        """Return whether an engine begins requests now; records violations of a partial group."""
+        if not engine.alive or self.state(engine) != "open":
+            return False
+        # A head that has never seen a member begins requests before it notices that it lacks one.
+        self.check_group_whole(engine)
+        return self.makes_progress(engine)
 
     def is_working(self, engine, group=None):
         """Return whether an engine goes on with the requests that it has accepted.
@@ -164,15 +168,8 @@
         return self.state(engine) in ("open", "closing")
 
     def makes_progress(self, engine, group=None):
-        """Return whether an engine works on its requests now and hasn't stalled.
-
-        Records violations if the group is partial.
-        """
-        if not self.is_working(engine, group):
-            return False
-        # A head that has never seen a member begins requests before it notices that it lacks one.
-        self._check_group_whole(engine)
-        return engine.group.stalled_since_ms is None
+        """Return whether an engine works on its requests now and hasn't stalled."""
+        return self.is_working(engine, group) and engine.group.stalled_since_ms is None
 
     @contextmanager
     def accept(self, engine):
@@ -284,7 +281,8 @@
         if head is not None and self.state(head) in ("open", "closing"):
             self.violations.append(f"TWO: {engine.id} joined {new_name} while {old.name} is open")
 
-    def _check_group_whole(self, head):
+    def check_group_whole(self, head):
+        """Record violations if a head that begins a request lacks members of its model's size."""
         group = head.group
         if len(group.members) != self.models[group.model].size:
             self.violations.append(f"PARTIAL: {group.name} has {len(group.members)} members")
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -610,6 +610,8 @@
 
     async def _run_accepted(self, worker, request, caller, group=None):
         faults, engine = worker.faults, worker.engine
+        if engine is not None:
+            self.engines.check_group_whole(engine)
         self._record_run(worker, request)
         self.runs[-1].connection = id(caller)
         await asyncio.sleep((self.token_ms + faults.slow_ms) / MS_PER_S)
