Keep the records of listed replicas apart by service

With engines in two services, a replica whose member had restarted stood still until its head broke, 4 s in place of at once. Each pass of the keeper over one service dropped the records of the other's replicas, which therefore always counted as just listed, and members of those are never certainly lost.

There is one DissolutionPolicy a service now.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -402,8 +402,8 @@
         self.keeper.on_stalled = self.gateway.replica_view.suspect
         self.keeper.on_recovered = self.gateway.replica_view.note_activity
         self.keeper.on_doubt_ended = count_doubt
-        self.keeper.dissolution.requests_at = self.gateway.requests_at
-        self.keeper.dissolution.last_activity_ms = self.gateway.silence_detector.last_activity_ms
+        self.keeper.activity.requests_at = self.gateway.requests_at
+        self.keeper.activity.last_ms = self.gateway.silence_detector.last_activity_ms
         self.lease.outage_confirmed = self.peers.store_outage_confirmed
         self.lease.can_reach_engines = self.gateway.can_reach_engines
         self.orders.on_connection = self.gateway.note_order_connection
--- a/libraries/fleet/src/corianderhaven/fleet/_dissolution.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_dissolution.py
@@ -60,8 +60,24 @@
     return (endpoint.zone, endpoint.domain, model)
 
 
+class HeadActivity:
+    """What the daemons know of the requests at heads; nothing by default.
+
+    Attributes
+    ----------
+    last_ms : callable
+        Returns when any daemon last saw an event of a head, or None.
+    requests_at : callable
+        Returns the requests of all daemons at a head, as far as they are known.
+    """
+
+    def __init__(self):
+        self.last_ms = lambda head_id: None
+        self.requests_at = lambda head_id: 0
+
+
 class DissolutionPolicy:
-    """Decides which replicas that can't serve any more are dissolved now.
+    """Decides which replicas of a service that can't serve any more are dissolved now.
 
     A replica whose model the configuration no longer names gets no new requests. It stays open for
     those that it has, and as the next version may name the model again.
@@ -75,15 +91,12 @@
     sender : OrderSender
     settings : NodeSettings
     clock : Clock
+    activity : HeadActivity
 
     Attributes
     ----------
-    last_activity_ms : callable
-        Returns when any daemon last saw an event of a head, or None.
-    requests_at : callable
-        Returns the requests of all daemons at a head, as far as they are known.
-    longest_request_ms : dict of str to float
-        Maximum time of requests to each service, in any version of the configuration so far.
+    longest_request_ms : float
+        Maximum time of requests to the service, in any version of the configuration so far.
     dropped_ms : dict of (str, int) to float
         Since when the configuration has not named the model of each replica.
     first_seen_ms : dict of (str, int) to float
@@ -94,13 +107,12 @@
         Earliest times of the next probes of replicas that may be sound.
     """
 
-    def __init__(self, sender, settings, clock):
+    def __init__(self, sender, settings, clock, activity):
         self.sender = sender
         self.settings = settings
         self.clock = clock
-        self.last_activity_ms = lambda head_id: None
-        self.requests_at = lambda head_id: 0
-        self.longest_request_ms = {}
+        self.activity = activity
+        self.longest_request_ms = 0.0
         self.dropped_ms = {}
         self.first_seen_ms = {}
         self.seen_ranks = {}
@@ -123,14 +135,11 @@
         self.first_seen_ms, self.seen_ranks = {}, {}
         self.next_probe_ms, self.dropped_ms = {}, {}
 
-    def note_config(self, config):
-        """Take note of how long requests may take; those of earlier versions may still run."""
-        for route in config.routes:
-            for service, _ in route.services:
-                longest_ms = max(self.longest_request_ms.get(service, 0.0), route.timeout_ms)
-                self.longest_request_ms[service] = longest_ms
+    def note_timeout(self, timeout_ms):
+        """Take note of how long a request may take; those of earlier versions may still run."""
+        self.longest_request_ms = max(self.longest_request_ms, timeout_ms)
 
-    def split(self, actions, vms, service):
+    def split(self, actions, vms, engine):
         """Return the dissolutions that are due, and those of replicas that are kept for now.
 
         Parameters
@@ -138,15 +147,13 @@
         actions : list of Dissolve
             From `find_failed`.
         vms : list of Vm
-        service : ServiceSpec
+        engine : EngineSpec
 
         Returns
         -------
         due, kept : list of Dissolve
         """
-        engine = service.engine
-        longest_ms = self.longest_request_ms.get(service.name, 0.0)
-        actions = [self._refine(action, longest_ms) for action in actions]
+        actions = [self._refine(action) for action in actions]
         self._note_dropped(actions)
         silent = [a.replica for a in actions if a.reason == "member silent"]
         may_wait = [r for r in silent if self._may_wait(r, engine.model(r.model).size)]
@@ -156,7 +163,7 @@
         due, kept = [], []
         for action in actions:
             may_wait = action.replica.key in waiting or self._is_doubtful(action)
-            may_wait = may_wait or self._may_be_needed(action, longest_ms)
+            may_wait = may_wait or self._may_be_needed(action)
             (kept if may_wait else due).append(action)
         return due, kept
 
@@ -191,16 +198,16 @@
         """Return whether a head has sent events after a time, for which it needs all members."""
         if head is None:
             return False
-        active_ms = self.last_activity_ms(head.id)
+        active_ms = self.activity.last_ms(head.id)
         return active_ms is not None and active_ms > since_ms
 
-    def _refine(self, action, longest_ms):
+    def _refine(self, action):
         """Return the dissolution with its true reason and the time that requests may take."""
         if action.reason == "member lost" and self._works_with_all(action.replica):
             action = replace(action, reason="other size", graceful=True)
         if action.reason not in ("unknown model", "other size"):
             return action
-        return replace(action, finish_ms=max(LEAVING_FINISH_MS, longest_ms))
+        return replace(action, finish_ms=max(LEAVING_FINISH_MS, self.longest_request_ms))
 
     def _works_with_all(self, replica):
         """Return whether a replica has all the members that it ever had, and its head works.
@@ -224,7 +231,7 @@
         keys = [a.replica.key for a in actions if a.reason == "unknown model"]
         self.dropped_ms = {key: self.dropped_ms.get(key, now) for key in keys}
 
-    def _may_be_needed(self, action, longest_ms):
+    def _may_be_needed(self, action):
         """Return whether a replica of a dropped model has requests, or may be taken back.
 
         Other daemons send requests there until they have the version. Each ends in the time that
@@ -235,8 +242,8 @@
         dropped_for_ms = self.clock.now_ms() - self.dropped_ms[action.replica.key]
         if dropped_for_ms < self.settings.config_ms:
             return True
-        in_time = dropped_for_ms < self.settings.config_ms + longest_ms
-        return in_time and self.requests_at(action.replica.head.id) > 0
+        in_time = dropped_for_ms < self.settings.config_ms + self.longest_request_ms
+        return in_time and self.activity.requests_at(action.replica.head.id) > 0
 
     def _is_doubtful(self, action):
         """Return whether a replica may not have failed, or is just listed incompletely."""
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper.py
@@ -5,7 +5,7 @@
 
 from corianderhaven.common import MS_PER_S
 
-from ._dissolution import STALL_MARGIN_MS, DissolutionPolicy
+from ._dissolution import STALL_MARGIN_MS, DissolutionPolicy, HeadActivity
 from ._formation import Form, Stage, Standby, Vm, find_failed
 from ._order_sender import PROBE_TIMEOUT_MS, OrderSender
 from ._replica_tasks import ReplicaTasks
@@ -54,7 +54,8 @@
         self.decisions = decisions
         self.traffic_seen = not settings.first_start
         self.sender = OrderSender(lease, orders, directory, clock, decisions)
-        self.dissolution = DissolutionPolicy(self.sender, settings, clock)
+        self.activity = HeadActivity()
+        self.dissolution = {}
         self.on_stalled = lambda head: None
         self.on_recovered = lambda head_id: None
         self.on_doubt_ended = lambda failed: None
@@ -65,7 +66,7 @@
         self.last_members = {}
         self.confirmed_until_ms = {}
         self.task = None
-        active_config.listeners.append(self.dissolution.note_config)
+        active_config.listeners.append(self._note_timeouts)
 
     def start(self):
         """Start the control loop."""
@@ -145,7 +146,8 @@
             self.replica_tasks.close()
         self.replica_tasks = None
         self.last_members, self.confirmed_until_ms = {}, {}
-        self.dissolution.reset()
+        for policy in self.dissolution.values():
+            policy.reset()
         self.kept = {}
         self.sender.unresponsive.clear()
         self.sender.silences.clear()
@@ -188,19 +190,33 @@
         engine, keeper_state = service.engine, self.replica_tasks.keeper_state
         for endpoint in self.sender.due_probes(endpoints):
             self.replica_tasks.spawn(self.sender.probe([endpoint]))
-        self._record_members(endpoints)
+        self._record_members(service.name, endpoints)
         known_endpoints = endpoints + self._confirmed_members(endpoints)
         excluded = keeper_state.forming | keeper_state.dissolving | keeper_state.released
         unresponsive = self.sender.unresponsive.keys()
         vms = [self._vm_state(e) for e in endpoints if not e.leaving and e.id not in unresponsive]
         failed = find_failed(known_endpoints, engine, unresponsive, excluded)
-        due, kept = self.dissolution.split(failed, vms, service)
+        policy = self._policy(service.name)
+        due, kept = policy.split(failed, vms, engine)
         for action in due:
             self.replica_tasks.begin_dissolving(action)
         self._record_kept(service.name, due, kept)
-        self._probe_kept(kept)
+        self._probe_kept(policy, kept)
         self._plan(service, vms)
 
+    def _policy(self, service):
+        """Return the `DissolutionPolicy` of a service, creating it if missing."""
+        policy = self.dissolution.get(service)
+        if policy is None:
+            policy = DissolutionPolicy(self.sender, self.settings, self.clock, self.activity)
+            self.dissolution[service] = policy
+        return policy
+
+    def _note_timeouts(self, config):
+        for route in config.routes:
+            for service, _ in route.services:
+                self._policy(service).note_timeout(route.timeout_ms)
+
     def _record_kept(self, service, due, kept):
         """Record which replicas are kept for now, and which of them turned out to be sound."""
         before = self.kept.get(service, {})
@@ -221,13 +237,13 @@
             if not failed and replica.head is not None:
                 self.on_recovered(replica.head.id)
 
-    def _probe_kept(self, kept):
+    def _probe_kept(self, policy, kept):
         """Probe replicas that may be sound, and tell of heads that make no progress meanwhile."""
-        due = self.dissolution.take_due_probes(kept)
+        due = policy.take_due_probes(kept)
         if not due:
             return
         self.replica_tasks.spawn(self.sender.probe(due))
-        for head in self.dissolution.stalled_heads(kept):
+        for head in policy.stalled_heads(kept):
             self.on_stalled(head)
 
     def _plan(self, service, vms):
@@ -248,12 +264,12 @@
             elif isinstance(action, Standby):
                 self.replica_tasks.begin_standby(action)
 
-    def _record_members(self, endpoints):
+    def _record_members(self, service, endpoints):
         """Record the members of each replica and when the replica was first listed."""
         replicas = group_replicas(endpoints)
         for key, replica in replicas.items():
             self.last_members.setdefault(key, {}).update(replica.members)
-        for key in self.dissolution.note_listed(replicas):
+        for key in self._policy(service).note_listed(replicas):
             self.last_members.pop(key, None)
             self.replica_tasks.note_missing_members(key)
         for endpoint in endpoints:
@@ -297,7 +313,7 @@
         report = reports[endpoint.id]
         if report is None:
             head = self.last_members.get(key, {}).get(0)
-            in_place = self.dissolution.has_worked_since(head, asked_ms)
+            in_place = self._policy(endpoint.service).has_worked_since(head, asked_ms)
         else:
             member = report.membership
             in_place = member is not None and (member.replica, member.generation) == key
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_dissolution.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_dissolution.py
@@ -5,12 +5,13 @@
 import pytest
 
 from corianderhaven.common import ManualClock
-from corianderhaven.fleet import ReplicaState, ServiceSpec, Vm, find_failed
+from corianderhaven.fleet import ReplicaState, Vm, find_failed
 from corianderhaven.fleet._dissolution import (
     HEAD_SILENCE_MS,
     PROBE_INTERVAL_MS,
     STALL_MARGIN_MS,
     DissolutionPolicy,
+    HeadActivity,
     find_completing,
 )
 from corianderhaven.fleet._order_sender import Silence
@@ -19,7 +20,6 @@
 
 STALL_MS = 4_000.0
 ENGINE = engine_spec()
-SERVICE = ServiceSpec("pool", ENGINE)
 SIZES = {"large": 4, "small": 2}
 
 
@@ -49,9 +49,8 @@
         self.clock.advance_ms(10_000.0)
         self.endpoints = [e for members in replicas for e in members]
         self.sender = SimpleNamespace(unresponsive={}, silences={}, recovered_ms={})
-        self.policy = DissolutionPolicy(
-            self.sender, SimpleNamespace(stall_ms=STALL_MS, config_ms=0.0), self.clock
-        )
+        settings = SimpleNamespace(stall_ms=STALL_MS, config_ms=0.0)
+        self.policy = DissolutionPolicy(self.sender, settings, self.clock, HeadActivity())
         self.policy.note_listed(group_replicas(self.endpoints))
         self.clock.advance_ms(10_000.0)
 
@@ -67,7 +66,7 @@
     def split(self, spares=()):
         """Return the names of the replicas that are dissolved now, and of the doubtful ones."""
         vms = [Vm(e, False) for e in self.endpoints if e.id not in self.sender.unresponsive]
-        due, kept = self.policy.split(self.failed(), [*vms, *spares], SERVICE)
+        due, kept = self.policy.split(self.failed(), [*vms, *spares], ENGINE)
         return [a.replica.name for a in due], [a.replica.name for a in kept]
 
 
@@ -97,12 +96,12 @@
     members = make_members("small", 1)
     scene = Scene(members)
     scene.silence(members[1])
-    scene.policy.last_activity_ms = {members[0].id: scene.clock.now_ms() + 200.0}.get
+    scene.policy.activity.last_ms = {members[0].id: scene.clock.now_ms() + 200.0}.get
     scene.clock.advance_ms(400.0)
     scene.silence(members[1])
     assert scene.split(make_spares("small", 1)) == ([], ["small.1.1"])
     assert scene.policy.stalled_heads(scene.failed()) == []
-    scene.policy.last_activity_ms = {members[0].id: scene.clock.now_ms() - 500.0}.get
+    scene.policy.activity.last_ms = {members[0].id: scene.clock.now_ms() - 500.0}.get
     assert scene.split(make_spares("small", 1)) == (["small.1.1"], [])
     assert scene.policy.stalled_heads(scene.failed()) == [members[0]]
 
@@ -137,7 +136,7 @@
     members = make_members("large", 1)
     scene = Scene(members)
     scene.silence(members[2])
-    _, kept = scene.policy.split(scene.failed(), [], SERVICE)
+    _, kept = scene.policy.split(scene.failed(), [], ENGINE)
     assert scene.policy.take_due_probes(kept) == [members[0], members[2]]
     assert scene.policy.take_due_probes(kept) == []
     scene.clock.advance_ms(PROBE_INTERVAL_MS)
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_retired_models.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_retired_models.py
@@ -27,7 +27,7 @@
         return group.active if group is not None else 0
 
     for keeper in fleet.keepers.values():
-        keeper.dissolution.requests_at = requests_at if requests is None else requests
+        keeper.activity.requests_at = requests_at if requests is None else requests
     return fleet
 
 
@@ -168,7 +168,7 @@
         heads = open_heads(fleet)
         assert len(heads) == 4 // fleet.hosted.models[model].size
         for keeper in fleet.keepers.values():
-            keeper.dissolution.last_activity_ms = lambda head_id: clock.now_ms() - 80.0
+            keeper.activity.last_ms = lambda head_id: clock.now_ms() - 80.0
         with ExitStack() as work:
             kept = [work.enter_context(fleet.hosted.accept(head)) for head in heads]
             resize(fleet, model, size)
