Load VMs anew that hold only models the configuration doesn't name

After a version that replaced a model by another, VMs whose hosts held the old one stayed unused for good: the planner loads empty VMs only, and those with any staged weights didn't count as empty.

A free VM without weights that the configuration names is empty now, and no standby is prepared for a model that isn't named. test_vms_of_a_dropped_model_without_requests_serve_another_one_soon failed before (no replica of the other model) and passes now.

--- a/libraries/fleet/src/corianderhaven/fleet/_formation.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_formation.py
@@ -58,11 +58,6 @@
         """Return whether it can join a replica of a model without a load."""
         return self.free and not self.staging and name in self.endpoint.staged
 
-    @property
-    def empty(self):
-        """Whether it is free and has no staged weights."""
-        return self.free and not self.staging and not self.endpoint.staged
-
 
 @dataclass(frozen=True)
 class Form:
@@ -220,6 +215,10 @@
     def _is_declared(self, name):
         return self.engine.model(name) is not None
 
+    def _is_empty(self, vm):
+        """Return whether a VM is free and has no weights that the configuration names."""
+        return vm.free and not vm.staging and not any(map(self._is_declared, vm.endpoint.staged))
+
     def _shares_of_empty_domain(self, zone, domain_count, vm_count):
         """Assign a domain to the model furthest below its target share, or split it."""
         in_zone, total = Counter(), Counter()
@@ -295,7 +294,7 @@
                 if action is not None:
                     return action, 1
         for domain in sorted(domains, key=lambda d: -len(domains[d])):
-            empty = [vm for vm in domains[domain] if vm.empty]
+            empty = [vm for vm in domains[domain] if self._is_empty(vm)]
             if empty:
                 model = max(
                     self.engine.models,
@@ -321,7 +320,7 @@
     def _form_with_loads(self, vms, model, load_slots):
         """Form a replica in which some VMs must load the weights."""
         ready = [vm for vm in vms if vm.has_staged(model.name)]
-        empty = [vm for vm in vms if vm.empty]
+        empty = [vm for vm in vms if self._is_empty(vm)]
         loads = model.size - len(ready)
         if loads <= 0 or loads > min(len(empty), load_slots):
             return None
@@ -333,7 +332,7 @@
         needed = model.size - spares
         if spares == 0 or needed <= 0:
             return None
-        candidates = [vm for vm in vms if vm.empty]
+        candidates = [vm for vm in vms if self._is_empty(vm)]
         if is_home_domain:
             candidates += self._leftover_vms(vms, model)
         if len(candidates) < needed:
@@ -357,7 +356,7 @@
         """Return a `Standby` for each spare with weights on its host but not in memory."""
         actions = []
         for vm in vms:
-            staged = vm.endpoint.staged[-1:]
+            staged = [name for name in vm.endpoint.staged[-1:] if self._is_declared(name)]
             if vm.free and not vm.staging and staged and vm.last_model != staged[0]:
                 actions.append(Standby(staged[0], vm.endpoint))
         return actions
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_retired_models.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_retired_models.py
@@ -197,3 +197,18 @@
         return fleet.hosted.violations
 
     assert run_in_virtual_time(simulate) == []
+
+
+def test_vms_of_a_dropped_model_without_requests_serve_another_one_soon():
+    """Guards against lost capacity: VMs that held a dropped model only were never loaded anew."""
+
+    async def simulate(clock):
+        fleet = make_fleet(clock)
+        await asyncio.sleep(8)
+        fleet.configure([replace(LARGE, load_s=1.0)], TIMEOUT_MS)
+        fleet.hosted.models["large"] = replace(fleet.hosted.models["large"], load_ms=1_000.0)
+        await asyncio.sleep(CONFIG_MS / 1000.0 + 4.5)
+        assert fleet.open_replicas("large") == 1
+        return fleet.hosted.violations
+
+    assert run_in_virtual_time(simulate) == []
