--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_dropped_models.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_dropped_models.py
@@ -118,3 +118,19 @@
         assert site.engines.cuts == []
 
     run_scenario(scenario)
+
+
+def test_requests_for_a_model_that_no_version_names_are_refused_and_cost_no_head():
+    """Guards against suspicions: they were sent to any worker, whose 421 made it suspect."""
+
+    async def scenario(site, daemons):
+        answers = [await send_draft(daemons[n % 2], "unknown") for n in range(8)]
+        assert {a.status for a in answers} == {503}
+        assert all(float(a.header("retry-after")) > 0.0 for a in answers)
+        assert not any(worker.misdirected_count for worker in site.workers.values())
+        assert not any(worker.arrivals_ms for worker in site.workers.values())
+        for daemon in daemons:
+            assert not daemon.gateway.replica_view.suspicions
+        check_whole(await asyncio.gather(*send_drafts(daemons, 4)))
+
+    run_scenario(scenario)
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -40,6 +40,7 @@
 NOT_READY_RETRY_AFTER_MS = 500.0
 PLAIN_RETRY_AFTER_MS = 200.0
 NOT_RUN_RETRY_AFTER_MS = 400.0
+UNKNOWN_MODEL_RETRY_AFTER_MS = 2_000.0  # until the next version of the configuration may name it
 RECENT_ACTIVITY_MS = 250.0  # longer than an event interval with prefill, or a digest's delivery
 PART_RETRY_AFTER_MS = 3_600_000.0  # until a part that ended endpoints is tried again
 MIN_OUTAGE_MS = 1_000.0  # after which the endpoints of a zone may have become cold
@@ -427,6 +428,9 @@
             await self._refuse(context, "service unknown", NOT_READY_RETRY_AFTER_MS)
         elif engine is not None and engine.model(context.metadata.model):
             await RequestRunner(self, StreamAttempts(self, context, engine)).run()
+        elif engine is not None and context.metadata.model is not None:
+            # Any endpoint would reject it, and look as if it headed no replica.
+            await self._refuse(context, "model unknown", UNKNOWN_MODEL_RETRY_AFTER_MS)
         else:
             self.dispatcher.record_plain_arrival(context.service.name)
             await RequestRunner(self, PlainAttempts(self, context)).run()
