--- a/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_dispatcher.py
@@ -139,6 +139,7 @@
                 endpoint, queue, queued.work
             )
             queue.check_access = lambda: self.replica_view.refusal(service, model.name)
+            queue.is_forming = lambda: self.replica_view.is_forming(service, model)
             self._share(queue)
             queue.end_ms = self.end_ms
         return queue
--- a/libraries/gateway/src/corianderhaven/gateway/_replica_view.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_replica_view.py
@@ -4,11 +4,17 @@
 from collections import defaultdict
 from dataclasses import dataclass, replace
 
-from corianderhaven.fleet import count_missing_members, group_replicas, is_serving
+from corianderhaven.fleet import (
+    ReplicaState,
+    count_missing_members,
+    group_replicas,
+    is_serving,
+)
 
 from ._endpoint_access import EndpointAccess
 
 SUSPICION_MS = 2_500.0  # by then a lost member is detected or the replica has proved healthy
+FORMING_STATES = (ReplicaState.JOINING, ReplicaState.READY)  # of a head, until it is open
 TOLD_ACTIVITY_MARGIN_MS = 100.0  # an exchange may have taken so long, which makes it look later
 
 
@@ -122,6 +128,16 @@
         available = self.available_heads(service, model)
         return available or list(self.all_heads(service).get(model, ()))
 
+    def is_forming(self, service, model):
+        """Return whether a replica of a model is being formed of as many members as it needs."""
+        return any(
+            replica.model == model.name
+            and replica.state in FORMING_STATES
+            and len(replica.members) == model.size
+            and not any(e.leaving for e in replica.members.values())
+            for replica in group_replicas(self.directory.endpoints(service)).values()
+        )
+
     def suspect(self, head, unreachable=False, lasting=False):
         """Exclude a head for `SUSPICION_MS`, or until it becomes head of another replica.
 
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_replica_view.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_replica_view.py
@@ -1,9 +1,17 @@
 """Tests of the suspicion of heads and its expiry."""
 
+from dataclasses import replace
+
 import pytest
 
 from corianderhaven.common import DecisionLog, ManualClock
-from corianderhaven.fleet import Endpoint, EndpointDirectory, Membership, ReplicaState
+from corianderhaven.fleet import (
+    Endpoint,
+    EndpointDirectory,
+    Membership,
+    ModelSpec,
+    ReplicaState,
+)
 from corianderhaven.gateway import ReplicaView
 
 SUSPICION_MS = 2_500.0
@@ -97,6 +105,28 @@
     assert not is_trusted(views[1], clock)
 
 
+@pytest.mark.parametrize(
+    ("states", "is_forming"),
+    [
+        (["joining", "joining"], True),
+        (["ready", "joining"], True),
+        (["joining"], False),  # the others have refused, or it is a spare that stands by
+        (["open", "ready"], False),
+        (["broken", "ready"], False),
+    ],
+)
+def test_replica_is_being_formed_until_its_head_is_open(clock, states, is_forming):
+    directory = EndpointDirectory(clock, DecisionLog(clock))
+    for rank, state in enumerate(states):
+        membership = Membership("m.1.1", 1, rank, ReplicaState(state))
+        member = Endpoint(f"e{rank}", "s", "a:1", "a", 9, False, membership=membership)
+        directory.update(member.id, member, (1, rank + 1))
+    view = ReplicaView(directory, None, clock)
+    model = ModelSpec("m", 2, 1.0, 1.0, 16.0, 1.6)
+    assert view.is_forming("s", model) == is_forming
+    assert not view.is_forming("s", replace(model, name="other"))
+
+
 def test_head_of_another_replica_is_trusted(clock, views):
     views[0].suspect(make_head())
     assert is_trusted(views[0], clock, generation=2)
--- a/libraries/scheduling/src/corianderhaven/scheduling/_admission.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/_admission.py
@@ -131,6 +131,8 @@
         Returns whether limits that endpoints name bound the throughput.
     check_access : callable
         Returns the `Refusal` of all requests if there are endpoints but none may get any, or None.
+    is_forming : callable
+        Returns whether a replica of the model is being formed.
     is_shared : callable
         Returns whether several client accounts share the queue.
     end_ms : float
@@ -145,6 +147,7 @@
         self.release_endpoint = lambda endpoint, queued: None
         self.is_limited = lambda: False
         self.check_access = lambda: None
+        self.is_forming = lambda: False
         self.is_shared = lambda: False
         self.promised_ms = -1e12
         self.end_ms = math.inf
@@ -349,6 +352,8 @@
     def _replica_wait_exceeded(self, queued, now):
         if self.no_replica_since_ms is None:
             return False
+        if queued.resumed and self.is_forming():
+            return False
         max_wait_ms = MAX_RESUMED_WAIT_MS if queued.resumed else MAX_WAIT_WITHOUT_REPLICA_MS
         return now - max(self.no_replica_since_ms, queued.arrived_ms) > max_wait_ms
 
--- a/libraries/scheduling/src/corianderhaven/scheduling/tests/test_admission.py
+++ b/libraries/scheduling/src/corianderhaven/scheduling/tests/test_admission.py
@@ -222,6 +222,32 @@
     assert run_in_virtual_time(scenario) == {True: "late", False: "refused"}
 
 
+@pytest.mark.parametrize(("formed", "outcome"), [(True, "late"), (False, "refused")])
+def test_resumed_request_waits_for_a_replica_that_is_being_formed(formed, outcome):
+    """Guards against LOST: streams were cut 1.5 s after their head ended, 0.4 s before the next."""
+
+    async def scenario(clock):
+        replicas = Replicas(clock, 9, 500.0)
+        replicas.serving = False
+        replicas.queue.is_forming = lambda: clock.now_ms() < formed_ms
+        formed_ms = clock.now_ms() + 2_500.0
+        dispatching = asyncio.create_task(dispatch_periodically(replicas))
+        log = []
+        queued = queued_request(clock.now_ms(), resumed=True)
+        task = asyncio.create_task(replicas.serve(queued, log))
+        await asyncio.sleep(2.0)
+        assert not log
+        await asyncio.sleep(0.5)
+        replicas.serving = formed
+        await task
+        dispatching.cancel()
+        ((_, result, at_ms),) = log
+        assert at_ms - formed_ms <= 100.0  # two checks of the queue
+        return result
+
+    assert run_in_virtual_time(scenario) == outcome
+
+
 def test_end_of_a_drain_refuses_at_once_what_would_be_answered_after_it():
     """Guards against LOST: requests waited until a drain ended, and got no answer."""
 
