--- a/libraries/common/src/corianderhaven/common/__init__.py
+++ b/libraries/common/src/corianderhaven/common/__init__.py
@@ -13,6 +13,7 @@
     ClientResponse,
     JsonClient,
     TransportError,
+    check_final_status,
     open_connection,
     set_source_ip,
 )
@@ -70,6 +71,7 @@
     "SettingsError",
     "TransportError",
     "check_address",
+    "check_final_status",
     "check_positive",
     "configure_queued_logging",
     "configure_logging",
--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -8,6 +8,7 @@
 
 from ._async_connection import (
     BODY_BLOCK_BYTES,
+    FINAL_STATUSES,
     READ_BYTES,
     Connection,
     ConnectionLostError,
@@ -133,6 +134,8 @@
         return None
 
     def _describe_head(self, event):
+        if event.status_code not in FINAL_STATUSES:
+            raise ConnectionLostError(f"no answer: status {event.status_code}")
         framings = FRAMING_HEADERS & {name for name, _ in event.headers}
         self.two_framings = framings == FRAMING_HEADERS
         has_body = self.body_expected and event.status_code not in STATUSES_WITHOUT_BODY
--- a/libraries/common/src/corianderhaven/common/_async_connection.py
+++ b/libraries/common/src/corianderhaven/common/_async_connection.py
@@ -19,6 +19,8 @@
 # A pass of the parser takes tens of microseconds. A buffer full of one-byte chunks, parsed without
 # a pause, kept all other connections waiting for over a second.
 EVENTS_PER_TURN = 32
+# Of final responses; HTTP has none beyond them (RFC 9110, section 15).
+FINAL_STATUSES = range(200, 600)
 # Headers that concern one connection only, and the framing that each connection sets itself.
 CONNECTION_HEADERS = frozenset(
     (
--- a/libraries/common/src/corianderhaven/common/_http_client.py
+++ b/libraries/common/src/corianderhaven/common/_http_client.py
@@ -9,6 +9,7 @@
 from urllib3.exceptions import HTTPError, NewConnectionError
 from urllib3.exceptions import TimeoutError as HttpTimeoutError
 
+from ._async_connection import FINAL_STATUSES
 from ._clock import MS_PER_S
 from .exceptions import CorianderhavenError, ErrorCode, FieldError, Outcome
 
@@ -103,11 +104,18 @@
     return connection
 
 
+def check_final_status(status):
+    """Raise `HTTPException` for a status that no final response has; `http.client` takes them."""
+    if status not in FINAL_STATUSES:
+        raise http.client.HTTPException(f"no answer: status {status}")
+
+
 def send_request(connection, method, path, body, headers):
     """Send one request on `connection` and read the complete response."""
     try:
         connection.request(method, path, body=body, headers=headers)
         response = connection.getresponse()
+        check_final_status(response.status)
         return ClientResponse(response.status, dict(response.headers), response.data)
     except NETWORK_ERRORS as error:
         connection.close()
--- a/libraries/common/src/corianderhaven/common/_server_connection.py
+++ b/libraries/common/src/corianderhaven/common/_server_connection.py
@@ -9,7 +9,13 @@
 import h11
 from loguru import logger
 
-from ._async_connection import MAX_UNREAD_BYTES, READ_BYTES, Connection, ConnectionLostError
+from ._async_connection import (
+    FINAL_STATUSES,
+    MAX_UNREAD_BYTES,
+    READ_BYTES,
+    Connection,
+    ConnectionLostError,
+)
 from ._clock import MS_PER_S
 from ._connection_budgets import connection_budgets
 
@@ -341,7 +347,8 @@
         )
 
     async def send_response(self, status, headers, body):
-        """Send a complete response."""
+        """Send a complete response; raises ValueError if `status` is none."""
+        _check_status(status)
         headers = self._with_connection_header([*headers, (b"content-length", b"%d" % len(body))])
         data = self.parser.send(h11.Response(status_code=status, headers=headers))
         self.head_sent = True
@@ -365,7 +372,8 @@
                 await self.write(view[first : first + READ_BYTES], rest_bytes)
 
     async def send_head(self, status, headers):
-        """Send the status and headers of a streamed response."""
+        """Send the status and headers of a streamed response, like `send_response`."""
+        _check_status(status)
         self.head_sent = True
         if self._ends_with_connection:
             self._set_linger(RESET_ON_CLOSE)
@@ -395,3 +403,9 @@
     def abort_response(self):
         """Close the connection so that an unfinished response can't look complete."""
         self.transport.close()
+
+
+def _check_status(status):
+    """Raise ValueError for a status that no final response has."""
+    if status not in FINAL_STATUSES:
+        raise ValueError(f"no status of a response: {status}")
--- a/libraries/routing/src/corianderhaven/routing/_operations.py
+++ b/libraries/routing/src/corianderhaven/routing/_operations.py
@@ -15,6 +15,7 @@
     ErrorCode,
     Outcome,
     TransportError,
+    check_final_status,
     open_connection,
 )
 from corianderhaven.membership import peer_signature
@@ -336,6 +337,7 @@
                 "POST", path, body=request.body, headers=headers, preload_content=False
             )
             response = connection.getresponse()
+            check_final_status(response.status)
             body = self._read_body(response, self.clock.now_ms() + deadline_ms)
         except NETWORK_ERRORS:
             return AttemptResult(classify_attempt(AttemptEvidence(AttemptStage.SENT), ()))
--- a/libraries/routing/src/corianderhaven/routing/_upstream.py
+++ b/libraries/routing/src/corianderhaven/routing/_upstream.py
@@ -9,6 +9,7 @@
     NETWORK_ERRORS,
     TIMEOUT_ERRORS,
     TransportError,
+    check_final_status,
     open_connection,
     set_kernel_timeout,
 )
@@ -115,6 +116,7 @@
             )
             # Bypasses urllib3's response wrapper, which adds overhead to each read.
             self.response = http.client.HTTPConnection.getresponse(self.connection)
+            check_final_status(self.response.status)
         except NETWORK_ERRORS as error:
             raise AttemptLostError(_loss_reason(error)) from error
         self._check_status()
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -76,6 +76,10 @@
         Values of the header in which the worker names its limit of requests per second.
     headers : dict of bytes to bytes
         Headers of answers, in place of those of the same names.
+    status : bytes
+        Text in place of the status code of answers; what follows is as usual.
+    omitted_headers : tuple of bytes
+        Names of headers that answers lack.
     """
 
     shed: bool = False
@@ -99,6 +103,8 @@
     cut_head: bool = False
     limits: tuple = ()
     headers: dict = field(default_factory=dict)
+    status: bytes = b""
+    omitted_headers: tuple = ()
 
 
 @dataclass
@@ -207,6 +213,8 @@
         Requests with a crashing part or target that reached a worker, whatever it answered.
     cold_bound : dict
         Fields of all services in the configuration that bound the rate of cold workers.
+    garbled_control : dict of str to bytes
+        Texts in place of the status code in answers to orders and reports, by worker.
     """
 
     def __init__(
@@ -252,6 +260,7 @@
         self.ended_workers = []
         self.arrivals_with_part = []
         self.cold_bound = {}
+        self.garbled_control = {}
 
     async def start(self):
         """Start the store, the workers and their heartbeats."""
@@ -513,7 +522,10 @@
         self._record_arrival(worker, request)
         if engine is not None and not engine.alive:
             await asyncio.sleep(3600.0)
-        if request.target == b"/api/report" and engine is not None:
+        if worker.id in self.garbled_control and request.target.startswith(b"/api/"):
+            status = self.garbled_control[worker.id] + b" Status"
+            await caller.write(_response_bytes(status, [], b"{}"))
+        elif request.target == b"/api/report" and engine is not None:
             body = msgspec.json.encode(self.engines.report(engine))
             await caller.send_response(200, self._statements(worker), body)
         elif (
@@ -570,7 +582,8 @@
             b"corianderhaven-instance-load": load.encode(),
             **worker.faults.headers,
         }
-        return [*headers.items(), *self._statements(worker)]
+        kept = [(k, v) for k, v in headers.items() if k not in worker.faults.omitted_headers]
+        return kept + self._statements(worker)
 
     async def _run(self, worker, request, caller):
         faults, engine = worker.faults, worker.engine
@@ -627,6 +640,8 @@
         elif faults.garble:
             await caller.write(b"\x00\x17 nonsense\r\n\r\n")
             caller.abort_response()
+        elif faults.status:
+            await self._answer_with_status(worker, request, caller)
         elif faults.fail:
             await caller.send_response(500, self._response_headers(worker, request), b"failed")
         elif parts := self._parts_that_crash(request):
@@ -661,6 +676,16 @@
             )
         )
 
+    async def _answer_with_status(self, worker, request, caller):
+        """Answer as usual but for the text of the status, which may be none."""
+        headers = self._response_headers(worker, request)
+        body = _plain_body(worker)
+        if worker.engine is not None:
+            headers.append((b"content-type", b"text/event-stream"))
+            first = int(request.header("last-event-id") or 0) + 1
+            body = b"".join(_event(number) for number in range(first, self.events + 1))
+        await caller.write(_response_bytes(worker.faults.status + b" Status", headers, body))
+
     async def _answer_plain(self, worker, request, caller):
         body = _plain_body(worker)
         headers = self._response_headers(worker, request)
@@ -704,7 +729,7 @@
             await caller.send_head(200, headers)
         send = caller.write if worker.faults.unframed else caller.send_chunk
         for number in range(first, self.events + 1):
-            event = b"id: %d\ndata: token-%d\n\n" % (number, number)
+            event = _event(number)
             if worker.faults.endless == "event":
                 while not caller.lost:
                     await caller.send_chunk(ENDLESS_BLOCK)
@@ -744,6 +769,10 @@
     return b"\r\n".join([*lines, b"content-length: %d" % len(body), b"", body])
 
 
+def _event(number):
+    return b"id: %d\ndata: token-%d\n\n" % (number, number)
+
+
 def _plain_body(worker):
     return b"whole answer of " + worker.id.encode()
 
