--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_answer_statuses.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_answer_statuses.py
@@ -1,4 +1,4 @@
-"""Tests of workers whose answers have a status that is none.
+"""Tests of workers whose answers have a status that is none, or that promises what they don't say.
 
 The workers write the status as raw bytes, so that no client library decides what is possible.
 """
@@ -20,6 +20,7 @@
 from corianderhaven.fleet import OrderResult
 
 INVALID = [b"000", b"099", b"199", b"600", b"999", b"20", b"2000", b"-20", b"2x0", b""]
+PROMISES = (408, 429, 503)
 KINDS = ("status", "issue", "draft")
 REQUESTS = 6
 FORWARDING_TIMEOUT_S = 5.0
@@ -139,6 +140,47 @@
     run_scenario(scenario, daemons=2)
 
 
+@pytest.mark.parametrize("status", [b"408", b"429", b"503"])
+@pytest.mark.parametrize("kind", ["issue", "draft"])
+def test_status_that_promises_not_to_have_run_needs_the_workers_word(kind, status):
+    """Guards against REFUSED: a request that had run was answered as if it hadn't."""
+
+    async def scenario(site, daemons):
+        give_status(site, status)
+        answers = [await send(daemons[0], kind) for _ in range(REQUESTS)]
+        ran = site.run_counts()
+        assert all(ran[a.request_id] for a in answers)
+        assert not [a.status for a in answers if a.status in PROMISES]
+        check_single_runs(site)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("status", [b"302", b"304", b"401", b"404"])
+@pytest.mark.parametrize("kind", KINDS)
+def test_error_without_a_workers_stamp_is_no_final_answer(kind, status):
+    """Guards against DENIED: callers don't come back after these, whoever sent them."""
+
+    async def scenario(site, daemons):
+        give_status(site, status, omitted_headers=(b"corianderhaven-server-stamp",))
+        answers = [await send(daemons[0], kind) for _ in range(REQUESTS)]
+        assert {a.status for a in answers} == {502}
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("status", [b"400", b"404", b"409", b"500", b"504", b"599"])
+@pytest.mark.parametrize("kind", KINDS)
+def test_error_of_a_worker_is_returned_unchanged(kind, status):
+    async def scenario(site, daemons):
+        give_status(site, status)
+        answers = [await send(daemons[0], kind) for _ in range(REQUESTS)]
+        assert {a.status for a in answers} == {int(status)}
+        assert all(a.header("corianderhaven-server-stamp") for a in answers)
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("status", [b"000", b"600", b"999"])
 def test_orders_and_reports_whose_status_is_none_count_as_unanswered(status):
     """An engine whose control answers are garbled is left alone, and the others serve."""
--- a/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
@@ -11,6 +11,7 @@
 from corianderhaven.common import MS_PER_S, ClientConnection, ConnectionLostError
 
 from . import _metrics
+from ._answer_status import REFUSAL_STATUSES
 from ._connection_pool import ConnectionPool
 from ._event_stream import EventSplitter, EventTooLargeError
 from ._forwarding import (
@@ -29,7 +30,6 @@
 # Within which a peer accepts a request that may be sent again. Its answer may take longer, as the
 # request may wait there for an endpoint.
 ACCEPTANCE_TIMEOUT_MS = 300.0
-REFUSAL_STATUSES = (408, 421, 429, 503)  # they state that the request was not and won't be run
 RETRY_AFTER = "retry-after"
 DEFAULT_RETRY_AFTER_MS = 400.0
 
@@ -218,7 +218,8 @@
                 await self._read_ahead(forward)
         else:
             forward.body = await forward.connection.read_body()
-            if result is AttemptResult.FAILED:
+            # A refusal with an endpoint's stamp is no word of the peer.
+            if result is AttemptResult.FAILED and head.status not in REFUSAL_STATUSES:
                 headers = self.wire.caller_headers(head)
                 forward.context.error_response = (head.status, headers, forward.body)
             self._give_back(forward)
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -5,6 +5,7 @@
 from corianderhaven.common import MS_PER_S, ClientConnection, ConnectionLostError
 
 from . import _metrics
+from ._answer_status import is_final_error
 from ._attempt import Attempt
 from ._connection_pool import ConnectionPool
 from ._event_stream import EventSplitter, EventTooLargeError
@@ -245,6 +246,8 @@
     def _keep_error(self, attempt):
         """Keep the error that an endpoint answered, for a request that nothing else ends."""
         head = attempt.head
+        if not is_final_error(head.status, self.wire.read_response(head).stamped):
+            return
         attempt.context.error_response = (
             head.status,
             self.wire.caller_headers(head),
