Take no part of an answer for the whole one (MIXED)

Callers got a stream that a worker answered with 204, 205 or 206 as a success without events or with some of them, and a part (206) of a plain answer for the whole, though they had not asked for a range.

The sender and the forwarder to peers took any 2xx with the worker's stamp for the complete answer. Statuses that can't go with events now break a stream's answer, and 206 breaks that of a request without Range; what may follow depends on the kind of the request, as after any broken answer.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_answer_statuses.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_answer_statuses.py
@@ -181,6 +181,32 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("status", [b"204", b"205", b"206"])
+def test_success_without_events_is_no_answer_to_a_stream(status):
+    """Guards against ORDER: a stream of no events looked complete."""
+
+    async def scenario(site, daemons):
+        give_status(site, status)
+        answers = [await send(daemons[0], "draft") for _ in range(REQUESTS)]
+        assert not [a for a in answers if 200 <= a.status < 300]
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(("headers", "status"), [((), 502), ((("range", "bytes=0-3"),), 206)])
+def test_part_of_an_answer_goes_to_callers_who_asked_for_one_only(headers, status):
+    """Guards against MIXED: a part looked like the whole answer."""
+
+    async def scenario(site, daemons):
+        give_status(site, b"206")
+        answers = [
+            await send_request(daemons[0], "/status/1", headers=headers) for _ in range(REQUESTS)
+        ]
+        assert {a.status for a in answers} == {status}
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("status", [b"000", b"600", b"999"])
 def test_orders_and_reports_whose_status_is_none_count_as_unanswered(status):
     """An engine whose control answers are garbled is left alone, and the others serve."""
--- a/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
@@ -11,7 +11,7 @@
 from corianderhaven.common import MS_PER_S, ClientConnection, ConnectionLostError
 
 from . import _metrics
-from ._answer_status import REFUSAL_STATUSES
+from ._answer_status import REFUSAL_STATUSES, is_whole_success
 from ._connection_pool import ConnectionPool
 from ._event_stream import EventSplitter, EventTooLargeError
 from ._forwarding import (
@@ -212,7 +212,7 @@
         if head is None:
             self.avoid(forward.target)
             return AttemptResult.NOT_SENT
-        result = self._classify(forward, head)
+        result = self._classify(forward, head, streaming)
         if result is AttemptResult.COMPLETE and streaming:
             if ahead:
                 await self._read_ahead(forward)
@@ -311,7 +311,7 @@
             request.method, FORWARD_PATH + request.target, headers, request.body
         )
 
-    def _classify(self, forward, head):
+    def _classify(self, forward, head, streaming):
         """Return the result that the status and headers of a peer's answer indicate."""
         context, target = forward.context, forward.target
         response = self.wire.read_response(head)
@@ -326,6 +326,8 @@
         if 200 <= head.status < 300:
             if not response.stamped:
                 raise ConnectionLostError("success without an endpoint's stamp")
+            if not is_whole_success(head.status, streaming, context.request):
+                raise ConnectionLostError(f"no whole answer: status {head.status}")
             return AttemptResult.COMPLETE
         if head.status in REFUSAL_STATUSES and not response.stamped:
             context.possible_runs[target.id] -= 1
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -5,7 +5,7 @@
 from corianderhaven.common import MS_PER_S, ClientConnection, ConnectionLostError
 
 from . import _metrics
-from ._answer_status import is_final_error
+from ._answer_status import is_final_error, is_whole_success
 from ._attempt import Attempt
 from ._connection_pool import ConnectionPool
 from ._event_stream import EventSplitter, EventTooLargeError
@@ -418,6 +418,8 @@
             return AttemptResult.FAILED
         if not response.stamped or head.header("content-encoding"):
             return AttemptResult.BROKEN
+        if not is_whole_success(head.status, attempt.stream is not None, context.request):
+            return AttemptResult.BROKEN
         return AttemptResult.COMPLETE
 
     def _record_statements(self, attempt, response):
