Read no answer without a bound up to its first event (LOST)

A daemon that resumed streams at a worker which sent comments, fields or ids without end kept all of them: 147 MB on a VM of 112 MB with six such streams, after which every caller of that machine would have lost its request.

A replacement is read up to its first event before it is known whether it is needed, and only an event that didn't end was bounded meanwhile. The same loop stood in the forwarder to peers. Both now use read_to_first_event, which gives an answer up once 256 KiB have come without an event.

--- a/libraries/gateway/src/corianderhaven/gateway/_attempt.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_attempt.py
@@ -24,8 +24,8 @@
     head : ResponseHead or None
     body : bytes or None
         Whole body of an answer that isn't streamed.
-    chunks : list of bytes
-        Pieces of a streamed body that were read before they could be forwarded.
+    data : bytes
+        Beginning of a streamed body that was read before it could be forwarded.
     ended : bool
         Whether the end of a streamed body was read before it could be forwarded.
     events : int
@@ -69,7 +69,7 @@
         self.on_kept_connection = False
         self.head = None
         self.body = None
-        self.chunks = []
+        self.data = b""
         self.ended = False
         self.events = 0
         self.ended_with_connection = False
@@ -106,7 +106,7 @@
         collection, and a large answer with them.
         """
         self.body = None
-        self.chunks = []
+        self.data = b""
 
     def close(self):
         """Close the connection."""
--- a/libraries/gateway/src/corianderhaven/gateway/_event_stream.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_event_stream.py
@@ -2,6 +2,8 @@
 
 import re
 
+from corianderhaven.common import ConnectionLostError
+
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 EVENT_DATA = re.compile(rb"(?:^|\n)data:")
@@ -9,7 +11,7 @@
 
 
 class EventTooLargeError(Exception):
-    """An endpoint sent more than `MAX_EVENT_BYTES` without completing an event."""
+    """An endpoint sent more than `MAX_EVENT_BYTES` without completing an event with data."""
 
 
 class EventSplitter:
@@ -57,3 +59,40 @@
     def discard_partial(self):
         """Discard an event that its endpoint did not complete."""
         self.partial = b""
+
+
+async def read_to_first_event(connection, head, last_event_id):
+    """Read an answer up to its first event with data, before it is known whether it is needed.
+
+    Parameters
+    ----------
+    connection : ClientConnection
+    head : ResponseHead
+    last_event_id : str or None
+
+    Returns
+    -------
+    data : bytes
+    ended : bool
+        Whether the answer has ended, without such an event.
+
+    Raises
+    ------
+    ConnectionLostError
+        If the answer breaks off.
+    EventTooLargeError
+        If the event doesn't come. Comments may precede it, but not without end.
+    """
+    splitter = EventSplitter(last_event_id)
+    data = bytearray()
+    while not splitter.data_event_count:
+        if len(data) > MAX_EVENT_BYTES:
+            raise EventTooLargeError(f"no event within {MAX_EVENT_BYTES} bytes")
+        chunk = await connection.read_chunk()
+        if chunk is None:
+            if splitter.partial or head.ends_with_connection:
+                raise ConnectionLostError("ended before an event")
+            return bytes(data), True
+        data += chunk
+        splitter.feed(chunk)
+    return bytes(data), False
--- a/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
@@ -6,14 +6,14 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from corianderhaven.common import MS_PER_S, ClientConnection, ConnectionLostError
 
 from . import _metrics
 from ._answer_status import REFUSAL_STATUSES, is_whole_success
 from ._connection_pool import ConnectionPool
-from ._event_stream import EventSplitter, EventTooLargeError
+from ._event_stream import EventTooLargeError, read_to_first_event
 from ._forwarding import (
     DECLINED,
     FORWARD_PATH,
@@ -67,8 +67,8 @@
     head : ResponseHead or None
     body : bytes or None
         Whole body of an answer that isn't streamed.
-    chunks : list of bytes
-        Pieces of a streamed body that were read before they could be passed on.
+    data : bytes
+        Beginning of a streamed body that was read before it could be passed on.
     ended : bool
         Whether the end of a streamed body was read before it could be passed on.
     is_ready : bool
@@ -89,7 +89,7 @@
     reason: str | None = None
     head: object = None
     body: bytes | None = None
-    chunks: list = field(default_factory=list)
+    data: bytes = b""
     ended: bool = False
     is_ready: bool = False
     find_other: object = _find_none
@@ -178,7 +178,8 @@
         self.in_flight[forward.target.id] -= 1
         if forward.connection is not None:
             forward.connection.close()
-        forward.body = None  # not kept with the request until the next garbage collection
+        # Not kept with the request until the next garbage collection.
+        forward.body, forward.data = None, b""
         context, outcome = forward.context, result.value if result else "not needed"
         _metrics.FORWARDS.labels(context.service.name, outcome).inc()
         self.decisions.record(
@@ -336,16 +337,10 @@
         return AttemptResult.FAILED
 
     async def _read_ahead(self, forward):
-        splitter = EventSplitter(forward.context.splitter.last_event_id)
-        while not splitter.data_event_count:
-            chunk = await forward.connection.read_chunk()
-            if chunk is None:
-                if splitter.partial or forward.head.ends_with_connection:
-                    raise ConnectionLostError("ended before an event")
-                forward.ended = True
-                return
-            forward.chunks.append(chunk)
-            splitter.feed(chunk)
+        last_event_id = forward.context.splitter.last_event_id
+        forward.data, forward.ended = await read_to_first_event(
+            forward.connection, forward.head, last_event_id
+        )
 
     async def _pass_on_events(self, forward, head):
         context = forward.context
@@ -367,8 +362,9 @@
 
         The peer itself notices sooner when its endpoint is silent.
         """
-        if forward.chunks:
-            return forward.chunks.pop(0)
+        if forward.data:
+            data, forward.data = forward.data, b""
+            return data
         if forward.ended:
             return None
         return await self._read(forward, forward.connection.read_chunk, STALL_MS)
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -8,7 +8,7 @@
 from ._answer_status import is_final_error, is_whole_success
 from ._attempt import Attempt
 from ._connection_pool import ConnectionPool
-from ._event_stream import EventSplitter, EventTooLargeError
+from ._event_stream import EventTooLargeError, read_to_first_event
 from ._path_prober import CONNECT_TIMEOUT_MS
 from ._request_context import AttemptResult
 from ._silence_detector import FIRST_EVENT_SLACK_MS, ActiveStream
@@ -215,17 +215,12 @@
 
     async def _read_ahead(self, attempt):
         """Read an answer up to its first event, which is forwarded only if it is needed."""
-        splitter = EventSplitter(attempt.context.splitter.last_event_id)
-        while not splitter.data_event_count:
-            chunk = await attempt.connection.read_chunk()
-            if chunk is None:
-                if splitter.partial or attempt.head.ends_with_connection:
-                    raise ConnectionLostError("ended before an event")
-                attempt.ended = True
-                return
-            attempt.chunks.append(chunk)
-            splitter.feed(chunk)
-        self.silence_detector.record_activity(attempt.stream)
+        last_event_id = attempt.context.splitter.last_event_id
+        attempt.data, attempt.ended = await read_to_first_event(
+            attempt.connection, attempt.head, last_event_id
+        )
+        if not attempt.ended:
+            self.silence_detector.record_activity(attempt.stream)
 
     async def deliver_streaming(self, attempt):
         """Forward the events of a prepared attempt up to the end of its answer."""
@@ -452,8 +447,9 @@
 
     async def _next_chunk(self, attempt):
         """Return the next piece of a streamed answer, or None at its end."""
-        if attempt.chunks:
-            return attempt.chunks.pop(0)
+        if attempt.data:
+            data, attempt.data = attempt.data, b""
+            return data
         if attempt.ended:
             return None
         chunk = await attempt.connection.read_chunk()
