Count kept errors among the answers that a process buffers (LOST)

Where workers answered by large errors, and the next ones not at all, a daemon kept each error until its request's deadline: 110 MB on a VM of 112 MB with 60 errors of 2 MB.

An answer counted towards the budget while it was read, and while a caller didn't take it, but not while its request was tried again. The request now holds it in the same budget until it ends, and gives it up if it is the largest above the limit; its caller then gets 502 or 504.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_endless_workers.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_endless_workers.py
@@ -18,6 +18,7 @@
 from corianderhaven.standins import HostingSite
 
 BLOCK_BYTES = 65_536
+LARGE_ERROR_BYTES = 2_000_000
 EVENTS_BEFORE_SILENCE = 3
 LENGTH = ("content-length", "0")
 DRAFT = (
@@ -113,6 +114,21 @@
             await asyncio.sleep(0.01)
 
 
+class LargeErrorsSite(HostingSite):
+    """Site whose workers answer targets with "endless" by a large error once, then not at all."""
+
+    async def _answer_plain(self, worker, request, caller):
+        if b"endless" not in request.target:
+            await super()._answer_plain(worker, request, caller)
+            return
+        if self.run_counts()[request.header("corianderhaven-attempt-id")] > 1:
+            while not caller.lost:
+                await asyncio.sleep(0.01)
+            return
+        headers = self._response_headers(worker, request)
+        await caller.send_response(500, headers, b"e" * LARGE_ERROR_BYTES)
+
+
 def streams(target, headers, count):
     requests = [(request_id(), headers) for _ in range(count)]
     return [(i, [head_bytes(i, f"/{target}/endless", h)]) for i, h in requests]
@@ -175,6 +191,23 @@
     run_load(tmp_path, streams("draft", DRAFT, 6), answer=STREAMED[kind], silent_first=True)
 
 
+def test_large_errors_of_requests_that_are_tried_again(tmp_path):
+    """Guards against LOST: errors that are kept for requests were counted by no budget."""
+
+    async def scenario():
+        async with trial(tmp_path, LargeErrorsSite) as current:
+            crowd = current.crowd()
+            for request in streams("status", (LENGTH,), 60):
+                await crowd.send_all([request])
+                await asyncio.sleep(0.02)
+            assert await current.ordinary_is_answered()
+            await wait_until(lambda: len(crowd.statuses) == 60, CROWD_TIMEOUT_S)
+            await current.check()
+            assert set(crowd.statuses.values()) <= {500, 502, 504}
+
+    asyncio.run(scenario())
+
+
 def test_answers_that_go_on_after_their_callers_have_left(tmp_path):
     async def scenario():
         async with trial(tmp_path, EndlessSite) as current:
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -405,6 +405,7 @@
             context.outcome = "caller_left"
             context.caller.abort_response()
         finally:
+            context.take_error()
             self._log_end(context)
 
     def check_drain(self, context):
@@ -536,7 +537,7 @@
 
     async def _send_error(self, context):
         """Answer with the error of an endpoint."""
-        status, headers, body = context.error_response
+        status, headers, body = context.take_error()
         context.outcome = f"endpoint_failed: {status}"
         await context.caller.send_response(status, headers, body)
 
--- a/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_peer_forwarder.py
@@ -222,7 +222,7 @@
             # A refusal with an endpoint's stamp is no word of the peer.
             if result is AttemptResult.FAILED and head.status not in REFUSAL_STATUSES:
                 headers = self.wire.caller_headers(head)
-                forward.context.error_response = (head.status, headers, forward.body)
+                forward.context.keep_error(head.status, headers, forward.body)
             self._give_back(forward)
         forward.is_ready = result is AttemptResult.COMPLETE
         return result
--- a/libraries/gateway/src/corianderhaven/gateway/_request_context.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_request_context.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from corianderhaven.common import connection_budgets
+
 from ._event_stream import EventSplitter
 
 
@@ -47,7 +49,8 @@
     head_forwarded : bool
         Whether the status and headers of a streamed answer were sent to the caller.
     error_response : tuple or None
-        Status, headers and body of the last error response from an endpoint.
+        Status, headers and body of the last error response from an endpoint. Its body counts as an
+        answer that the process buffers.
     waited_ms : float
         Time in the admission queue.
     longest_pause_ms : float
@@ -135,6 +138,21 @@
         """Whether an attempt has failed already, here or at the daemon that forwarded it."""
         return self.attempts > 0 or (self.origin is not None and self.origin.resumed)
 
+    def keep_error(self, status, headers, body):
+        """Keep an endpoint's error response, which ends the request if nothing else does."""
+        self.error_response = (status, headers, body)
+        connection_budgets.answers.record(self, len(body))
+
+    def take_error(self):
+        """Return the error response, and keep it no longer."""
+        error_response, self.error_response = self.error_response, None
+        connection_budgets.answers.record(self, 0)
+        return error_response
+
+    def discard(self, budget):
+        """Give up the error response, as the answers together take too much memory."""
+        self.error_response = None
+
     def record_forwarded(self, now_ms):
         """Record that an event was forwarded to the caller."""
         if self.first_event_ms is None:
--- a/libraries/gateway/src/corianderhaven/gateway/_sender.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_sender.py
@@ -243,11 +243,8 @@
         head = attempt.head
         if not is_final_error(head.status, self.wire.read_response(head).stamped):
             return
-        attempt.context.error_response = (
-            head.status,
-            self.wire.caller_headers(head),
-            attempt.body,
-        )
+        headers = self.wire.caller_headers(head)
+        attempt.context.keep_error(head.status, headers, attempt.body)
 
     async def _request_head(self, attempt):
         """Send the request and return the head of its answer; None if no connection was made."""
