--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_endless_workers.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_endless_workers.py
@@ -46,6 +46,7 @@
     "comment": (b"\r\n: ", b"c" * BLOCK_BYTES),
     "comments": (b"\r\n", b": comment\n\n" * 6_000),
     "event": (b"\r\ndata: ", b"d" * BLOCK_BYTES),
+    "event in tiny chunks": (CHUNKED + b"\r\n6\r\ndata: \r\n", b"1\r\nd\r\n" * 10_000),
     "lines": (b"\r\n", b"data: line\n" * 6_000),
     "fields": (b"\r\n", b"retry: 1\n\n" * 6_000),
     "id": (b"\r\nid: ", b"7" * BLOCK_BYTES),
--- a/libraries/gateway/src/corianderhaven/gateway/_event_stream.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_event_stream.py
@@ -8,10 +8,11 @@
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 EVENT_DATA = re.compile(rb"(?:^|\n)data:")
 MAX_EVENT_BYTES = 1 << 18
+MAX_OVERLAP_BYTES = 3  # of the longest end of an event, all but its last byte may come before
 
 
 class EventTooLargeError(Exception):
-    """An endpoint sent more than `MAX_EVENT_BYTES` without completing an event with data."""
+    """An event, or what precedes the first event with data, is too large."""
 
 
 class EventSplitter:
@@ -26,7 +27,7 @@
     """
 
     def __init__(self, last_event_id=None):
-        self.partial = b""
+        self.partial = bytearray()
         self.last_event_id = last_event_id
         self.event_count = 0
         self.data_event_count = 0
@@ -39,18 +40,19 @@
         EventTooLargeError
             If an event does not end.
         """
-        data = self.partial + data
+        searched = max(0, len(self.partial) - MAX_OVERLAP_BYTES)
+        self.partial += data
         end = 0
-        for match in EVENT_END.finditer(data):
-            self.data_event_count += EVENT_DATA.search(data, end, match.end()) is not None
+        for match in EVENT_END.finditer(self.partial, searched):
+            if EVENT_DATA.search(self.partial, end, match.end()):
+                self.data_event_count += 1
             end = match.end()
             self.event_count += 1
-        if len(data) - end > MAX_EVENT_BYTES:
+        if len(self.partial) - end > MAX_EVENT_BYTES:
             raise EventTooLargeError(f"event above {MAX_EVENT_BYTES} bytes")
         if not end:
-            self.partial = data
             return b""
-        complete, self.partial = data[:end], data[end:]
+        complete, self.partial = bytes(self.partial[:end]), self.partial[end:]
         ids = EVENT_ID.findall(complete)
         if ids:
             self.last_event_id = ids[-1].decode("latin-1")
@@ -58,7 +60,7 @@
 
     def discard_partial(self):
         """Discard an event that its endpoint did not complete."""
-        self.partial = b""
+        self.partial = bytearray()
 
 
 async def read_to_first_event(connection, head, last_event_id):
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_event_stream.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_event_stream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 from dataclasses import dataclass, field
 
 import pytest
@@ -9,11 +10,14 @@
 from corianderhaven.common import ConnectionLostError
 from corianderhaven.gateway._event_stream import (
     MAX_EVENT_BYTES,
+    EventSplitter,
     EventTooLargeError,
     read_to_first_event,
 )
 
 EVENT = b"id: 4\ndata: 4\n\n"
+SMALL_CHUNKS = 2_000
+MAX_SLOWDOWN = 20.0
 
 
 @dataclass
@@ -64,3 +68,33 @@
     with pytest.raises(EventTooLargeError):
         asyncio.run(read_to_first_event(connection, Head(), "3"))
     assert connection.read_bytes <= MAX_EVENT_BYTES + 2 * len(block)
+
+
+def feeding_time_s(begun_bytes):
+    """Return the shortest of three times to feed small chunks to an event that has begun."""
+    times = []
+    for _ in range(3):
+        splitter = EventSplitter()
+        splitter.feed(b"data: " + b"d" * begun_bytes)
+        began_s = time.perf_counter()
+        for _ in range(SMALL_CHUNKS):
+            splitter.feed(b"d")
+        times.append(time.perf_counter() - began_s)
+    return min(times)
+
+
+def test_small_chunks_cost_as_much_late_in_an_event_as_at_its_beginning():
+    """Guards against events that are searched and copied whole for each chunk of theirs."""
+    assert feeding_time_s(200_000) < MAX_SLOWDOWN * feeding_time_s(0)
+
+
+@pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n", b"\n\r\n", b"\r\n\n"])
+@pytest.mark.parametrize("size", range(1, 12))
+def test_events_are_the_same_whatever_the_chunks(end, size):
+    data = (b"id: 7\ndata: a" + end + b": c" + end) * 3 + b"data: partial"
+    splitter = EventSplitter("3")
+    fed = [splitter.feed(data[i : i + size]) for i in range(0, len(data), size)]
+    assert b"".join(fed) + splitter.partial == data
+    assert splitter.partial.lstrip(b"\n") == b"data: partial"
+    assert (splitter.event_count, splitter.data_event_count) == (6, 3)
+    assert splitter.last_event_id == "7"
