--- a/libraries/gateway/src/corianderhaven/gateway/_event_stream.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_event_stream.py
@@ -8,11 +8,12 @@
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 EVENT_DATA = re.compile(rb"(?:^|\n)data:")
 MAX_EVENT_BYTES = 1 << 18
+MAX_EVENT_ID_BYTES = 1 << 10  # it is sent in a header of requests that go on with the stream
 MAX_OVERLAP_BYTES = 3  # of the longest end of an event, all but its last byte may come before
 
 
 class EventTooLargeError(Exception):
-    """An event, or what precedes the first event with data, is too large."""
+    """An event, its id, or what precedes the first event with data, is too large."""
 
 
 class EventSplitter:
@@ -38,7 +39,7 @@
         Raises
         ------
         EventTooLargeError
-            If an event does not end.
+            If an event does not end, or its id is too long.
         """
         searched = max(0, len(self.partial) - MAX_OVERLAP_BYTES)
         self.partial += data
@@ -55,9 +56,14 @@
         complete, self.partial = bytes(self.partial[:end]), self.partial[end:]
         ids = EVENT_ID.findall(complete)
         if ids:
-            self.last_event_id = ids[-1].decode("latin-1")
+            self._set_last_event_id(ids[-1])
         return complete
 
+    def _set_last_event_id(self, event_id):
+        if len(event_id) > MAX_EVENT_ID_BYTES:
+            raise EventTooLargeError(f"event id above {MAX_EVENT_ID_BYTES} bytes")
+        self.last_event_id = event_id.decode("latin-1")
+
     def discard_partial(self):
         """Discard an event that its endpoint did not complete."""
         self.partial = bytearray()
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_event_stream.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_event_stream.py
@@ -98,3 +98,12 @@
     assert splitter.partial.lstrip(b"\n") == b"data: partial"
     assert (splitter.event_count, splitter.data_event_count) == (6, 3)
     assert splitter.last_event_id == "7"
+
+
+@pytest.mark.parametrize("ids", [b"id: %b\n\n", b"id: 1\ndata: 1\n\nid: %b\ndata: 2\n\n"])
+def test_id_of_excessive_length_is_no_event(ids):
+    """Guards against ids that are kept for each stream, logged, and sent in a request's headers."""
+    splitter = EventSplitter("3")
+    with pytest.raises(EventTooLargeError):
+        splitter.feed(ids % (b"7" * 5_000))
+    assert splitter.last_event_id in ("3", "1")
