--- a/libraries/gateway/src/corianderhaven/gateway/_event_stream.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_event_stream.py
@@ -6,7 +6,7 @@
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
-EVENT_DATA = re.compile(rb"(?:^|\n)data:")
+EVENT_DATA = re.compile(rb"^data:", re.MULTILINE)
 MAX_EVENT_BYTES = 1 << 18
 MAX_EVENT_ID_BYTES = 1 << 10  # it is sent in a header of requests that go on with the stream
 MAX_OVERLAP_BYTES = 3  # of the longest end of an event, all but its last byte may come before
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_event_stream.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_event_stream.py
@@ -107,3 +107,11 @@
     with pytest.raises(EventTooLargeError):
         splitter.feed(ids % (b"7" * 5_000))
     assert splitter.last_event_id in ("3", "1")
+
+
+@pytest.mark.parametrize("before", [b": c\n\n", b"id: 1\n\n", b"data: 1\n\n", b": c\n"])
+def test_event_without_an_id_counts_wherever_it_begins(before):
+    """Guards against an event that is overlooked as others came with it."""
+    splitter = EventSplitter()
+    splitter.feed(before + b"data: 2\n\n")
+    assert splitter.data_event_count == 1 + before.startswith(b"data")
