Bound answers that clients in threads read (LOST)

A service, replica, daemon of another zone or store that sent a body without end was read by the daemons of the published protocols until it closed, and all of it was kept. A replica that sent no tokens held its caller and thread.

JsonClient and OperationRouter read bodies of any length; DraftAttempt kept an event that didn't end, and events without tokens. Bodies now end at 16 MiB, drafts at 1 MiB without a token, and watched changes at 16 MiB. Responses are closed with their connections; the sockets stayed open with them before.

--- a/libraries/common/src/corianderhaven/common/__init__.py
+++ b/libraries/common/src/corianderhaven/common/__init__.py
@@ -13,8 +13,9 @@
     ClientResponse,
     JsonClient,
     TransportError,
-    check_final_status,
     open_connection,
+    read_body,
+    receive_response,
     set_source_ip,
 )
 from ._http_server import (
@@ -71,7 +72,6 @@
     "SettingsError",
     "TransportError",
     "check_address",
-    "check_final_status",
     "check_positive",
     "configure_queued_logging",
     "configure_logging",
@@ -79,6 +79,8 @@
     "json_response",
     "new_id",
     "open_connection",
+    "read_body",
+    "receive_response",
     "rendezvous_order",
     "run_program",
     "set_kernel_timeout",
--- a/libraries/common/src/corianderhaven/common/_http_client.py
+++ b/libraries/common/src/corianderhaven/common/_http_client.py
@@ -15,6 +15,8 @@
 
 NETWORK_ERRORS = (OSError, HTTPError, http.client.HTTPException)
 TIMEOUT_ERRORS = (TimeoutError, HttpTimeoutError)
+READ_BYTES = 65_536
+MAX_BODY_BYTES = 1 << 24
 
 
 class _SourceAddress:
@@ -104,19 +106,51 @@
     return connection
 
 
-def check_final_status(status):
-    """Raise `HTTPException` for a status that no final response has; `http.client` takes them."""
-    if status not in FINAL_STATUSES:
-        raise http.client.HTTPException(f"no answer: status {status}")
+def receive_response(connection):
+    """Return the response whose status and headers come next; its body is still to be read.
+
+    Bypasses urllib3's response, which adds overhead to each read.
+
+    Raises
+    ------
+    HTTPException
+        Also for a status that no final response has; `http.client` takes them.
+    """
+    response = http.client.HTTPConnection.getresponse(connection)
+    if response.status not in FINAL_STATUSES:
+        response.close()
+        raise http.client.HTTPException(f"no answer: status {response.status}")
+    return response
+
+
+def read_body(response, check=lambda: None):
+    """Return the whole body of a response, and call `check` after each part of it.
+
+    Closes the response, which may hold the socket of a connection that is closed.
+
+    Raises
+    ------
+    HTTPException
+        If it is above `MAX_BODY_BYTES`, or ends early.
+    """
+    body = bytearray()
+    with response:
+        while part := response.read1(READ_BYTES):
+            body += part
+            if len(body) > MAX_BODY_BYTES:
+                raise http.client.HTTPException(f"body above {MAX_BODY_BYTES} bytes")
+            check()
+        if response.length:
+            raise http.client.IncompleteRead(b"", response.length)
+    return bytes(body)
 
 
 def send_request(connection, method, path, body, headers):
     """Send one request on `connection` and read the complete response."""
     try:
-        connection.request(method, path, body=body, headers=headers)
-        response = connection.getresponse()
-        check_final_status(response.status)
-        return ClientResponse(response.status, dict(response.headers), response.data)
+        connection.request(method, path, body=body, headers=headers, preload_content=False)
+        response = receive_response(connection)
+        return ClientResponse(response.status, dict(response.headers), read_body(response))
     except NETWORK_ERRORS as error:
         connection.close()
         raise TransportError(str(error), sent=True, timed_out=isinstance(error, TIMEOUT_ERRORS))
--- a/libraries/platform/src/corianderhaven/platform/_etcd_gateway.py
+++ b/libraries/platform/src/corianderhaven/platform/_etcd_gateway.py
@@ -16,11 +16,14 @@
     JsonClient,
     TransportError,
     open_connection,
+    receive_response,
 )
 
 from ._base import BaseKeyValueStore, Item, KeyValueError, SwapResult
 
 MAX_SWAPS_PER_CALL = 64
+READ_BYTES = 65_536
+MAX_CHANGE_BYTES = 1 << 24
 
 
 class EtcdGatewayStore(BaseKeyValueStore):
@@ -108,7 +111,7 @@
             connection.request(
                 "POST", "/v3/watch", body=body, preload_content=False, decode_content=False
             )
-            yield from _read_changes(connection.getresponse())
+            yield from _read_changes(receive_response(connection))
         except TransportError as error:
             raise KeyValueError(str(error), ambiguous=False)
         except (*NETWORK_ERRORS, msgspec.DecodeError) as error:
@@ -140,13 +143,21 @@
 
 def _read_changes(response):
     """Yield the state of the key for each event of a watch response."""
-    pending = b""
-    for data in response.stream(None):
-        pending += data
-        *lines, pending = pending.split(b"\n")
-        for line in filter(None, lines):
-            for event in msgspec.json.decode(line)["result"].get("events", ()):
-                yield None if event.get("type") == "DELETE" else _make_item(event["kv"])
+    line = bytearray()
+    while data := response.read1(READ_BYTES):
+        for part in data.splitlines(keepends=True):
+            line += part
+            if line.endswith(b"\n"):
+                yield from _read_line(line)
+                line = bytearray()
+        if len(line) > MAX_CHANGE_BYTES:
+            raise http.client.HTTPException(f"change above {MAX_CHANGE_BYTES} bytes")
+
+
+def _read_line(line):
+    events = msgspec.json.decode(line)["result"].get("events", ()) if line.strip() else ()
+    for event in events:
+        yield None if event.get("type") == "DELETE" else _make_item(event["kv"])
 
 
 def _encode(text):
--- a/libraries/platform/src/corianderhaven/platform/tests/test_etcd_gateway.py
+++ b/libraries/platform/src/corianderhaven/platform/tests/test_etcd_gateway.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from corianderhaven.common.tests.endless_server import MAX_TAKEN_BYTES, endless_server
 from corianderhaven.platform import EtcdGatewayStore, HttpVmList, KeyValueError, Swap
 from corianderhaven.standins import Layout, Site, VmLayout
 from corianderhaven.standins._layout import PlatformLayout
@@ -115,3 +116,20 @@
     site.vm_list.set_state("e", "leaving")
     assert vms.read()[0].state == "leaving"
     vms.close()
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_change_without_end_ends_the_watch(chunked):
+    """Guards against LOST: a change was kept for as long as it came."""
+    head = b"HTTP/1.1 200 OK\r\n"
+    if chunked:
+        answer = (head + b"transfer-encoding: chunked\r\n\r\n", b"400\r\n" + b"c" * 1024 + b"\r\n")
+    else:
+        answer = (head + b"\r\n", b"c" * 65_536)
+    with endless_server(*answer) as server:
+        store = EtcdGatewayStore(server.address)
+        with pytest.raises(KeyValueError):
+            list(store.watch("a", 2_000))
+        store.close()
+        assert server.ended.wait(5)
+    assert server.sent_bytes < MAX_TAKEN_BYTES
--- a/libraries/routing/src/corianderhaven/routing/_operations.py
+++ b/libraries/routing/src/corianderhaven/routing/_operations.py
@@ -15,8 +15,9 @@
     ErrorCode,
     Outcome,
     TransportError,
-    check_final_status,
     open_connection,
+    read_body,
+    receive_response,
 )
 from corianderhaven.membership import peer_signature
 from corianderhaven.platform import VmKind
@@ -30,7 +31,6 @@
 MAX_ATTEMPTS = 4
 SERVICE_RETRY_RATIO = 0.2
 SAMPLE_SIZE = 2
-READ_BYTES = 65_536
 IN_PROGRESS_RETRY_AFTER_MS = 500
 
 
@@ -336,8 +336,7 @@
             connection.request(
                 "POST", path, body=request.body, headers=headers, preload_content=False
             )
-            response = connection.getresponse()
-            check_final_status(response.status)
+            response = receive_response(connection)
             body = self._read_body(response, self.clock.now_ms() + deadline_ms)
         except NETWORK_ERRORS:
             return AttemptResult(classify_attempt(AttemptEvidence(AttemptStage.SENT), ()))
@@ -347,12 +346,12 @@
 
     def _read_body(self, response, deadline):
         """Return the whole body; raise TimeoutError at the deadline, even if data still arrives."""
-        parts = []
-        for part in response.stream(READ_BYTES):
-            parts.append(part)
+
+        def check_deadline():
             if self.clock.now_ms() > deadline:
                 raise TimeoutError("operation deadline passed")
-        return b"".join(parts)
+
+        return read_body(response, check_deadline)
 
     def _classify_response(self, request, target, response, body):
         if target.zone and response.status >= http.client.BAD_REQUEST:
--- a/libraries/routing/src/corianderhaven/routing/_upstream.py
+++ b/libraries/routing/src/corianderhaven/routing/_upstream.py
@@ -9,15 +9,17 @@
     NETWORK_ERRORS,
     TIMEOUT_ERRORS,
     TransportError,
-    check_final_status,
     open_connection,
+    receive_response,
     set_kernel_timeout,
 )
 
 CONNECT_TIMEOUT_MS = 500.0
 MAX_ERROR_BODY_BYTES = 4096
 END_MARKER = b"[DONE]"
+BLOCK_END = b"\n\n"
 READ_BYTES = 65_536
+MAX_BYTES_WITHOUT_TOKENS = 1 << 20
 
 
 @dataclass(slots=True)
@@ -114,18 +116,18 @@
                 preload_content=False,
                 decode_content=False,
             )
-            # Bypasses urllib3's response wrapper, which adds overhead to each read.
-            self.response = http.client.HTTPConnection.getresponse(self.connection)
-            check_final_status(self.response.status)
+            self.response = receive_response(self.connection)
         except NETWORK_ERRORS as error:
             raise AttemptLostError(_loss_reason(error)) from error
         self._check_status()
         return self
 
     def close(self):
-        """Close the connection."""
+        """Close the connection, and the response, which may hold its socket."""
         if self.connection is not None:
             self.connection.close()
+        if self.response is not None:
+            self.response.close()
 
     def abort(self):
         """Abort the attempt; may be called from another thread."""
@@ -169,15 +171,26 @@
 
     def _parse_events(self):
         """Yield lists of the events in the body."""
-        pending = b""
+        pending = bytearray()
         first = True
+        bytes_without_tokens = 0
         read = self.response.read1
         while part := read(READ_BYTES):
             if first:
                 first = False
                 self._apply_gap_timeout()
-            *blocks, pending = (pending + part).split(b"\n\n")
+            searched = max(0, len(pending) - 1)
+            pending += part
+            blocks = []
+            if pending.find(BLOCK_END, searched) >= 0:
+                *blocks, rest = bytes(pending).split(BLOCK_END)
+                pending = bytearray(rest)
             events = [event for block in blocks if (event := self._parse_event(block)) is not None]
+            bytes_without_tokens += len(part)
+            if any(event.offset is not None for event in events):
+                bytes_without_tokens = 0
+            if bytes_without_tokens > MAX_BYTES_WITHOUT_TOKENS:
+                raise http.client.HTTPException("no tokens")
             if events or self.complete:
                 yield events
             if self.complete:
