--- a/libraries/gateway/src/corianderhaven/gateway/_path_prober.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_path_prober.py
@@ -6,7 +6,7 @@
 
 from corianderhaven.common import MS_PER_S, ClientConnection, ConnectionLostError
 
-from ._reachability import MIN_FAILED_ENDPOINTS
+from ._reachability import MIN_FAILED_ENDPOINTS, scopes_of
 
 # Twenty times the latency within a region. TCP resends a lost first packet only after a second,
 # but the first event of another endpoint must still arrive in time.
@@ -48,7 +48,7 @@
                 pass  # the next probe is due
             self.woken.clear()
             if self.reachability.lost_scopes:
-                await asyncio.gather(*(self._probe(e) for e in self._due()))
+                await asyncio.gather(*(self._probe(e) for e in self.due()))
 
     async def is_path_sound(self, endpoint, failed_since_ms):
         """Return whether a failure at an endpoint is its own, as others can be reached.
@@ -114,16 +114,15 @@
         self.reachability.record_connected(endpoint)
         return True
 
-    def _due(self):
-        """Return a random endpoint of each lost scope."""
+    def due(self):
+        """Return a random endpoint of each lost scope, of a part that isn't lost itself if any."""
         endpoints = self.directory.endpoints()
         due = {}
-        for service, zone in self.reachability.lost_scopes:
-            in_scope = [
-                e for e in endpoints if service in (None, e.service) and zone in (None, e.zone)
-            ]
+        for scope in self.reachability.lost_scopes:
+            in_scope = [e for e in endpoints if scope in scopes_of(e)]
+            telling = [e for e in in_scope if not self.reachability.lost_parts(scope, e)]
             if in_scope:
-                endpoint = random.choice(in_scope)
+                endpoint = random.choice(telling or in_scope)
                 due[endpoint.id] = endpoint
         return list(due.values())
 
--- a/libraries/gateway/src/corianderhaven/gateway/_reachability.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_reachability.py
@@ -49,7 +49,7 @@
 
 
 def scopes_of(endpoint):
-    """Return the scopes of an endpoint as (service, zone), with None for all."""
+    """Return the scopes of an endpoint as (service, zone), with None for all, the widest first."""
     return ((None, None), (endpoint.service, None), (endpoint.service, endpoint.zone))
 
 
@@ -112,6 +112,8 @@
         lost_before = len(self.lost_scopes)
         for scope in scopes_of(endpoint):
             evidence = self._evidence(scope)
+            if self._is_explained(scope, evidence, endpoint):
+                continue
             evidence.failed_ms[endpoint.id] = now
             if evidence.lost_since_ms is None and self._are_lost(scope, evidence):
                 evidence.lost_since_ms = now
@@ -120,6 +122,21 @@
         if len(self.lost_scopes) > lost_before:
             self.on_lost()
 
+    def _is_explained(self, scope, evidence, endpoint):
+        """Return whether a failure at an endpoint of a scope tells nothing of the whole scope.
+
+        That is so if the paths to a part of the scope are lost, and another one was opened since.
+        """
+        return any(
+            self.scopes[part].lost_since_ms < evidence.connected_ms
+            for part in self.lost_parts(scope, endpoint)
+        )
+
+    def lost_parts(self, scope, endpoint):
+        """Return the scopes of an endpoint within another one whose paths are believed lost."""
+        scopes = scopes_of(endpoint)
+        return self.lost_scopes.intersection(scopes[scopes.index(scope) + 1 :])
+
     def record_data(self, endpoint):
         """Record that an open connection to an endpoint brought data."""
         now = self.clock.now_ms()
--- a/libraries/gateway/src/corianderhaven/gateway/tests/test_reachability.py
+++ b/libraries/gateway/src/corianderhaven/gateway/tests/test_reachability.py
@@ -1,12 +1,15 @@
 """Tests of the decision whether an endpoint failed or the path to it, on drawn histories."""
 
 import random
+from types import SimpleNamespace
 
 import pytest
 
 from corianderhaven.common import DecisionLog, ManualClock
 from corianderhaven.fleet import Endpoint
 from corianderhaven.gateway import Reachability
+from corianderhaven.gateway._path_prober import PathProber
+from corianderhaven.gateway._reachability import MIN_FAILED_ENDPOINTS
 
 ZONES = ("a", "b", "c")
 SERVICES = {"engines": 20, "ledger": 1}  # endpoints in each zone
@@ -114,6 +117,54 @@
     assert in_reach == {"b", "c"}
 
 
+def test_zone_that_stays_lost_tells_nothing_of_the_others():
+    """Guards against REFUSED: probes of a lost zone made a quiet one look lost, again and again."""
+    history = History(1, cut=lambda endpoint: endpoint.zone == "b")
+    lost = [e for e in history.endpoints if e.zone == "b" and e.service == "engines"]
+    quiet = [e for e in history.endpoints if e.zone == "a"]
+    for endpoint in lost[:2]:
+        history.connect(endpoint)
+    history.clock.advance_ms(1.0)
+    assert history.connect(quiet[0])
+    for endpoint in lost:
+        history.clock.advance_ms(200.0)
+        history.connect(endpoint)
+        assert all(map(history.reachability.is_reachable, quiet))
+        assert not history.reachability.is_reachable(endpoint)
+
+
+def test_loss_of_the_rest_is_believed_while_a_zone_is_lost():
+    cut = {"b"}
+    history = History(1, cut=lambda endpoint: endpoint.zone in cut)
+    by_zone = {z: [e for e in history.endpoints if e.zone == z] for z in ZONES}
+    for endpoint in by_zone["b"][:2]:
+        history.connect(endpoint)
+    history.clock.advance_ms(1.0)
+    history.connect(by_zone["a"][0])
+    cut.update(ZONES)
+    for zone in ("a", "c"):
+        for endpoint in by_zone[zone][:2]:
+            history.connect(endpoint)
+    engines = [e for e in history.endpoints if e.service == "engines"]
+    assert not any(map(history.reachability.is_reachable, engines))
+
+
+def test_scope_is_probed_where_it_is_not_known_to_be_lost():
+    history = History(1, cut=lambda endpoint: endpoint.zone == "b")
+    for endpoint in [e for e in history.endpoints if e.zone == "b"][:MIN_FAILED_ENDPOINTS]:
+        history.connect(endpoint)
+    reachability = history.reachability
+    assert (None, None) in reachability.lost_scopes
+    directory = SimpleNamespace(endpoints=lambda: history.endpoints)
+    prober = PathProber(reachability, directory, history.clock)
+    draws = [prober.due() for _ in range(50)]
+    assert all({e.zone for e in due} > {"b"} for due in draws)
+    history.clock.advance_ms(1.0)
+    for endpoint in draws[0]:
+        history.connect(endpoint)
+    assert reachability.lost_scopes == {("engines", "b")}
+
+
 def test_one_opened_connection_ends_the_belief_and_is_logged():
     history = History(1, cut=lambda endpoint: True)
     history.run(20)
