Tests: the heads of a zone that returns say themselves that they are cold

Its heads were taken for cold by the daemons, but their entries said warm. Such an entry ends the assumption once it is 2 s old (docs/design/ cold-endpoints.md), and the test counted for 3 s.

The heads' entries now say cold, as those of a zone that returns do.

--- a/libraries/daemon/src/corianderhaven/daemon/tests/test_cold_endpoints.py
+++ b/libraries/daemon/src/corianderhaven/daemon/tests/test_cold_endpoints.py
@@ -72,11 +72,13 @@
             async with load(daemons, send_draft, 2 * INTERVAL_MS) as answers:
                 await wait_ms(site.clock, MS_PER_S)
                 zone = heads(site, "small")[0].zone
+                cold = [w for w in heads(site, "small") if w.zone == zone]
+                for worker in cold:
+                    worker.cold_until_ms = site.clock.now_ms() + COLD_MS
                 for daemon in daemons:
                     daemon.gateway.cold_endpoints.assume_cold(zone)
                 from_ms = site.clock.now_ms()
                 await wait_ms(site.clock, COLD_MS - MS_PER_S)
-                cold = [w for w in heads(site, "small") if w.zone == zone]
                 until_ms = site.clock.now_ms()
             assert cold
             for worker in cold:
