Soak: models are dropped and named again beside pauses

Through a configuration that drops a model, and one that brings it back, no stream may be cut, whether workers pause meanwhile or not. Two tests that give the pauses themselves play without drops, with the same checks.

--- a/libraries/soak/src/corianderhaven/soak/_fault_injector.py
+++ b/libraries/soak/src/corianderhaven/soak/_fault_injector.py
@@ -8,7 +8,7 @@
 from corianderhaven.standins import ENGINE_SERVICE, PLAIN_SERVICE, WorkerFaults, default_routes
 
 from ._daemons import now_ms
-from ._faults import CONFIG_CHANGE_KIND, PAUSE_KIND
+from ._faults import CONFIG_CHANGE_KIND, MODEL_DROP_KIND, PAUSE_KIND
 
 SLOW_STORE_MS = 120.0  # 30 times the usual response time of the store
 NAMED_LIMITS = ("3.0", "0.5")  # requests per second, as on the wire
@@ -27,7 +27,7 @@
 RESTORE_S = 0.3  # for which a store that is restored is away
 PAUSED_SHARE = 0.6  # of the workers, when neither one, nor a zone, nor all of them pause
 # Through these alone, no daemon, connection or worker is lost; a pause may break replicas.
-HARMLESS_KINDS = (PAUSE_KIND, CONFIG_CHANGE_KIND)
+HARMLESS_KINDS = (PAUSE_KIND, CONFIG_CHANGE_KIND, MODEL_DROP_KIND)
 LEAVING_S = 1.0  # a leaving worker keeps serving for this long
 MISBEHAVIOURS = [
     {"shed": True},
@@ -349,6 +349,18 @@
     async def config_change(self, fault):
         publish_version(self.site)
 
+    async def model_dropped(self, fault):
+        """Let the configuration name a model no longer, and again after a while."""
+        models = self.site.models
+        dropped = self._select(models, fault)
+        self.site.models = [model for model in models if model is not dropped]
+        publish_version(self.site)
+        try:
+            await asyncio.sleep(fault.duration_s)
+        finally:
+            self.site.models = models
+            publish_version(self.site)
+
 
 def publish_version(site):
     """Publish a configuration with an additional route that is named after its version."""
--- a/libraries/soak/src/corianderhaven/soak/_faults.py
+++ b/libraries/soak/src/corianderhaven/soak/_faults.py
@@ -46,6 +46,8 @@
 MIN_PAUSE_S, MAX_PAUSE_S = 0.2, 2.0
 LONG_PAUSE_SHARE = 0.1
 MIN_LONG_PAUSE_S, MAX_LONG_PAUSE_S = 4.0, 5.0  # longer than callers and routes wait
+MODEL_DROP_KIND = "model_dropped"
+MODEL_DROP_GAP_S = 1.5  # so that some fall into pauses, and some between them
 CONFIG_CHANGE_SHARE = 0.7  # of the pauses
 CONFIG_CHANGE_LEAD_S = 0.8
 
@@ -112,6 +114,17 @@
     return sorted(faults, key=lambda f: f.at_s)
 
 
+def plan_model_drops(seed, seconds):
+    """Return the times in which the configuration doesn't name a model, one after the other."""
+    rng = random.Random(f"models {seed}")
+    faults, at_s = [], 0.0
+    while (at_s := at_s + rng.uniform(0.05, 2 * MODEL_DROP_GAP_S)) < seconds:
+        duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+        faults.append(Fault(MODEL_DROP_KIND, round(at_s, 3), round(duration_s, 3), rng.random()))
+        at_s += duration_s
+    return faults
+
+
 def _plan_partitions(seed, seconds):
     """Return the partitions of daemons from the endpoints."""
     rng = random.Random(f"partitions {seed}")
--- a/libraries/soak/src/corianderhaven/soak/_soak_run.py
+++ b/libraries/soak/src/corianderhaven/soak/_soak_run.py
@@ -13,7 +13,13 @@
 from ._callers import Caller, response_times_s
 from ._daemons import STALL_MS, SoakDaemon, now_ms
 from ._fault_injector import FaultInjector, publish_version
-from ._faults import MIXED_PAUSE_GAP_S, plan_build_changes, plan_faults, plan_worker_pauses
+from ._faults import (
+    MIXED_PAUSE_GAP_S,
+    plan_build_changes,
+    plan_faults,
+    plan_model_drops,
+    plan_worker_pauses,
+)
 from ._invariants import InvariantChecker, Violation
 from ._link_proxy import LinkProxy
 
@@ -104,7 +110,8 @@
     pauses : {"none", "mixed", "only"}
         Whether workers also stand still now and then. With "mixed" they do so among the other
         faults, and without these for a while once the daemons have recovered from them; with
-        "only" there are no other faults.
+        "only" there are no other faults. Without other faults, models are also dropped from the
+        configuration, and named again.
     """
 
     def __init__(
@@ -186,10 +193,11 @@
         return faults, recovered_s
 
     async def _play_pauses(self, seconds):
-        """Let workers pause while no other fault acts; returns the same as `_play`."""
+        """Let workers pause, and models be dropped, while no other fault acts, as `_play` does."""
         wait_ms = self.invariants.without_loss_since_ms - now_ms()
         await asyncio.sleep(max(0.0, wait_ms / MS_PER_S))
-        plan = plan_worker_pauses(self.seed, seconds)
+        plan = plan_worker_pauses(self.seed, seconds) + plan_model_drops(self.seed, seconds)
+        plan.sort(key=lambda fault: fault.at_s)
         return await self._play(plan, seconds, PAUSE_CALLERS_PER_DAEMON)
 
     @contextlib.asynccontextmanager
--- a/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
+++ b/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
@@ -21,7 +21,11 @@
 from corianderhaven.soak._callers import Caller
 from corianderhaven.soak._daemons import SoakDaemon
 from corianderhaven.soak._fault_injector import FaultInjector
-from corianderhaven.soak._faults import plan_build_changes, plan_worker_pauses
+from corianderhaven.soak._faults import (
+    plan_build_changes,
+    plan_model_drops,
+    plan_worker_pauses,
+)
 from corianderhaven.soak._invariants import DEADLINE_MARGIN_MS, LOSS_AFTEREFFECT_MS
 from corianderhaven.standins import ENGINE_SERVICE, HostingSite, WorkerFaults, small_models
 
@@ -526,6 +530,39 @@
     assert selectors == {0, 1, 2, 3}
 
 
+def test_models_are_dropped_one_after_the_other():
+    plans = [plan_model_drops(seed, 30.0) for seed in range(20)]
+    assert plans[3] == plan_model_drops(3, 30.0) != plans[4]
+    for plan in plans:
+        assert len(plan) > 3
+        ends = [fault.at_s + fault.duration_s for fault in plan]
+        assert all(end < later.at_s + 0.002 for end, later in zip(ends, plan[1:], strict=False))
+        assert {int(2 * fault.selector) for fault in plan} <= {0, 1}
+
+
+@pytest.mark.parametrize("selector", [0.1, 0.9])
+def test_dropped_model_is_back_in_the_end(invariants, selector):
+    async def scenario():
+        site = await HostingSite(["a"], 3, small_models(), 2).start()
+        injector = FaultInjector(site, [], {}, invariants, None, None)
+        try:
+            version = site.config_version
+            dropping = asyncio.create_task(
+                injector.inject(Fault("model_dropped", 0.0, 0.05, selector))
+            )
+            await asyncio.sleep(0)
+            kept = [model.name for model in site.models]
+            assert kept == ["small" if selector < 0.5 else "large"]
+            assert site.config_version > version
+            await dropping
+            assert [model.name for model in site.models] == ["large", "small"]
+        finally:
+            site.close()
+        assert not invariants.active_losses
+
+    asyncio.run(scenario())
+
+
 def test_worker_pauses_leave_the_other_faults_of_a_seed_unchanged(tmp_path):
     mixed = SoakRun(3, 60.0, 3, str(tmp_path), pauses="mixed")._plan()
     plan = SoakRun(3, 60.0, 3, str(tmp_path))._plan()
@@ -616,6 +653,7 @@
             daemon.caller_link.reset()
 
     monkeypatch.setattr(_soak_run, "plan_worker_pauses", lambda seed, seconds: faults)
+    monkeypatch.setattr(_soak_run, "plan_model_drops", lambda seed, seconds: [])
     monkeypatch.setattr(FaultInjector, "config_change", reset_callers)
     run = SoakRun(7, 3.0, 2, str(tmp_path), pauses="only")
     report = asyncio.run(run.run())
@@ -627,6 +665,7 @@
     """One worker, then all of them stand still for longer than a daemon waits for an answer."""
     faults = [Fault("workers_pause", at_s, 1.3, selector) for at_s in (0.5, 2.4)]
     monkeypatch.setattr(_soak_run, "plan_worker_pauses", lambda seed, seconds: faults)
+    monkeypatch.setattr(_soak_run, "plan_model_drops", lambda seed, seconds: [])
     run = SoakRun(7, 4.0, 2, str(tmp_path), pauses="only")
     report = asyncio.run(run.run())
     assert report.breaches == []
@@ -634,3 +673,17 @@
     assert report.faults == {"workers_pause": 2}
     assert report.streams_without_loss > 0
     assert report.outcomes["issue 200"] > 0
+
+
+@pytest.mark.parametrize("selector", [0.0, 0.99])
+def test_model_that_is_dropped_beside_a_pause_cuts_no_stream(tmp_path, monkeypatch, selector):
+    """Guards against LOST: the requests of a model ended with its place in the configuration."""
+    pauses = [Fault("workers_pause", 0.5, 0.4, 0.0), Fault("workers_pause", 2.0, 0.4, 0.99)]
+    drops = [Fault("model_dropped", at_s, 0.7, selector) for at_s in (0.4, 1.9)]
+    monkeypatch.setattr(_soak_run, "plan_worker_pauses", lambda seed, seconds: list(pauses))
+    monkeypatch.setattr(_soak_run, "plan_model_drops", lambda seed, seconds: drops)
+    report = asyncio.run(SoakRun(7, 4.0, 2, str(tmp_path), pauses="only").run())
+    assert report.breaches == []
+    assert report.recovered_s is not None
+    assert report.faults == {"workers_pause": 2, "model_dropped": 2}
+    assert report.streams_without_loss > 0
