--- a/libraries/fleet/src/corianderhaven/fleet/_formation.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_formation.py
@@ -148,10 +148,16 @@
     Parameters
     ----------
     engine : EngineSpec
+
+    Attributes
+    ----------
+    retained : set of str
+        Models that the configuration doesn't name, but whose VMs stay as they are for now.
     """
 
     def __init__(self, engine):
         self.engine = engine
+        self.retained = set()
         self.domain_shares = {}
         self.targets = target_shares(engine.models)
 
@@ -216,8 +222,9 @@
         return self.engine.model(name) is not None
 
     def _is_empty(self, vm):
-        """Return whether a VM is free and has no weights that the configuration names."""
-        return vm.free and not vm.staging and not any(map(self._is_declared, vm.endpoint.staged))
+        """Return whether a VM is free and has no weights that are in use, or may soon be again."""
+        needed = any(self._is_declared(n) or n in self.retained for n in vm.endpoint.staged)
+        return vm.free and not vm.staging and not needed
 
     def _shares_of_empty_domain(self, zone, domain_count, vm_count):
         """Assign a domain to the model furthest below its target share, or split it."""
--- a/libraries/fleet/src/corianderhaven/fleet/_keeper.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_keeper.py
@@ -252,6 +252,7 @@
             self.traffic_seen or self.clock.now_ms() > self.tenure_started_ms + DISCOVERY_MS
         )
         planner = self.replica_tasks.planner(service.name, engine)
+        planner.retained = self.replica_tasks.retained_models(service.name, engine, vms)
         # Before the first request, loads take a tenth of their usual time.
         loads_are_fast = not self.traffic_seen
         for action in planner.plan(
--- a/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_replica_tasks.py
@@ -15,6 +15,8 @@
 from ._replicas import model_of, replica_name
 from ._types import Membership, ReplicaState
 
+# A model whose VMs were loaded anew may get none back, as those of others aren't taken for it.
+RETENTION_MS = 60_000.0  # of the VMs of a dropped model; a mistake is taken back by then
 OPEN_REPORT_TIMEOUT_MS = 3_000.0  # time for the head to report that it is open
 READY_MARGIN_MS = 4_000.0  # added to the expected duration of a load
 STANDBY_RETRY_MS = 3_000.0  # until the order to a spare that isn't ready is repeated
@@ -59,6 +61,7 @@
         self.decisions = decisions
         self.keeper_state = KeeperState()
         self.planners = {}
+        self.retired_ms = {}
         self.opened = {}
         self.dissolver = ReplicaDissolver(
             sender, directory, settings, clock, decisions, self.keeper_state, self.spawn
@@ -78,6 +81,14 @@
             planner = self.planners[service] = FormationPlanner(engine)
         return planner
 
+    def retained_models(self, service, engine, vms):
+        """Return the models that the configuration has dropped lately, and whose VMs are kept."""
+        now = self.clock.now_ms()
+        held = {n for vm in vms for n in vm.endpoint.staged if engine.model(n) is None}
+        before = self.retired_ms.get(service, {})
+        retired = self.retired_ms[service] = {name: before.get(name, now) for name in held}
+        return {name for name, since_ms in retired.items() if now - since_ms < RETENTION_MS}
+
     def spawn(self, coroutine):
         """Run `coroutine` as a task of this tenure."""
         task = asyncio.get_running_loop().create_task(coroutine)
