--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -239,10 +239,12 @@
         self.sequence = 0
         self.listed = True
         self.runs = []
+        self.ends = {}
+        self.bodies = {}
 
     async def start(self):
         """Listen on a free port and write the entry every beat."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 23)
         port = self.server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
         self.task = asyncio.create_task(self._beat())
@@ -277,6 +279,14 @@
                 self.store.put(f"servers/{self.id}", json.dumps(entry).encode())
             await asyncio.sleep(BEAT_S)
 
+    async def _work(self, reader, request):
+        """Work on a request; return False if its connection was closed meanwhile."""
+        end = time.monotonic() + self.work_s
+        while time.monotonic() < end and not reader.at_eof() and reader.exception() is None:
+            await asyncio.sleep(min(0.01, self.work_s))
+        self.ends.setdefault(request, []).append(time.monotonic())
+        return not reader.at_eof() and reader.exception() is None
+
     async def _serve(self, reader, writer):
         source = writer.get_extra_info("peername")[0]
         try:
@@ -291,7 +301,9 @@
                     writer.write(response(421, common))
                 else:
                     self.runs.append((time.monotonic(), request, source, headers, line))
-                    await asyncio.sleep(self.work_s)
+                    self.bodies.setdefault(request, []).append(body)
+                    if not await self._work(reader, request):
+                        return
                     stamp = ("corianderhaven-server-stamp", f"{self.id}.{len(self.runs)}")
                     writer.write(response(200, [*common, stamp], f"{self.id} {request}".encode()))
                 await writer.drain()
@@ -301,7 +313,10 @@
             writer.close()
 
 
-CONTRACTS = "base drain config cost retry recover engine stream tenants platform gangs".split()
+CONTRACTS = [
+    *("base", "drain", "config", "cost", "retry", "recover"),
+    *("engine", "stream", "tenants", "platform", "gangs"),
+]
 NODE_FILE = """
 node_name = "{name}"
 role = "corianderhavend"
