--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -8,6 +8,7 @@
 import collections
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -452,3 +453,53 @@
         for daemon in daemons:
             while not await daemon.is_ready():
                 await asyncio.sleep(0.1)
+
+
+class Caller:
+    """Clients that send GET requests with one key to one daemon, on kept connections.
+
+    `sent` has the time of each request by its id, `answers` the status, 0 if there was none.
+    """
+
+    def __init__(self, daemon, host, path, key, name, clients=4, pause_s=(0.1, 0.3)):
+        self.daemon, self.host, self.path, self.key, self.name = daemon, host, path, key, name
+        self.pause_s = pause_s
+        self.sent, self.answers = {}, {}
+        self.tasks = [asyncio.create_task(self._client(n)) for n in range(clients)]
+
+    def close(self):
+        """Stop the clients."""
+        for task in self.tasks:
+            task.cancel()
+
+    async def _client(self, number):
+        reader = writer = None
+        count = 0
+        while True:
+            await asyncio.sleep(random.uniform(*self.pause_s))
+            count += 1
+            request = f"{self.name}-{number}-{count:05d}"
+            try:
+                if writer is None:
+                    reader, writer = await asyncio.open_connection(
+                        self.daemon.ip, self.daemon.front_port
+                    )
+                self.sent[request] = time.monotonic()
+                writer.write(
+                    (
+                        f"GET {self.path}{count} HTTP/1.1\r\nhost: {self.host}\r\n"
+                        f"corianderhaven-attempt-id: {request}\r\n"
+                        f"corianderhaven-deadline-ms: 600\r\n"
+                        f"authorization: Bearer {self.key}\r\n\r\n"
+                    ).encode()
+                )
+                line, headers, _ = await asyncio.wait_for(read_message(reader), 1.5)
+                self.answers[request] = int(line.split()[1])
+                if headers.get("connection", "").lower() == "close":
+                    writer.close()
+                    writer = None
+            except (OSError, TimeoutError, asyncio.IncompleteReadError):
+                self.answers.setdefault(request, 0)
+                if writer is not None:
+                    writer.close()
+                writer = None
