Review cases inside the site's limits, ended by SIGTERM too

Case 11: clients leave for 4 s at a time, six times, at some 90 requests a second in all. A stopped script ends its processes.

--- a/review/11/run.py
+++ b/review/11/run.py
@@ -24,8 +24,8 @@
 CLIENTS = 90
 SHARE_THAT_LEAVES = 0.3
 LEAVE_WITHIN_S = 0.0625  # half of the objective of 125 ms
-PLAY_S = 60.0
-PAUSE_S = (0.3, 0.9)
+GIVE_UP_S, CALM_S, TIMES = 4.0, 2.0, 6  # length of each give_up, the pause after it, how often
+PAUSE_S = (0.7, 1.3)
 LINES = 100  # 3,500 bytes; the site's bodies have 3,600 at most
 DEADLINE_MS = 600
 
@@ -90,13 +90,15 @@
         writer.close()
 
 
-async def run_client(number, daemons, seen, until):
+async def run_client(number, daemons, seen, begun):
     """Send requests to one daemon after the other, each on a connection of its own."""
     count = 0
-    while time.monotonic() < until:
+    while time.monotonic() - begun < TIMES * (GIVE_UP_S + CALM_S):
         await asyncio.sleep(random.uniform(*PAUSE_S))
         count += 1
-        leaves = TROUBLE and number < SHARE_THAT_LEAVES * CLIENTS
+        now = time.monotonic() - begun
+        given_up = now % (GIVE_UP_S + CALM_S) < GIVE_UP_S
+        leaves = TROUBLE and given_up and number < SHARE_THAT_LEAVES * CLIENTS
         request = f"c{number:02d}-{count:04d}"
         await send(daemons[(number + count) % len(daemons)], request, leaves, seen)
 
@@ -120,8 +122,8 @@
         await standins.wait_ready(daemons)
         await asyncio.sleep(2.0)
         seen = {}
-        until = time.monotonic() + PLAY_S
-        await asyncio.gather(*(run_client(n, daemons, seen, until) for n in range(CLIENTS)))
+        begun = time.monotonic()
+        await asyncio.gather(*(run_client(n, daemons, seen, begun) for n in range(CLIENTS)))
         await asyncio.sleep(1.0)
         return judge(log, workers, seen)
     finally:
@@ -166,6 +168,7 @@
 
 def main():
     """Run the case and return its exit code."""
+    standins.end_on_sigterm()
     started = time.monotonic()
     with (FOLDER / "record.txt").open("w", encoding="utf-8") as record:
 
@@ -177,7 +180,7 @@
         try:
             with tempfile.TemporaryDirectory() as folder:
                 code = asyncio.run(play(folder, log))
-        except Exception as error:  # the case couldn't run
+        except (Exception, KeyboardInterrupt) as error:  # the case couldn't run
             log(f"couldn't run: {error!r}")
             code = 2
         log(f"exit code {code}")
--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -447,6 +447,11 @@
             return False
 
 
+def end_on_sigterm():
+    """Have SIGTERM cancel the case like SIGINT, so that it ends its processes."""
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
+
+
 async def wait_ready(daemons, timeout_s=20.0):
     """Wait until all daemons say that they are ready; raise TimeoutError if they don't."""
     async with asyncio.timeout(timeout_s):
