--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -449,6 +449,7 @@
 
 def end_on_sigterm():
     """Have SIGTERM cancel the case like SIGINT, so that it ends its processes."""
+    signal.signal(signal.SIGINT, signal.default_int_handler)  # a shell's background has it ignored
     signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
 
 
