Tell which requests are given up before they are read whole

Three hypotheses: (1) the collected body is emptied by the loss of the connection while its reader pauses; (2) it is emptied by a refusal that frees memory; (3) it is whole at the gateway, and cut on its way to the endpoint. No line of the log told them apart.

`request_ended` now has `body_bytes`, the size as it was read, which tells (3) from the others; `request_given_up` with its cause, and a counter, tell of each request whose head was read and that isn't handled, which shows (2), beside `connections_refused`. Requests of callers and the limits move to a module of their own, as the connection's file grew.

--- a/libraries/common/src/corianderhaven/common/__init__.py
+++ b/libraries/common/src/corianderhaven/common/__init__.py
@@ -4,6 +4,7 @@
 from ._async_connection import CONNECTION_HEADERS, ConnectionLostError
 from ._async_server import AsyncHttpServer
 from ._background import PeriodicThread
+from ._caller_request import CallerDisconnectedError, CallerRequest, ServerLimits
 from ._clock import MS_PER_S, Clock, ManualClock
 from ._connection_budgets import connection_budgets
 from ._findings import Finding, Severity
@@ -29,12 +30,7 @@
 from ._ids import new_id, rendezvous_order
 from ._log_writer import LogWriter
 from ._logging import DecisionLog, configure_logging, configure_queued_logging
-from ._server_connection import (
-    CallerDisconnectedError,
-    CallerRequest,
-    ServerConnection,
-    ServerLimits,
-)
+from ._server_connection import ServerConnection
 from ._settings import check_address, check_positive, run_program
 from .exceptions import CorianderhavenError, ErrorCode, FieldError, Outcome, SettingsError
 
--- a/libraries/common/src/corianderhaven/common/_async_server.py
+++ b/libraries/common/src/corianderhaven/common/_async_server.py
@@ -5,8 +5,9 @@
 import socket
 
 from ._async_connection import TCP_USER_TIMEOUT_MS, split_address
+from ._caller_request import ServerLimits
 from ._clock import MS_PER_S
-from ._server_connection import ServerConnection, ServerLimits
+from ._server_connection import ServerConnection
 
 LISTEN_BACKLOG = 1024  # for a burst of connections between two event loop iterations
 FLUSH_POLL_MS = 10.0
@@ -31,6 +32,8 @@
         Returns whether connections are closed after an answer, so that callers go elsewhere.
     user_timeout_ms : callable
         Returns how long a caller may take nothing of its answer.
+    on_given_up : callable
+        Called with each `CallerRequest` whose head was read and that isn't handled, and the cause.
     max_connections : float
         Number of connections above which the one that waits longest is closed.
     waiting : dict
@@ -47,6 +50,7 @@
         self.max_connections = math.inf
         self.closing = False
         self.sends_callers_away = lambda: False
+        self.on_given_up = lambda request, cause: None
         self.user_timeout_ms = lambda: TCP_USER_TIMEOUT_MS
         self.server = None
 
--- a/libraries/common/src/corianderhaven/common/_server_connection.py
+++ b/libraries/common/src/corianderhaven/common/_server_connection.py
@@ -4,7 +4,6 @@
 import contextlib
 import socket
 import struct
-from dataclasses import dataclass
 
 import h11
 from loguru import logger
@@ -16,14 +15,23 @@
     Connection,
     ConnectionLostError,
 )
+from ._caller_request import (
+    BODY_TOO_LARGE,
+    CALLER_LEFT,
+    HEADERS_TOO_LARGE,
+    NOT_HTTP,
+    REJECTION_CAUSES,
+    REQUEST_MEMORY,
+    REQUEST_TIMEOUT,
+    CallerDisconnectedError,
+    CallerRequest,
+    RequestGivenUpError,
+)
 from ._clock import MS_PER_S
 from ._connection_budgets import connection_budgets
 
 PROCESSING = 102
 BAD_GATEWAY = 502
-REQUEST_TIMEOUT = 408
-HEADERS_TOO_LARGE = 431
-BODY_TOO_LARGE = 413
 # Values of SO_LINGER: whether a close is a reset, and the seconds for which it waits.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 ORDERLY_CLOSE = struct.pack("ii", 0, 0)
@@ -34,43 +42,6 @@
 # A body of ordinary clients has larger chunks, except for a few small ones.
 MIN_CHUNK_BYTES = 32
 FREE_CHUNKS = 512
-REJECTION_CAUSES = {
-    REQUEST_TIMEOUT: "request timeout",
-    HEADERS_TOO_LARGE: "header size",
-    BODY_TOO_LARGE: "body size",
-}
-
-
-class CallerDisconnectedError(Exception):
-    """The caller disconnected while its request was being handled."""
-
-
-@dataclass
-class CallerRequest:
-    """A request with its complete body; `target` is the undecoded request target."""
-
-    method: bytes
-    target: bytes
-    headers: list
-    body: bytes = b""
-    received_ms: float = 0.0
-
-    def header(self, name):
-        """Return the value of header `name` (lower-case str), or None if it is absent."""
-        encoded_name = name.encode()
-        return next(
-            (value.decode("latin-1") for key, value in self.headers if key == encoded_name), None
-        )
-
-
-@dataclass
-class ServerLimits:
-    """Size limits and timeouts of requests."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_timeout_ms: float = 10_000.0
-    idle_timeout_ms: float = 60_000.0
 
 
 class ServerConnection(Connection):
@@ -90,7 +61,7 @@
         self.handling = False
         self.reading = False
         self.head_sent = False
-        self.refused = False
+        self.refusal_cause = None
         self.body = bytearray()
 
     def connection_made(self, transport):
@@ -99,6 +70,11 @@
         self.server.admit(self)
         self.task = asyncio.get_running_loop().create_task(self._run())
 
+    @property
+    def refused(self):
+        """Whether the connection was refused, so that no request on it is handled any more."""
+        return self.refusal_cause is not None
+
     @property
     def is_receiving(self):
         """Whether part of a request has come that isn't handled yet."""
@@ -136,13 +112,13 @@
             self.transport.abort()
             self.drop_received()
         else:
-            self.refuse("request memory")
+            self.refuse(REQUEST_MEMORY)
 
     def refuse(self, cause):
         """Refuse a request that isn't complete, or has not begun, and close the connection."""
         if self.refused or self.lost:
             return
-        self.refused = True
+        self.refusal_cause = cause
         self.body = bytearray()
         connection_budgets.note_refusal(cause)
         if self.is_receiving and self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -201,7 +177,8 @@
             return False
         budget = connection_budgets.requests
         if not budget.begin_handling(self, REQUEST_COPIES * len(request.body)):
-            self.refuse("request memory")
+            self.refuse(REQUEST_MEMORY)
+            self.server.on_given_up(request, REQUEST_MEMORY)
             return False
         self.reading, self.handling = False, True
         self.head_sent = False
@@ -245,20 +222,33 @@
             await self._reject(HEADERS_TOO_LARGE)
             return None
         request = CallerRequest(event.method, event.target, list(event.headers))
-        if int(request.header("content-length") or 0) > limits.body_bytes:
-            await self._reject(BODY_TOO_LARGE)
-            return None
         try:
-            async with asyncio.timeout(limits.idle_timeout_ms / MS_PER_S):
-                request.body = await self._read_body(limits.body_bytes)
-        except TimeoutError:
-            await self._reject(REQUEST_TIMEOUT)
-            return None
-        if request.body is None:
+            request.body = await self._receive_body(request, limits)
+        except RequestGivenUpError as error:
+            self.server.on_given_up(request, str(error))
             return None
         request.received_ms = self.server.clock.now_ms()
         return request
 
+    async def _receive_body(self, request, limits):
+        """Return the request's body, or raise `RequestGivenUpError`."""
+        try:
+            if int(request.header("content-length") or 0) > limits.body_bytes:
+                await self._give_up(BODY_TOO_LARGE)
+            async with asyncio.timeout(limits.idle_timeout_ms / MS_PER_S):
+                return await self._read_body(limits.body_bytes)
+        except TimeoutError:
+            await self._give_up(REQUEST_TIMEOUT)
+        except ConnectionLostError:
+            left = self.lost or self.transport.is_closing()
+            cause = self.refusal_cause or (CALLER_LEFT if left else NOT_HTTP)
+            raise RequestGivenUpError(cause) from None
+
+    async def _give_up(self, status):
+        """Reject a request whose body is being read."""
+        await self._reject(status)
+        raise RequestGivenUpError(REJECTION_CAUSES[status])
+
     async def _wait_for_first_byte(self, limits):
         """Wait for the start of a request; return whether one came within the idle timeout."""
         if self.buffered_bytes or self.lost:
@@ -272,15 +262,14 @@
         return True
 
     async def _read_body(self, limit_bytes):
-        """Return the request's body, or None when the connection has to close."""
+        """Return the request's body, or raise `RequestGivenUpError`."""
         chunk_count = 0
         try:
             while not isinstance(event := await self.next_event(), h11.EndOfMessage):
                 if isinstance(event, h11.ConnectionClosed) or self.refused:
-                    return None
+                    raise RequestGivenUpError(self.refusal_cause or CALLER_LEFT)
                 if len(self.body) + len(event.data) > limit_bytes:
-                    await self._reject(BODY_TOO_LARGE)
-                    return None
+                    await self._give_up(BODY_TOO_LARGE)
                 self.body += event.data
                 self._record_received()  # pipelined data is parsed without more being received
                 chunk_count += 1
@@ -290,7 +279,7 @@
                     and not connection_budgets.begin_fragmented(self)
                 ):
                     self.refuse("tiny chunks")
-                    return None
+                    raise RequestGivenUpError(self.refusal_cause)
             return bytes(self.body)
         finally:
             connection_budgets.fragmented.discard(self)
@@ -301,7 +290,7 @@
     async def _reject(self, status):
         """Send an error response, if one can still be sent, before the connection closes."""
         if status is not None and self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            connection_budgets.note_refusal(REJECTION_CAUSES.get(status, "not HTTP"))
+            connection_budgets.note_refusal(REJECTION_CAUSES.get(status, NOT_HTTP))
             await self.send_response(status, [(b"connection", b"close")], b"")
 
     async def write(self, data, unsent_bytes=0):
--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -163,6 +163,7 @@
         settings.peers = self.peers_server.address
         self._create_components()
         self.callers_server = AsyncHttpServer(settings.callers, self.gateway.handle, self.clock)
+        self.callers_server.on_given_up = self.gateway.note_given_up
         self.callers_server.sends_callers_away = self.gateway.is_isolated
         self.callers_server.user_timeout_ms = lambda: self.callers_server.limits.idle_timeout_ms
         self.readiness_server = AsyncHttpServer(
--- a/libraries/gateway/src/corianderhaven/gateway/_gateway.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_gateway.py
@@ -223,6 +223,12 @@
         finally:
             self.in_flight -= 1
 
+    def note_given_up(self, request, cause):
+        """Count and log a request that was given up before it was read whole, so that none ran."""
+        _metrics.GIVEN_UP.labels(cause).inc()
+        request_id = self.wire.read_request(request).request_id
+        self.decisions.record("request_given_up", request=request_id, cause=cause)
+
     async def handle_forwarded(self, request, caller):
         """Handle a request that another daemon can't send to an endpoint itself.
 
@@ -585,6 +591,7 @@
             first_ms=round(first_ms) if first_ms is not None else None,
             goal_ms=context.route.goal_ms,
             prompt_tokens=context.metadata.prompt_tokens,
+            body_bytes=len(context.request.body),
             waited_ms=round(context.waited_ms),
             pause_ms=round(context.longest_pause_ms),
             gap_goal_ms=context.route.gap_goal_ms,
--- a/libraries/gateway/src/corianderhaven/gateway/_metrics.py
+++ b/libraries/gateway/src/corianderhaven/gateway/_metrics.py
@@ -60,3 +60,8 @@
     "Requests, answers and connections given up to bound what the process holds, by cause",
     ["cause"],
 )
+GIVEN_UP = Counter(
+    PREFIX + "given_up_requests",
+    "Requests given up before they were read whole, by cause",
+    ["cause"],
+)
