--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -209,7 +209,7 @@
     @property
     def usable(self):
         """Whether an idle connection can carry a request."""
-        return not self.lost and not self.unexpected_data and not self.transport.is_closing()
+        return self.is_open and not self.unexpected_data
 
 
 async def _connect(host, port, timeout_ms, source_ip):
--- a/libraries/common/src/corianderhaven/common/_async_connection.py
+++ b/libraries/common/src/corianderhaven/common/_async_connection.py
@@ -101,6 +101,11 @@
             self.limit_unread()
         self.wake_reader()
 
+    @property
+    def is_open(self):
+        """Whether the peer can still be sent something; False once it has closed its side."""
+        return not self.lost and not self.transport.is_closing()
+
     def limit_unread(self):
         """Stop reading from the peer until the reader has taken what was received."""
         if not self.reading_paused and not self.transport.is_closing():
@@ -195,7 +200,7 @@
             if event is not h11.NEED_DATA:
                 return event
             self._note_all_read()
-            if self.lost:
+            if not self.is_open:
                 raise ConnectionLostError("connection broke")
             self.read_waiter = asyncio.get_running_loop().create_future()
             self.events_in_turn = 0
@@ -203,7 +208,7 @@
 
     def begin_write(self, data):
         """Hand `data` to the transport, which keeps what the peer doesn't take yet."""
-        if self.lost or self.transport.is_closing():
+        if not self.is_open:
             raise ConnectionLostError("connection broke")
         self.transport.write(data)
 
--- a/libraries/common/src/corianderhaven/common/_server_connection.py
+++ b/libraries/common/src/corianderhaven/common/_server_connection.py
@@ -51,6 +51,11 @@
     ----------
     server : AsyncHttpServer
         Server that provides the limits and the handler.
+
+    Attributes
+    ----------
+    body_bytes : int
+        Size of what was read of a body; its reader alone holds the body itself.
     """
 
     def __init__(self, server):
@@ -62,7 +67,7 @@
         self.reading = False
         self.head_sent = False
         self.refusal_cause = None
-        self.body = bytearray()
+        self.body_bytes = 0
 
     def connection_made(self, transport):
         """Register the connection and start its task."""
@@ -86,7 +91,7 @@
         self._record_received()
 
     def _record_received(self):
-        received = 0 if self.refused or self.lost else self.unread_bytes + len(self.body)
+        received = 0 if self.refused or self.lost else self.unread_bytes + self.body_bytes
         connection_budgets.requests.record(self, received)
 
     def limit_unread(self):
@@ -119,7 +124,6 @@
         if self.refused or self.lost:
             return
         self.refusal_cause = cause
-        self.body = bytearray()
         connection_budgets.note_refusal(cause)
         if self.is_receiving and self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [
@@ -131,6 +135,7 @@
             self.transport.write(self.parser.send(response))
         self.transport.close()
         self.drop_received()
+        self.wake_reader()
 
     def eof_received(self):
         """Cancel the handler when the caller closes its side."""
@@ -142,14 +147,19 @@
         """Unregister the connection and cancel a handler that is running."""
         super().connection_lost(error)
         self.server.forget(self)
-        self.body = bytearray()
-        if self.handling:
-            self.drop_received()
+        self.drop_received()
         self._record_received()
         connection_budgets.answers.record(self, 0)
         if self.handling and self.task is not None:
             self.task.cancel()
 
+    async def next_event(self):
+        """Wait for the parser's next event, and give up what was sent by a caller that has left."""
+        event = await super().next_event()
+        if not self.is_open:
+            raise ConnectionLostError(CALLER_LEFT)
+        return event
+
     async def _run(self):
         try:
             while await self._serve_request():
@@ -173,7 +183,7 @@
     async def _serve_request(self):
         limits = self.server.limits
         request = await self._read_request(limits)
-        if request is None or self.refused:
+        if request is None:
             return False
         budget = connection_budgets.requests
         if not budget.begin_handling(self, REQUEST_COPIES * len(request.body)):
@@ -197,10 +207,10 @@
         if self.parser.our_state is not h11.DONE:
             return False  # the response was aborted, so the connection must close
         self.begin_cycle()
-        if not self.lost:
+        if self.is_open:
             self.server.waiting[self] = None
         self._record_received()
-        return not self.lost
+        return self.is_open
 
     async def _read_request(self, limits):
         """Return the next request, or None when the connection has to close."""
@@ -236,13 +246,15 @@
             if int(request.header("content-length") or 0) > limits.body_bytes:
                 await self._give_up(BODY_TOO_LARGE)
             async with asyncio.timeout(limits.idle_timeout_ms / MS_PER_S):
-                return await self._read_body(limits.body_bytes)
+                body = await self._read_body(limits.body_bytes)
         except TimeoutError:
             await self._give_up(REQUEST_TIMEOUT)
         except ConnectionLostError:
-            left = self.lost or self.transport.is_closing()
-            cause = self.refusal_cause or (CALLER_LEFT if left else NOT_HTTP)
+            cause = self.refusal_cause or (NOT_HTTP if self.is_open else CALLER_LEFT)
             raise RequestGivenUpError(cause) from None
+        if not self.is_open:  # refused, as what follows the body takes too much memory
+            raise RequestGivenUpError(self.refusal_cause or CALLER_LEFT)
+        return body
 
     async def _give_up(self, status):
         """Reject a request whose body is being read."""
@@ -263,33 +275,38 @@
 
     async def _read_body(self, limit_bytes):
         """Return the request's body, or raise `RequestGivenUpError`."""
+        body = bytearray()
         chunk_count = 0
         try:
             while not isinstance(event := await self.next_event(), h11.EndOfMessage):
-                if isinstance(event, h11.ConnectionClosed) or self.refused:
-                    raise RequestGivenUpError(self.refusal_cause or CALLER_LEFT)
-                if len(self.body) + len(event.data) > limit_bytes:
+                if len(body) + len(event.data) > limit_bytes:
                     await self._give_up(BODY_TOO_LARGE)
-                self.body += event.data
+                body += event.data
+                self.body_bytes = len(body)
                 self._record_received()  # pipelined data is parsed without more being received
                 chunk_count += 1
                 if (
                     chunk_count > FREE_CHUNKS
-                    and len(self.body) < chunk_count * MIN_CHUNK_BYTES
+                    and len(body) < chunk_count * MIN_CHUNK_BYTES
                     and not connection_budgets.begin_fragmented(self)
                 ):
                     self.refuse("tiny chunks")
                     raise RequestGivenUpError(self.refusal_cause)
-            return bytes(self.body)
+            return bytes(body)
         finally:
+            body.clear()  # the traceback of an error may keep it until the next collection
             connection_budgets.fragmented.discard(self)
-            self.body = bytearray()
+            self.body_bytes = 0
             self.unread_bytes = self.buffered_bytes
             self._record_received()
 
     async def _reject(self, status):
         """Send an error response, if one can still be sent, before the connection closes."""
-        if status is not None and self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        if (
+            status is not None
+            and self.is_open
+            and self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+        ):
             connection_budgets.note_refusal(REJECTION_CAUSES.get(status, NOT_HTTP))
             await self.send_response(status, [(b"connection", b"close")], b"")
 
