Refuse a body that is shorter than its length in the threaded server too

Callers saw: a call whose client left within its body was handled with the part that had come; a client that closed its sending side only got 200. Behind this server stand claims, idempotency keys and calls that run once.

Ruled out: chunked bodies, whose reader raises an error at an early end.

--- a/libraries/common/src/corianderhaven/common/_http_server.py
+++ b/libraries/common/src/corianderhaven/common/_http_server.py
@@ -238,6 +238,7 @@
         try:
             request.body = self._read_body(environ, buffered)
         except CorianderhavenError as error:
+            logger.bind(request_id=request_id).info("request given up: {}", error)
             return request, error
         return request, None
 
@@ -247,7 +248,8 @@
             raise CorianderhavenError(ErrorCode.INVALID_REQUEST, "bad Content-Length")
         stream = environ["wsgi.input"]
         read_bytes = self.max_body_bytes + 1
-        if not environ.get("wsgi.input_terminated"):
+        has_length = not environ.get("wsgi.input_terminated")
+        if has_length:
             read_bytes = min(read_bytes, int(length))
         body = bytearray()
         while part := stream.read(min(READ_BYTES, read_bytes - len(body))):
@@ -270,6 +272,8 @@
             raise CorianderhavenError(
                 ErrorCode.BODY_TOO_LARGE, f"body above {self.max_body_bytes} bytes"
             )
+        if has_length and len(body) < read_bytes:
+            raise CorianderhavenError(ErrorCode.INVALID_REQUEST, "connection ended within the body")
         return bytes(body)
 
 
