Take no answer that was given up for memory for the whole one (MIXED)

Callers could see: an empty or shortened body, where an answer without a length had ended and was given up for memory before its reader's next turn. Not seen on a site; by reading, a reader pauses there only after 32 events in a row.

Cause: the reader looked for the discard after each piece, not after the end, and an emptied buffer after the end of input looks like the end of the message.

The other 11 show that answers with a length or in chunks weren't concerned.

--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -174,13 +174,18 @@
                 body += chunk
                 if len(body) > READ_BYTES:
                     budget.record(self, len(body))
-                if self.discarded:
-                    raise ConnectionLostError("no memory for the body")
+                self._check_kept()
+            self._check_kept()  # what was dropped last may have been its end
             return bytes(body)
         finally:
             body.clear()  # the traceback of an error may keep it until the next collection
             budget.record(self, 0)
 
+    def _check_kept(self):
+        """Raise `ConnectionLostError` if the answer was given up meanwhile."""
+        if self.discarded:
+            raise ConnectionLostError("no memory for the body")
+
     def discard(self, budget):
         """Give up an answer that is being read, as the answers together take too much memory."""
         connection_budgets.note_refusal("answer memory")
