Handle no request whose connection was refused for memory (REFUSED)

Callers could see: 503 for a request that is run. Not seen on a site.

Cause: when the handling of a request begins, the largest buffer gives way, and that may be what follows it on its own connection; the refusal went unnoticed, as only the room for the request itself was looked at.

Evidence: test_request_that_was_refused_for_memory_is_not_handled, with and without an unread earlier answer, 2 of 2 red before, green after. The other tests of memory bounds are unchanged and green.

--- a/libraries/common/src/corianderhaven/common/_server_connection.py
+++ b/libraries/common/src/corianderhaven/common/_server_connection.py
@@ -188,6 +188,8 @@
         budget = connection_budgets.requests
         if not budget.begin_handling(self, REQUEST_COPIES * len(request.body)):
             self.refuse(REQUEST_MEMORY)
+        if self.refused:  # also where what follows the request was the largest buffer
+            budget.end_handling(self)
             self.server.on_given_up(request, REQUEST_MEMORY)
             return False
         self.reading, self.handling = False, True
--- a/libraries/common/src/corianderhaven/common/tests/standin_transport.py
+++ b/libraries/common/src/corianderhaven/common/tests/standin_transport.py
@@ -55,6 +55,12 @@
         if not self.closing and not self.protocol.eof_received():
             self.close()
 
+    def finish(self):
+        """End the connection of a protocol that hasn't been told of its end."""
+        if not self.protocol.lost:
+            self.closing = True
+            self.protocol.connection_lost(None)
+
     def reset(self):
         """Break the connection, as a reset by the peer does."""
         self.abort(ConnectionResetError())
--- a/libraries/common/src/corianderhaven/common/tests/test_callers_that_leave.py
+++ b/libraries/common/src/corianderhaven/common/tests/test_callers_that_leave.py
@@ -11,6 +11,7 @@
 import pytest
 
 from corianderhaven.common import AsyncHttpServer, Clock
+from corianderhaven.common._connection_budgets import connection_budgets
 from corianderhaven.common._server_connection import ServerConnection
 from corianderhaven.common.tests.standin_transport import StandinTransport, take_turns
 
@@ -65,6 +66,7 @@
     await asyncio.wait([transport.protocol.task], timeout=1.0)
     assert transport.protocol.task.done()
     assert handler.open == 0
+    transport.finish()
     return handler, begun
 
 
@@ -117,6 +119,7 @@
         leave(transport, way)
         left.append(way)
         await take_turns(2 * TURNS)
+        transport.finish()
 
     asyncio.run(run())
     assert bodies == [SMALL_BODY] * len(bodies)
@@ -153,3 +156,33 @@
     asyncio.run(run())
     assert set(handler.bodies) <= {BODY}
     assert handler.open == 0
+
+
+@pytest.mark.parametrize("unsent", [0, 1])
+def test_request_that_was_refused_for_memory_is_not_handled(unsent, monkeypatch):
+    """Guards against REFUSED: a request was answered with 503 and run.
+
+    What follows it on its connection is the largest buffer to give up when its handling begins.
+    """
+    monkeypatch.setattr(connection_budgets.requests, "limit_bytes", 150_000)
+    body = b"b" * 60_000
+    request = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n" % len(body) + body
+    handler = Handler()
+    given_up = []
+
+    async def run():
+        server = AsyncHttpServer("127.0.0.1:0", handler, Clock())
+        server.on_given_up = lambda request, cause: given_up.append(cause)
+        transport = StandinTransport(ServerConnection(server), unsent)
+        await take_turns(1)
+        transport.protocol.data_received(request + request[:50_000])
+        await take_turns(TURNS)
+        transport.finish()
+        await take_turns(TURNS)
+        return bytes(transport.written)
+
+    answer = asyncio.run(run())
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert handler.bodies == []
+    assert given_up == ["request memory"]
+    assert not connection_budgets.requests.handled
