Let nothing that outlives a handler send an empty body

By reading: a handler that ends by an error or a cancellation has its request's body emptied. The search for a replacement is a task of its own; it is cancelled before, and each way through it passes the cancellation on, so that none was found that sends the empty body. A body that is gone now raises an error where it is read, so that a way that is added can't send it.

Evidence: test_body_of_a_cancelled_handler_is_gone_and_not_empty, red before (an empty body), green after.

--- a/libraries/common/src/corianderhaven/common/_caller_request.py
+++ b/libraries/common/src/corianderhaven/common/_caller_request.py
@@ -1,6 +1,6 @@
 """Requests of callers, their limits, and why one is given up before it is read whole."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 REQUEST_TIMEOUT = 408
 BODY_TOO_LARGE = 413
@@ -30,9 +30,13 @@
     method: bytes
     target: bytes
     headers: list
-    body: bytes = b""
+    body: bytes = field(default_factory=bytes)  # no default of the class, see `discard_body`
     received_ms: float = 0.0
 
+    def discard_body(self):
+        """Free the body, whose use raises AttributeError then: an empty one must not be sent."""
+        del self.body
+
     def header(self, name):
         """Return the value of header `name` (lower-case str), or None if it is absent."""
         encoded_name = name.encode()
--- a/libraries/common/src/corianderhaven/common/_server_connection.py
+++ b/libraries/common/src/corianderhaven/common/_server_connection.py
@@ -199,7 +199,7 @@
         try:
             await self.server.handler(request, self)
         except BaseException:
-            request.body = b""  # the traceback keeps the request until the next collection
+            request.discard_body()  # the traceback keeps the request until the next collection
             raise
         finally:
             self.handling = False
--- a/libraries/common/src/corianderhaven/common/tests/test_callers_that_leave.py
+++ b/libraries/common/src/corianderhaven/common/tests/test_callers_that_leave.py
@@ -186,3 +186,25 @@
     assert handler.bodies == []
     assert given_up == ["request memory"]
     assert not connection_budgets.requests.handled
+
+
+def test_body_of_a_cancelled_handler_is_gone_and_not_empty():
+    """Guards against an empty body sent by what outlives a handler, such as a cancelled search."""
+    requests = []
+
+    async def handle(request, caller):
+        requests.append(request)
+        await asyncio.sleep(3_600)
+
+    async def run():
+        server = AsyncHttpServer("127.0.0.1:0", handle, Clock())
+        transport = StandinTransport(ServerConnection(server))
+        await take_turns(1)
+        transport.protocol.data_received(SMALL["length"])
+        await take_turns(TURNS)
+        transport.reset()
+        await take_turns(TURNS)
+
+    asyncio.run(run())
+    with pytest.raises(AttributeError):
+        requests[0].body  # noqa: B018
