List the store where its changes don't fit in an answer (CONFIG, DRAIN)

Cause: after an outage all changes since before it come in one answer to the watch, here 20 MB. One above 16 MiB is given up, which was taken for an outage, and the same was asked for again until the store had dropped its history.

Change: an answer of which a part came is told from an outage, whatever cut it; the watcher then lists, as pages are bounded.

Ruled out: a timeout and a watch cut by the store, by the reason in store_lost; a bound of 32 MiB or another, which a longer storm exceeds.

--- a/libraries/common/src/corianderhaven/common/_async_client.py
+++ b/libraries/common/src/corianderhaven/common/_async_client.py
@@ -284,7 +284,8 @@
         Raises
         ------
         ConnectionLostError
-            When the connection breaks or `timeout_ms` passes; ``sent`` is False if none was made.
+            When the connection breaks or `timeout_ms` passes; ``sent`` is False if none was made,
+            ``answered`` is True if the answer was cut short.
         """
         until_s = asyncio.get_running_loop().time() + timeout_ms / MS_PER_S
         connection = self._pop_idle_connection()
@@ -294,7 +295,12 @@
             async with asyncio.timeout_at(until_s):
                 return await self._exchange(connection, method, target, body, headers)
         except TimeoutError:
-            raise ConnectionLostError(f"{method} {target} timed out") from None
+            error = ConnectionLostError(f"{method} {target} timed out")
+            error.answered = connection.answered
+            raise error from None
+        except ConnectionLostError as error:
+            error.answered = connection.answered
+            raise
 
     async def _exchange(self, connection, method, target, body, extra_headers):
         reusable = False
--- a/libraries/common/src/corianderhaven/common/_async_connection.py
+++ b/libraries/common/src/corianderhaven/common/_async_connection.py
@@ -49,6 +49,11 @@
         Whether nothing listens at the address.
     status : int or None
         HTTP status to send to a caller whose data is not a valid request.
+
+    Attributes
+    ----------
+    answered : bool
+        Whether part of an answer had come to a call.
     """
 
     def __init__(self, message, sent=True, status=None, refused=False):
@@ -56,6 +61,7 @@
         self.sent = sent
         self.status = status
         self.refused = refused
+        self.answered = False
 
 
 def split_address(address):
--- a/libraries/fleet/src/corianderhaven/fleet/__init__.py
+++ b/libraries/fleet/src/corianderhaven/fleet/__init__.py
@@ -17,6 +17,7 @@
 from ._feed import Feed, FeedReader, FeedRequest, FeedWriter
 from ._formation import Dissolve, Form, FormationPlanner, Stage, Standby, Vm, find_failed
 from ._interfaces import (
+    AnswerCutShortError,
     EngineOrders,
     HistoryGoneError,
     LeaseEndedError,
@@ -77,6 +78,7 @@
 )
 
 __all__ = [
+    "AnswerCutShortError",
     "Account",
     "CallerLimits",
     "ActiveConfig",
--- a/libraries/fleet/src/corianderhaven/fleet/_interfaces.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_interfaces.py
@@ -21,6 +21,13 @@
         self.outcome_unknown = outcome_unknown
 
 
+class AnswerCutShortError(StoreUnavailableError):
+    """Raised when only part of an answer came, as it is too large or takes too long.
+
+    The store is there, but the same call would fail again.
+    """
+
+
 class StoreRestoredError(StoreUnavailableError):
     """Raised when the store was restored from a copy while a call was under way.
 
@@ -84,6 +91,8 @@
         ------
         HistoryGoneError
             If the changes were compacted and the items must be listed again.
+        AnswerCutShortError
+            If the changes are too many for one answer.
         """
 
     @abstractmethod
--- a/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_store_watcher.py
@@ -6,7 +6,12 @@
 from corianderhaven.common import MS_PER_S
 
 from ._evacuations import Evacuations
-from ._interfaces import HistoryGoneError, StoreRestoredError, StoreUnavailableError
+from ._interfaces import (
+    AnswerCutShortError,
+    HistoryGoneError,
+    StoreRestoredError,
+    StoreUnavailableError,
+)
 from ._store_calls import Purpose, PurposeStore
 
 WATCH_WAIT_MS = 500  # endpoints write more often; if nothing changes, all keys are listed
@@ -223,7 +228,11 @@
             await self._list_all()
             return
         sent_ms = self.clock.now_ms()
-        items, revision = await self.store.watch("", self.watch_revision, WATCH_WAIT_MS)
+        try:
+            items, revision = await self.store.watch("", self.watch_revision, WATCH_WAIT_MS)
+        except AnswerCutShortError as error:
+            await self._list_instead(error)
+            return
         self.call_ms = self.clock.now_ms() - sent_ms
         self._record_success()
         self.watch_revision = revision
@@ -235,6 +244,14 @@
         if not items and self.directory.records:
             self.watch_revision = None  # no endpoint has written: the watch may be stuck
 
+    async def _list_instead(self, error):
+        """List the store, as its changes since the latest revision known don't fit in an answer."""
+        self.decisions.record(
+            "store_changes_cut_short", after=self.watch_revision, reason=str(error)
+        )
+        self.watch_revision = None
+        await self._list_all()
+
     async def _list_all(self):
         # The watch continues from before the first read, so it repeats changes between the reads.
         own, revision = await self.store.list(self.own_prefix)
--- a/libraries/fleet/src/corianderhaven/fleet/tests/test_store_watcher.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/test_store_watcher.py
@@ -8,6 +8,7 @@
 from corianderhaven.common import DecisionLog, ManualClock
 from corianderhaven.fleet import (
     ActiveConfig,
+    AnswerCutShortError,
     EndpointDirectory,
     EngineReport,
     FleetConfig,
@@ -165,6 +166,31 @@
     watch(scenario)
 
 
+def test_changes_that_fit_in_no_answer_lead_to_a_listing():
+    """Guards against CONFIG and DRAIN: the same changes were asked for until history was gone."""
+
+    async def scenario(hosted, store, watcher):
+        cut = []
+
+        def cut_short(call):
+            if call == "watch" and watcher.watch_revision < hosted.revision:
+                cut.append(watcher.watch_revision)
+                raise AnswerCutShortError("body above 16777216 bytes")
+
+        hosted.put("servers/e3", b"ready")
+        await asyncio.sleep(0.1)  # the watch that waited has ended
+        store.before = cut_short
+        hosted.delete("servers/e2")
+        hosted.put(CONFIG, b"9")
+        await asyncio.sleep(1.0)
+        assert watcher.active_config.config.version == 9
+        assert known_ids(watcher) == ["e1", "e3"]
+        (line,) = events_of(watcher, "store_changes_cut_short")
+        assert cut == [line["after"]]
+
+    watch(scenario)
+
+
 def test_outage_removes_no_endpoint_and_entries_may_be_rewritten_after_it():
     async def scenario(hosted, store, watcher):
         def refuse(call):
