Ask for a newer configuration whoever tells of it (CONFIG)

Cause: only the daemon that begins an exchange asked for the other's state, and of two zones the first by name begins.

Change: a daemon asks the sender of any message that tells of a newer configuration, one state at a time and none before the next exchange; the same at its start.

Ruled out: lost or old digests, and peers that don't know the version themselves.

--- a/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
+++ b/libraries/daemon/src/corianderhaven/daemon/_fleet_daemon.py
@@ -504,7 +504,7 @@
     async def _handle_peer(self, request, caller):
         if request.target == DIGEST_PATH.encode():
             try:
-                peer = self.peers.receive(request.body)
+                peer = self.exchange.receive(request.body)
                 reply = self.peers.response_to(peer) if peer is not None else b""
                 await caller.send_response(200, [], reply)
             except ValueError as error:
--- a/libraries/fleet/src/corianderhaven/fleet/_peer_exchange.py
+++ b/libraries/fleet/src/corianderhaven/fleet/_peer_exchange.py
@@ -219,8 +219,6 @@
         try:
             while True:
                 answered = await self._exchange_once(client, peer)
-                if answered and self._needs_state_of(peer):
-                    self._begin_fetch(peer)
                 if answered is not last_answered:
                     event = "peer_reached" if answered else "peer_lost"
                     self.decisions.record(event, peer=peer.name)
@@ -234,7 +232,7 @@
         body = self.table.message_to(peer)
         try:
             answer = await client.call("POST", DIGEST_PATH, body, EXCHANGE_TIMEOUT_MS)
-            self.table.receive(answer.body)
+            self.receive(answer.body)
         except ConnectionLostError:
             self.table.mark_unreachable(peer)
             return False
@@ -243,12 +241,27 @@
             return False
         return True
 
-    def _needs_state_of(self, peer):
-        """Return whether this daemon has just started, or runs an older configuration."""
-        digest = self.table.peers[peer.name].digest if peer.name in self.table.peers else None
-        if digest is None:
-            return False
-        return not self.state_received or digest.config_version > self.config_version()
+    def receive(self, body):
+        """Apply a message of a peer, whichever side began the exchange.
+
+        The peer's state is fetched if this daemon has just started or runs an older configuration.
+
+        Returns
+        -------
+        Peer or None
+            The sender; None if this daemon sent the message itself.
+
+        Raises
+        ------
+        ValueError
+            If the message can't be decoded.
+        """
+        peer = self.table.receive(body)
+        if peer is not None:
+            behind = peer.digest.config_version > self.config_version()
+            if behind or not self.state_received:
+                self._begin_fetch(peer)
+        return peer
 
     def _begin_fetch(self, peer):
         """Take over the state of a peer, unless that of another one is on its way."""
@@ -258,8 +271,13 @@
     async def _fetch_state(self, peer):
         """Take over what a peer knows and the store may have lost.
 
-        Digests are exchanged meanwhile, as the state may take long over a narrow link.
+        Digests are exchanged meanwhile, as the state may take long over a narrow link. Whatever
+        comes of it, no other fetch begins before the next exchange: all peers may be ahead.
         """
+        await self._fetch_state_once(peer)
+        await asyncio.sleep(self._exchange_interval_ms() / MS_PER_S)
+
+    async def _fetch_state_once(self, peer):
         client = AsyncHttpClient(peer.address, self.source_ip)
         try:
             answer = await client.call("GET", STATE_PATH, b"", STATE_TIMEOUT_MS)
--- a/libraries/fleet/src/corianderhaven/fleet/tests/reading_fleet.py
+++ b/libraries/fleet/src/corianderhaven/fleet/tests/reading_fleet.py
@@ -154,6 +154,7 @@
 
     async def call(self, method, target, body, timeout_ms):
         own, other = self.fleet.nodes[self.source], self.fleet.nodes.get(self.address)
+        self.fleet.messages[target] += 1
         await own.running.wait()
         await asyncio.sleep(LINK_S)
         if other is None or other.stopped:
@@ -246,7 +247,7 @@
     def answer(self, target, body):
         if target != DIGEST_PATH:
             return encode_state(PeerState(self.config.value, self.config.version))
-        peer = self.peers.receive(body)
+        peer = self.exchange.receive(body)
         return self.peers.response_to(peer) if peer is not None else b""
 
     def stop(self):
@@ -263,6 +264,7 @@
         self.clock, self.store, self.answer_s = clock, HostedStore(clock), 0.004
         self.refused, self.cut_from_store, self.cut_zones = set(), set(), set()
         self.entries = {f"e{n}": [0, False] for n in range(endpoints)}
+        self.messages = Counter()  # between daemons, by target
         self.version = 0
         self.publish_config()
         self.nodes = {}
