Tests: bodies left open take their memory before the request that is refused

Trace: the request is sent as soon as the kernel has taken the six bodies; where the server's threads haven't read them by then, there is room. That is allowed: the bound holds all the time, the test just didn't wait for what it is about.

It now opens four bodies, waits until the server holds them, and opens the other two; the same request has to be refused, and the same two of the six.

--- a/libraries/common/src/corianderhaven/common/tests/test_http_server_bodies.py
+++ b/libraries/common/src/corianderhaven/common/tests/test_http_server_bodies.py
@@ -2,6 +2,7 @@
 
 import http.client
 import socket
+import time
 import tracemalloc
 
 import pytest
@@ -62,12 +63,23 @@
     assert post(server, [b"{}"])[0] == 200
 
 
+def wait_for_buffered(server, size):
+    """Wait until the server's threads have read so much of the bodies that are open."""
+    end_s = time.monotonic() + 10.0
+    while server.router.buffered_bytes != size:
+        assert time.monotonic() < end_s, server.router.buffered_bytes
+        time.sleep(0.005)
+
+
 def test_bodies_left_open_are_bounded_together(server):
     """Guards against a body at the limit in each of the threads."""
     chunk = b"10000\r\n" + b"b" * 65_536 + b"\r\n"
     socks = [open_socket(server) for _ in range(6)]
     try:
-        for sock in socks:
+        for sock in socks[:4]:
+            sock.sendall(chunk * 15 + b"0\r\n")
+        wait_for_buffered(server, 4 * 14 * 65_536)  # the first part of each counts towards no limit
+        for sock in socks[4:]:
             sock.sendall(chunk * 15 + b"0\r\n")
         status, _ = post(server, [b"s" * 65_536] * 16)
         assert status == 503
