--- a/libraries/soak/src/corianderhaven/soak/_callers.py
+++ b/libraries/soak/src/corianderhaven/soak/_callers.py
@@ -62,7 +62,7 @@
             lag = 0 if newest else self.rng.choice(VERSION_LAGS)
             attempt.version = self.site.config_version - lag
         self.attempts.append(attempt)
-        self.invariants.record_sent(attempt)
+        self.invariants.record_sent(attempt, _body_of(attempt))
         try:
             async with asyncio.timeout(timeout_s):
                 await self._exchange(attempt)
@@ -83,8 +83,8 @@
             address = self.daemon.caller_link.address
             self.connection = await ClientConnection.open(address, CONNECT_TIMEOUT_MS)
         connection = self.connection
-        method = "GET" if attempt.kind in ("status", "version") else "POST"
-        body = b"{}" if method == "POST" else b""
+        body = _body_of(attempt)
+        method = "POST" if body else "GET"
         await connection.send(method, self._path(attempt), self._headers(attempt, body), body)
         head = await connection.read_head()
         attempt.status = head.status
@@ -150,6 +150,11 @@
             self.connection = None
 
 
+def _body_of(attempt):
+    """Return the body of a request, none of those that only read."""
+    return b"" if attempt.kind in ("status", "version") else b"{}"
+
+
 def response_times_s(attempts):
     """Return the sorted times from send to end of all complete responses, in seconds."""
     times = [(a.ended_ms - a.sent_ms) / MS_PER_S for a in attempts if a.complete]
--- a/libraries/soak/src/corianderhaven/soak/_invariants.py
+++ b/libraries/soak/src/corianderhaven/soak/_invariants.py
@@ -78,6 +78,7 @@
         self.violations = []
         self.refused = {}
         self.kinds = {}
+        self.bodies = {}
         self.newest_versions = {}
         self.checked_run_count = 0
         self.runs = defaultdict(list)
@@ -94,9 +95,10 @@
         self.active_losses -= 1
         self.without_loss_since_ms = ended_ms + LOSS_AFTEREFFECT_MS
 
-    def record_sent(self, attempt):
-        """Record the kind of a request before a worker runs it."""
+    def record_sent(self, attempt, body):
+        """Record the kind and the whole body of a request before a worker runs it."""
         self.kinds[attempt.id] = attempt.kind
+        self.bodies[attempt.id] = body
 
     def check_attempt(self, attempt):
         """Check an attempt that has ended, and all runs up to now."""
@@ -129,6 +131,9 @@
                 self._add_violation(
                     "at most as often as its kind allows", run.request_id, str(runs)
                 )
+            elif run.body != self.bodies[run.request_id]:
+                detail = f"{len(run.body)} of {len(self.bodies[run.request_id])} bytes"
+                self._add_violation("whole body or nothing", run.request_id, detail)
             if kind == "issue" and run.request_id in self.refused:
                 self._add_violation(
                     "refused means not run", run.request_id, "ran after the refusal"
--- a/libraries/soak/src/corianderhaven/soak/_soak_run.py
+++ b/libraries/soak/src/corianderhaven/soak/_soak_run.py
@@ -21,6 +21,7 @@
     plan_worker_pauses,
 )
 from ._invariants import InvariantChecker, Violation
+from ._leaving_callers import LeavingCaller
 from ._link_proxy import LinkProxy
 
 ZONES = ("a", "b", "c")
@@ -207,7 +208,11 @@
             Caller(d, self.site, self.invariants, self.seed * 1_000 + n, self.attempts)
             for n, d in enumerate(self.daemons * callers_per_daemon)
         ]
-        tasks = [asyncio.create_task(c.run()) for c in callers]
+        leaving = [
+            LeavingCaller(daemon, self.invariants, self.seed * 1_000 - n)
+            for n, daemon in enumerate(self.daemons)
+        ]
+        tasks = [asyncio.create_task(c.run()) for c in (*callers, *leaving)]
         try:
             yield
             for task in tasks:
--- a/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
+++ b/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
@@ -33,8 +33,11 @@
 EVENTS = 8
 
 
-def make_run(request_id, worker="w1"):
-    return SimpleNamespace(request_id=request_id, worker=worker, target="/x")
+BODY = b"{}"
+
+
+def make_run(request_id, worker="w1", body=BODY):
+    return SimpleNamespace(request_id=request_id, worker=worker, target="/x", body=body)
 
 
 @pytest.fixture
@@ -49,7 +52,7 @@
 
 def record_attempt(invariants, kind="issue", **fields):
     attempt = Attempt("r1", kind, "d1", 0.0, ended_ms=10.0, request_id="r1", **fields)
-    invariants.record_sent(attempt)
+    invariants.record_sent(attempt, BODY)
     return attempt
 
 
@@ -91,6 +94,14 @@
     assert violated_names(after) == ["refused means not run"]
 
 
+@pytest.mark.parametrize("body", [b"", b"{", b"}", b"{}{}"])
+def test_run_with_a_part_of_a_body_or_another_one_is_detected(site, invariants, body):
+    record_attempt(invariants)
+    site.runs.append(make_run("r1", body=body))
+    invariants.check_runs()
+    assert violated_names(invariants) == ["whole body or nothing"]
+
+
 def test_run_without_a_request_is_detected(site, invariants):
     site.runs.append(make_run("smuggled"))
     invariants.check_runs()
@@ -159,7 +170,7 @@
 
 def test_stream_cut_while_nothing_is_lost_is_detected(site, invariants):
     site.runs.append(make_run("r1"))
-    invariants.kinds["r1"] = "draft"
+    invariants.kinds["r1"], invariants.bodies["r1"] = "draft", BODY
     invariants.begin_loss()
     invariants.end_loss(10_000.0 - LOSS_AFTEREFFECT_MS)
     assert check_draft(invariants) == ["no stream cut without a loss"]
@@ -177,14 +188,14 @@
 )
 def test_stream_that_a_daemon_may_end_violates_nothing(site, invariants, fields):
     site.runs.append(make_run("r1"))
-    invariants.kinds["r1"] = "draft"
+    invariants.kinds["r1"], invariants.bodies["r1"] = "draft", BODY
     assert check_draft(invariants, **fields) == []
 
 
 @pytest.mark.parametrize("ended", [[], [10_500.0], [10_000.0 - LOSS_AFTEREFFECT_MS + 1.0]])
 def test_stream_cut_beside_a_loss_violates_nothing(site, invariants, ended):
     site.runs.append(make_run("r1"))
-    invariants.kinds["r1"] = "draft"
+    invariants.kinds["r1"], invariants.bodies["r1"] = "draft", BODY
     invariants.begin_loss()
     for ended_ms in ended:
         invariants.end_loss(ended_ms)
