Soak and stand-in: an answer without a length ends by a reset unless it is whole

Trace: its worker answered without a length, as a misbehaviour, and another draft's crashing part ended it within the answer; the stand-in's crash and the proxy's reset both arrive as an orderly close, by which such an answer ends.

The stand-in's answers without a length now end by a reset until they are whole, and the soak's proxy passes a reset on as one. The check stands as it was. The stand-in also goes on as it began when the fault ends within a stream.

Test: test_answer_without_length_is_reset_if_its_worker_ends_within_it, red without the proxy's change.

--- a/libraries/soak/src/corianderhaven/soak/_link_proxy.py
+++ b/libraries/soak/src/corianderhaven/soak/_link_proxy.py
@@ -1,12 +1,15 @@
 """A TCP proxy on loopback that emulates network faults: delay, reset, loss and stalls."""
 
 import asyncio
+import socket
+import struct
 
 from corianderhaven.common import MS_PER_S
 
 from ._source_filter import drop_sources
 
 READ_BYTES = 65_536
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER
 
 
 class LinkProxy:
@@ -52,8 +55,7 @@
     def reset(self):
         """Reset all connections."""
         for connection in list(self.connections):
-            for writer in connection:
-                writer.transport.abort()
+            _reset(connection)
 
     def stall(self):
         """Drop all further data on the open connections without closing them."""
@@ -113,8 +115,16 @@
             if connection not in self.stalled:
                 writer.close()
         except OSError:
-            for side in connection:
-                side.transport.abort()
+            _reset(connection)
+
+
+def _reset(connection):
+    """Reset both sides of a connection: an orderly close would end an answer without a length."""
+    for side in connection:
+        sock = side.get_extra_info("socket")
+        if sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        side.transport.abort()
 
 
 def _source_ip(connection):
--- a/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
+++ b/libraries/soak/src/corianderhaven/soak/tests/test_soak.py
@@ -254,6 +254,36 @@
     asyncio.run(scenario())
 
 
+def test_answer_without_length_is_reset_if_its_worker_ends_within_it():
+    """Guards against a false "whole answer": what was cut looked like an orderly end."""
+
+    async def scenario():
+        site, links = HostingSite(["a"], 1, small_models(), 1), []
+
+        async def proxy_worker(worker_id, address):
+            links.append(await LinkProxy(address).start())
+            return links[-1].address
+
+        site.wrap_address = proxy_worker
+        await site.start()
+        worker = next(w for w in site.workers.values() if w.engine is None)
+        worker.faults = WorkerFaults(unframed=True, reset=True)
+        connection = await ClientConnection.open(worker.address, 300)
+        headers = [("host", "x"), ("corianderhaven-attempt-id", "r1")]
+        await connection.send("GET", "/status/1", headers)
+        await connection.read_head()
+        try:
+            with pytest.raises(ConnectionLostError):
+                await connection.read_body()
+        finally:
+            connection.close()
+            for link in links:
+                link.close()
+            site.close()
+
+    asyncio.run(scenario())
+
+
 def test_short_seeded_run_violates_nothing(tmp_path):
     report = asyncio.run(SoakRun(7, RUN_S, 3, str(tmp_path)).run())
     assert report.breaches == []
--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -25,7 +25,9 @@
 TRICKLE_INTERVAL_MS = 20.0
 INCARNATIONS_PER_WORKER = 1_000  # keeps the start times of different workers apart
 ANY_ADDRESS = "127.0.0.1:0"
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # of SO_LINGER: on, with no time for unsent data
+# Values of SO_LINGER: whether a close is a reset, and the seconds for which it waits.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+ORDERLY_CLOSE = struct.pack("ii", 0, 0)
 
 
 @dataclass
@@ -707,10 +709,9 @@
         if worker.faults.reset:
             await caller.write(body[:5])
             await asyncio.sleep(STATE_POLL_MS / MS_PER_S)
-            sock = caller.transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         else:
             await caller.write(body)
+            _set_linger(caller, ORDERLY_CLOSE)
         caller.abort_response()
 
     async def _stream_events(self, worker, request, caller):
@@ -720,14 +721,16 @@
             *self._response_headers(worker, request),
             (b"content-type", b"text/event-stream"),
         ]
-        if worker.faults.unframed:
+        unframed = worker.faults.unframed  # the fault may end before the stream
+        if unframed:
             await _send_unframed_head(caller, headers)
             if worker.faults.no_events:
+                _set_linger(caller, ORDERLY_CLOSE)
                 caller.abort_response()
                 return
         else:
             await caller.send_head(200, headers)
-        send = caller.write if worker.faults.unframed else caller.send_chunk
+        send = caller.write if unframed else caller.send_chunk
         for number in range(first, self.events + 1):
             event = _event(number)
             if worker.faults.endless == "event":
@@ -735,6 +738,7 @@
                     await caller.send_chunk(ENDLESS_BLOCK)
             if worker.faults.cut_after is not None and number > worker.faults.cut_after:
                 await send(event[:6])
+                _set_linger(caller, ORDERLY_CLOSE)
                 caller.close()
                 return
             if not await self._wait_for_progress(worker.engine, group):
@@ -746,7 +750,8 @@
             if number == worker.faults.trickle_after:
                 await self._trickle(caller)
         await worker.running.wait()
-        if worker.faults.unframed:
+        if unframed:
+            _set_linger(caller, ORDERLY_CLOSE)
             caller.abort_response()
         else:
             await caller.send_end()
@@ -758,7 +763,15 @@
             await asyncio.sleep(TRICKLE_INTERVAL_MS / MS_PER_S)
 
 
+def _set_linger(caller, value):
+    sock = caller.transport.get_extra_info("socket")
+    if sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
+
 async def _send_unframed_head(caller, headers):
+    """Send the head of an answer that an orderly close ends; any other end is a reset."""
+    _set_linger(caller, RESET_ON_CLOSE)
     lines = [b"HTTP/1.1 200 OK"] + [k + b": " + v for k, v in headers]
     await caller.write(b"\r\n".join([*lines, b"", b""]))
 
