Stand-in: a worker at a given address waits until its port is free

A worker that restarts after a crash waited for that already; now each start at an address does. The test and its checks are unchanged.

--- a/libraries/standins/src/corianderhaven/standins/_hosting_site.py
+++ b/libraries/standins/src/corianderhaven/standins/_hosting_site.py
@@ -407,7 +407,12 @@
             await self._answer_worker(worker, request, caller)
 
         worker.server = AsyncHttpServer(address, answer, self.clock)
-        await worker.server.start()
+        while True:
+            try:
+                await worker.server.start()
+                break
+            except OSError:  # an outgoing connection may hold the port for a moment
+                await asyncio.sleep(STATE_POLL_MS / MS_PER_S)
         self.servers.append(worker.server)
 
     def _parts_that_crash(self, request):
@@ -446,12 +451,7 @@
             worker.started_ms += 1
             if worker.engine is not None:
                 self.engines.restart(worker.id)
-        while True:
-            try:
-                await self._listen(worker, address)
-                break
-            except OSError:  # an outgoing connection may hold the port for a moment
-                await asyncio.sleep(STATE_POLL_MS / MS_PER_S)
+        await self._listen(worker, address)
         worker.listed = True
 
     def _add_successor(self, worker):
