--- a/libraries/common/src/corianderhaven/common/_async_connection.py
+++ b/libraries/common/src/corianderhaven/common/_async_connection.py
@@ -109,7 +109,7 @@
 
     @property
     def is_open(self):
-        """Whether the peer can still be sent something; False once it has closed its side."""
+        """Whether neither side has closed the connection, or its own side of it."""
         return not self.lost and not self.transport.is_closing()
 
     def limit_unread(self):
